--- /dev/null
+++ b/crates/balancer/src/lib.rs
@@ -0,0 +1,1 @@
+//! The balancer's datagram path between callers and agents.
--- /dev/null
+++ b/crates/bench/src/benches.rs
@@ -0,0 +1,36 @@
+//! Every bench by name; one module a bench.
+
+use crate::{
+    error::{BenchError, Result},
+    figure::{Figure, Options},
+};
+
+/// A bench that can be run by name.
+struct Bench {
+    name: &'static str,
+    about: &'static str,
+    run: fn(&Options) -> Result<Vec<Figure>>,
+}
+
+/// Every bench, sorted by name.
+const BENCHES: &[Bench] = &[];
+
+/// Runs the named bench, or lists all when no name is given.
+pub(crate) fn run(name: Option<&str>, options: &Options) -> Result<()> {
+    let Some(name) = name else {
+        for bench in BENCHES {
+            println!("{:<16} {}", bench.name, bench.about);
+        }
+        return Ok(());
+    };
+    let Some(bench) = BENCHES.iter().find(|it| it.name == name) else {
+        let text = format!("no bench named `{name}`; `cargo xtask bench` lists them");
+        return Err(BenchError::Usage(text));
+    };
+    for figure in (bench.run)(options)? {
+        let line = serde_json::to_string(&figure)
+            .map_err(|err| BenchError::setup("printing a result", &err))?;
+        println!("{line}");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,34 @@
+//! The demo and the benches, on real processes with stand-ins.
+//!
+//! `cargo xtask demo` and `cargo xtask bench` run this program. It never ships.
+
+mod benches;
+mod demo;
+mod error;
+mod figure;
+mod flags;
+
+use std::process::ExitCode;
+
+use mimalloc::MiMalloc;
+
+#[global_allocator]
+static GLOBAL: MiMalloc = MiMalloc;
+
+fn main() -> ExitCode {
+    let flags = flags::Program::from_env_or_exit();
+    let res = match flags.subcommand {
+        flags::ProgramCmd::Demo(cmd) => demo::run(&figure::Options::new(cmd.seed, cmd.seconds)),
+        flags::ProgramCmd::Bench(cmd) => benches::run(
+            cmd.name.as_deref(),
+            &figure::Options::new(cmd.seed, cmd.seconds),
+        ),
+    };
+    match res {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("bench: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/lovagectl/src/main.rs
@@ -0,0 +1,2 @@
+//! The operators' program.
+fn main() {}
--- /dev/null
+++ b/crates/lovagehall/src/main.rs
@@ -0,0 +1,2 @@
+//! The balancer and agent program.
+fn main() {}
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Liveness of processes by probes and gossip.
--- /dev/null
+++ b/crates/spec/src/lib.rs
@@ -0,0 +1,1 @@
+//! Specifications of the core protocols and their exhaustive search.
--- /dev/null
+++ b/crates/stand-ins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform, upstreams and callers.
--- /dev/null
+++ b/crates/units/src/ids.rs
@@ -0,0 +1,205 @@
+//! Identifiers of services, endpoints, instances and bundles.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+
+use crate::ParseUnitError;
+
+/// Longest name of an instance or availability zone, in bytes.
+const NAME_MAX_BYTES: usize = 64;
+
+/// What a name may consist of, for messages.
+const NAME_ALLOWED: &str = "1 to 64 letters, digits, `-`, `_` or `.`";
+
+macro_rules! numeric_id {
+    ($(#[$doc:meta])* $name:ident($inner:ty), $label:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name($inner);
+
+        impl $name {
+            /// Wraps a raw number.
+            #[must_use]
+            pub const fn new(raw: $inner) -> Self {
+                Self(raw)
+            }
+
+            /// Returns the raw number.
+            #[must_use]
+            pub const fn get(self) -> $inner {
+                self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseUnitError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                crate::quantities::parse_number(text, $label).map(Self)
+            }
+        }
+    };
+}
+
+numeric_id! {
+    /// A service, unique in the fleet and never reused.
+    ServiceId(u32), "service id"
+}
+
+numeric_id! {
+    /// An upstream endpoint, unique in the fleet while a bundle names it.
+    EndpointId(u32), "endpoint id"
+}
+
+numeric_id! {
+    /// A run of a process: seconds since the Unix epoch at its start, higher for each later run.
+    Incarnation(u32), "incarnation"
+}
+
+numeric_id! {
+    /// The version of a service's bundle: 1 for the first, one more for each next.
+    BundleVersion(u64), "bundle version"
+}
+
+numeric_id! {
+    /// The index of a key in rotation, carried in connection ids and tunnel headers.
+    KeyIndex(u8), "key index"
+}
+
+macro_rules! name_id {
+    ($(#[$doc:meta])* $name:ident, $label:literal) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+        #[serde(transparent)]
+        pub struct $name(String);
+
+        impl $name {
+            /// Returns the name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseUnitError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                check_name(text, $label)?;
+                Ok(Self(text.to_owned()))
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                String::deserialize(deserializer)?.parse().map_err(de::Error::custom)
+            }
+        }
+    };
+}
+
+name_id! {
+    /// A balancer or agent process, unique in the fleet at any moment.
+    InstanceId, "instance id"
+}
+
+name_id! {
+    /// An availability zone.
+    Zone, "zone"
+}
+
+/// The BLAKE3 digest of a signed bundle's exact bytes.
+#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BundleDigest([u8; 32]);
+
+impl BundleDigest {
+    /// Wraps raw digest bytes.
+    #[must_use]
+    pub const fn new(raw: [u8; 32]) -> Self {
+        Self(raw)
+    }
+
+    /// Returns the raw digest bytes.
+    #[must_use]
+    pub const fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+impl fmt::Display for BundleDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for BundleDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "BundleDigest({self})")
+    }
+}
+
+impl FromStr for BundleDigest {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let invalid = || ParseUnitError::Shape {
+            expected: "bundle digest",
+            text: text.to_owned(),
+            allowed: "64 hexadecimal digits",
+        };
+        if text.len() != 64 || !text.is_ascii() {
+            return Err(invalid());
+        }
+        let mut raw = [0; 32];
+        for (idx, byte) in raw.iter_mut().enumerate() {
+            let digits = &text[idx * 2..idx * 2 + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_malformed| invalid())?;
+        }
+        Ok(Self(raw))
+    }
+}
+
+impl Serialize for BundleDigest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for BundleDigest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        String::deserialize(deserializer)?
+            .parse()
+            .map_err(de::Error::custom)
+    }
+}
+
+fn check_name(text: &str, expected: &'static str) -> Result<(), ParseUnitError> {
+    if text.is_empty() {
+        return Err(ParseUnitError::Empty { expected });
+    }
+    let allowed = |it: char| it.is_ascii_alphanumeric() || "-_.".contains(it);
+    if text.len() <= NAME_MAX_BYTES && text.chars().all(allowed) {
+        return Ok(());
+    }
+    Err(ParseUnitError::Shape {
+        expected,
+        text: text.to_owned(),
+        allowed: NAME_ALLOWED,
+    })
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,25 @@
+//! Generated messages and stubs of the calls between processes.
+//!
+//! The modules under `generated` come from `proto/` by `cargo xtask codegen` and are committed, so
+//! that a build needs no generator. This crate holds no logic.
+
+#![expect(
+    missing_docs,
+    clippy::pedantic,
+    clippy::clone_on_ref_ptr,
+    clippy::allow_attributes_without_reason,
+    clippy::empty_structs_with_brackets,
+    reason = "generated code"
+)]
+
+#[rustfmt::skip]
+#[path = "generated/lovagehall.bundles.v1.rs"]
+pub mod bundles;
+
+#[rustfmt::skip]
+#[path = "generated/lovagehall.inspect.v1.rs"]
+pub mod inspect;
+
+#[rustfmt::skip]
+#[path = "generated/lovagehall.requests.v1.rs"]
+pub mod requests;
--- /dev/null
+++ b/xtask/src/process.rs
@@ -0,0 +1,109 @@
+//! Starts the workspace's own programs.
+
+use std::{
+    fmt, io,
+    path::PathBuf,
+    process::{Command, ExitStatus},
+};
+
+/// Why an automation step failed.
+#[derive(Debug)]
+pub(crate) enum XtaskError {
+    /// A program could not be started or a file not be read or written.
+    Io {
+        /// What was being done.
+        action: String,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// A program ended with a failure.
+    Failed {
+        /// The command line.
+        command: String,
+        /// How it ended.
+        status: ExitStatus,
+    },
+    /// A check found the work tree or a result wrong.
+    Check(String),
+}
+
+impl fmt::Display for XtaskError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io { action, source } => write!(f, "{action}: {source}"),
+            Self::Failed { command, status } => write!(f, "`{command}` ended with {status}"),
+            Self::Check(text) => f.write_str(text),
+        }
+    }
+}
+
+impl std::error::Error for XtaskError {}
+
+/// Result of an automation step.
+pub(crate) type Result<T> = std::result::Result<T, XtaskError>;
+
+/// Returns the folder of the workspace.
+pub(crate) fn workspace_dir() -> PathBuf {
+    let manifest_dir = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
+    manifest_dir
+        .parent()
+        .map_or_else(|| manifest_dir.clone(), PathBuf::from)
+}
+
+/// Runs cargo in the workspace and waits for it.
+pub(crate) fn cargo(args: &[&str]) -> Result<()> {
+    let command = format!("cargo {}", args.join(" "));
+    eprintln!("$ {command}");
+    let status = Command::new("cargo")
+        .args(args)
+        .current_dir(workspace_dir())
+        .status()
+        .map_err(|source| XtaskError::Io {
+            action: command.clone(),
+            source,
+        })?;
+    if status.success() {
+        Ok(())
+    } else {
+        Err(XtaskError::Failed { command, status })
+    }
+}
+
+/// Builds the programs for release and runs a command of the `bench` program.
+pub(crate) fn run_bench(
+    command: &str,
+    name: Option<&str>,
+    seed: Option<u64>,
+    seconds: Option<u64>,
+) -> Result<()> {
+    cargo(&[
+        "build",
+        "--quiet",
+        "--release",
+        "--locked",
+        "-p",
+        "lovagehall",
+        "-p",
+        "lovagectl",
+    ])?;
+    let mut args = vec![
+        "run",
+        "--quiet",
+        "--release",
+        "--locked",
+        "-p",
+        "bench",
+        "--",
+        command,
+    ];
+    args.extend(name);
+    let seed = seed.map(|it| it.to_string());
+    if let Some(seed) = &seed {
+        args.extend(["--seed", seed]);
+    }
+    let seconds = seconds.map(|it| it.to_string());
+    if let Some(seconds) = &seconds {
+        args.extend(["--seconds", seconds]);
+    }
+    cargo(&args)
+}
