Settings files: form, checks and errors

Cause: both programs start from a JSON file, and a bad one must never start a process. Change: one crate with the three files' forms, unknown fields refused, every value checked, each error naming the field and the remedy; secrets never show in debug output. Conclusion: the programs can parse and check their files with one call.

--- /dev/null
+++ b/crates/settings/src/check.rs
@@ -0,0 +1,134 @@
+//! Checks that several settings files share.
+
+use std::net::SocketAddr;
+
+use units::Millis;
+
+use crate::{CallerTls, OperatorKey, ProcessTls, SettingsError, SharedKey};
+
+/// Key indexes that fit the connection id's rotation bits; 7 is reserved.
+const KEY_INDEX_MAX: u8 = 6;
+
+/// Longest drain time that a process accepts, one day.
+const DRAIN_MAX: Millis = Millis::new(24 * 3_600 * 1_000);
+
+/// Checks that an address names a host and a port.
+pub(crate) fn address(field: &'static str, address: SocketAddr) -> Result<(), SettingsError> {
+    if address.port() == 0 {
+        let cause = format!("`{address}` has port 0");
+        return Err(SettingsError::Field {
+            field,
+            cause,
+            remedy: "give a port from 1 to 65535",
+        });
+    }
+    Ok(())
+}
+
+/// Checks that a list of addresses is not empty and each names a port.
+pub(crate) fn addresses(field: &'static str, list: &[SocketAddr]) -> Result<(), SettingsError> {
+    if list.is_empty() {
+        let cause = "the list is empty".to_owned();
+        return Err(SettingsError::Field {
+            field,
+            cause,
+            remedy: "give at least one address",
+        });
+    }
+    list.iter().try_for_each(|it| address(field, *it))
+}
+
+/// Checks that shared keys are there, in range and each index is used once.
+pub(crate) fn shared_keys(field: &'static str, keys: &[SharedKey]) -> Result<(), SettingsError> {
+    if keys.is_empty() {
+        let cause = "no key is given".to_owned();
+        let remedy = "give at least one key; `lovagectl key new` makes them";
+        return Err(SettingsError::Field {
+            field,
+            cause,
+            remedy,
+        });
+    }
+    for (idx, key) in keys.iter().enumerate() {
+        if key.index.get() > KEY_INDEX_MAX {
+            let cause = format!("index {} is out of range", key.index);
+            return Err(SettingsError::Field {
+                field,
+                cause,
+                remedy: "use an index from 0 to 6",
+            });
+        }
+        if keys[..idx].iter().any(|it| it.index == key.index) {
+            let cause = format!("index {} is given twice", key.index);
+            return Err(SettingsError::Field {
+                field,
+                cause,
+                remedy: "give each index once",
+            });
+        }
+    }
+    Ok(())
+}
+
+/// Checks that operator keys are there and each id is used once.
+pub(crate) fn operator_keys(keys: &[OperatorKey]) -> Result<(), SettingsError> {
+    let field = "operator_keys";
+    if keys.is_empty() {
+        let cause = "no key is given".to_owned();
+        let remedy = "give the public key of at least one operator; no bundle is accepted without";
+        return Err(SettingsError::Field {
+            field,
+            cause,
+            remedy,
+        });
+    }
+    for (idx, key) in keys.iter().enumerate() {
+        if keys[..idx].iter().any(|it| it.id == key.id) {
+            let cause = format!("id `{}` is given twice", key.id);
+            return Err(SettingsError::Field {
+                field,
+                cause,
+                remedy: "give each id once",
+            });
+        }
+    }
+    Ok(())
+}
+
+/// Checks that the texts look like PEM.
+pub(crate) fn process_tls(tls: &ProcessTls) -> Result<(), SettingsError> {
+    pem("tls.ca_pem", &tls.ca_pem)?;
+    pem("tls.certificate_pem", &tls.certificate_pem)?;
+    pem("tls.key_pem", &tls.key_pem)
+}
+
+/// Checks that the texts look like PEM.
+pub(crate) fn caller_tls(tls: &CallerTls) -> Result<(), SettingsError> {
+    pem("caller_tls.certificate_pem", &tls.certificate_pem)?;
+    pem("caller_tls.key_pem", &tls.key_pem)
+}
+
+/// Checks that a drain time is between one millisecond and one day.
+pub(crate) fn drain_timeout(timeout: Millis) -> Result<(), SettingsError> {
+    if timeout.get() > 0 && timeout <= DRAIN_MAX {
+        return Ok(());
+    }
+    Err(SettingsError::Field {
+        field: "drain_timeout_ms",
+        cause: format!("{timeout} is out of range"),
+        remedy: "give 1 to 86400000 milliseconds",
+    })
+}
+
+fn pem(field: &'static str, text: &str) -> Result<(), SettingsError> {
+    if text.contains("-----BEGIN ") {
+        return Ok(());
+    }
+    let cause = "the text is not PEM".to_owned();
+    let remedy = "paste the whole PEM text with its `-----BEGIN` line, `\\n` for each line end";
+    Err(SettingsError::Field {
+        field,
+        cause,
+        remedy,
+    })
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,40 @@
+//! Settings files of the programs: their form, their checks and their errors.
+//!
+//! A settings file is JSON, read once at start. This crate parses and checks it; it opens no file
+//! and starts nothing. What changes while a process runs comes in bundles, never from here.
+
+mod agent;
+mod balancer;
+mod check;
+mod error;
+mod operator;
+mod parts;
+
+pub use agent::AgentSettings;
+pub use balancer::{AddressOverride, BalancerSettings};
+pub use error::SettingsError;
+pub use operator::{OperatorSettings, ProcessAddress};
+pub use parts::{CallerTls, OperatorKey, ProcessTls, SecretKey, SharedKey};
+
+use serde::de::DeserializeOwned;
+
+/// Settings that can check their own values.
+pub trait Checked {
+    /// Checks every value.
+    ///
+    /// # Errors
+    ///
+    /// Names the first field whose value can't be used, and the remedy.
+    fn check(&self) -> Result<(), SettingsError>;
+}
+
+/// Parses and checks a settings file's text.
+///
+/// # Errors
+///
+/// Fails on malformed JSON, unknown fields and values that can't be used.
+pub fn parse<S: DeserializeOwned + Checked>(text: &str) -> Result<S, SettingsError> {
+    let settings: S = serde_json::from_str(text).map_err(|err| error::from_json(&err))?;
+    settings.check()?;
+    Ok(settings)
+}
--- /dev/null
+++ b/crates/settings/src/parts.rs
@@ -0,0 +1,117 @@
+//! Parts that several settings files share.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use units::KeyIndex;
+
+use crate::SettingsError;
+
+/// Size of a shared secret in bytes.
+const SECRET_BYTES: usize = 32;
+
+/// A shared secret of 32 bytes, written as 64 hexadecimal digits.
+#[derive(Clone, PartialEq, Eq)]
+pub struct SecretKey([u8; SECRET_BYTES]);
+
+impl SecretKey {
+    /// Wraps raw bytes.
+    #[must_use]
+    pub const fn new(raw: [u8; SECRET_BYTES]) -> Self {
+        Self(raw)
+    }
+
+    /// Returns the raw bytes.
+    #[must_use]
+    pub const fn expose(&self) -> &[u8; SECRET_BYTES] {
+        &self.0
+    }
+}
+
+impl fmt::Debug for SecretKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("SecretKey(..)")
+    }
+}
+
+impl FromStr for SecretKey {
+    type Err = SettingsError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut raw = [0; SECRET_BYTES];
+        hex::decode_to_slice(text, &mut raw).map_err(|err| SettingsError::Field {
+            field: "key",
+            cause: err.to_string(),
+            remedy: "write 64 hexadecimal digits, as `lovagectl key new` prints them",
+        })?;
+        Ok(Self(raw))
+    }
+}
+
+impl Serialize for SecretKey {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&hex::encode(self.0))
+    }
+}
+
+impl<'de> Deserialize<'de> for SecretKey {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        String::deserialize(deserializer)?
+            .parse()
+            .map_err(de::Error::custom)
+    }
+}
+
+/// A shared secret with its index in rotation.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SharedKey {
+    /// Index in rotation, 0 to 6.
+    pub index: KeyIndex,
+    /// The secret.
+    pub key: SecretKey,
+}
+
+/// A public key that operators sign bundles with.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OperatorKey {
+    /// Name of the key, as bundles cite it.
+    pub id: String,
+    /// The ed25519 public key, 64 hexadecimal digits.
+    pub public_key: SecretKey,
+}
+
+/// Certificates for calls between processes, in PEM.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ProcessTls {
+    /// Authority that signs every process's certificate.
+    pub ca_pem: String,
+    /// This process's certificate.
+    pub certificate_pem: String,
+    /// This process's private key.
+    pub key_pem: String,
+}
+
+/// Certificate that the service shows its callers, in PEM.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerTls {
+    /// Certificate chain, the service's own first.
+    pub certificate_pem: String,
+    /// Private key of the certificate.
+    pub key_pem: String,
+}
+
+impl fmt::Debug for ProcessTls {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ProcessTls").finish_non_exhaustive()
+    }
+}
+
+impl fmt::Debug for CallerTls {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CallerTls").finish_non_exhaustive()
+    }
+}
