--- /dev/null
+++ b/crates/bench/src/fleet/addresses.rs
@@ -0,0 +1,73 @@
+//! Loopback addresses: one per process, with fixed ports.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+/// Port of tunnel datagrams.
+const TUNNEL_PORT: u16 = 7_000;
+
+/// Port of calls between processes.
+const CONTROL_PORT: u16 = 7_001;
+
+/// Port of an upstream's HTTP.
+const UPSTREAM_PORT: u16 = 8_080;
+
+/// First port a balancer binds for service addresses.
+const SERVICE_PORT: u16 = 4_430;
+
+/// Hands out one loopback address per process of one fleet.
+///
+/// Fleets with different `block`s never share an address.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AddressPlan {
+    /// Second byte of every address.
+    block: u8,
+}
+
+impl AddressPlan {
+    /// Picks the block from the process id, so that fleets run side by side.
+    pub(crate) fn new() -> Self {
+        let block = u8::try_from(std::process::id() % 200).unwrap_or_default() + 20;
+        Self { block }
+    }
+
+    /// Address of a balancer's tunnel socket.
+    pub(crate) fn balancer_tunnel(self, idx: usize) -> SocketAddr {
+        SocketAddr::new(self.host(1, idx), TUNNEL_PORT)
+    }
+
+    /// Address where a balancer is called.
+    pub(crate) fn balancer_control(self, idx: usize) -> SocketAddr {
+        SocketAddr::new(self.host(1, idx), CONTROL_PORT)
+    }
+
+    /// Address a balancer binds for the service with this position in the plan.
+    pub(crate) fn balancer_service(self, idx: usize, service_idx: usize) -> SocketAddr {
+        let port = SERVICE_PORT + u16::try_from(service_idx).unwrap_or_default();
+        SocketAddr::new(self.host(1, idx), port)
+    }
+
+    /// Address of an agent's tunnel socket.
+    pub(crate) fn agent_tunnel(self, idx: usize) -> SocketAddr {
+        SocketAddr::new(self.host(2, idx), TUNNEL_PORT)
+    }
+
+    /// Address where an agent is called.
+    pub(crate) fn agent_control(self, idx: usize) -> SocketAddr {
+        SocketAddr::new(self.host(2, idx), CONTROL_PORT)
+    }
+
+    /// Address of an upstream.
+    pub(crate) fn upstream(self, idx: usize) -> SocketAddr {
+        SocketAddr::new(self.host(3, idx), UPSTREAM_PORT)
+    }
+
+    /// Address of the platform service.
+    pub(crate) fn platform(self) -> SocketAddr {
+        SocketAddr::new(self.host(4, 0), UPSTREAM_PORT)
+    }
+
+    fn host(self, group: u8, idx: usize) -> IpAddr {
+        let last = u8::try_from(idx + 1).unwrap_or(u8::MAX);
+        IpAddr::V4(Ipv4Addr::new(127, self.block, group, last))
+    }
+}
--- /dev/null
+++ b/crates/lovagehall/src/flags.rs
@@ -0,0 +1,25 @@
+//! Command line of the program.
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// A layer-4 load balancer for services that nobody watches at night.
+    cmd lovagehall {
+        /// Specification of what is logged, for example `info` or `warn, control=debug`.
+        optional --log spec: String
+        /// Forwards datagrams between callers and agents.
+        cmd balancer {
+            /// Settings file, JSON.
+            required settings: PathBuf
+            /// Checks the settings file and ends.
+            optional --check-settings
+        }
+        /// Answers callers beside one upstream endpoint.
+        cmd agent {
+            /// Settings file, JSON.
+            required settings: PathBuf
+            /// Checks the settings file and ends.
+            optional --check-settings
+        }
+    }
+}
--- a/crates/lovagehall/src/main.rs
+++ b/crates/lovagehall/src/main.rs
@@ -1,2 +1,26 @@
 //! The balancer and agent program.
-fn main() {}
+//!
+//! This crate only reads settings, starts what the role needs and waits for the stop signal. Every
+//! decision lives in the library crates.
+
+mod flags;
+mod logging;
+mod run;
+
+use std::process::ExitCode;
+
+use mimalloc::MiMalloc;
+
+#[global_allocator]
+static GLOBAL: MiMalloc = MiMalloc;
+
+fn main() -> ExitCode {
+    let flags = flags::Lovagehall::from_env_or_exit();
+    match run::run(&flags) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("lovagehall: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/settings/tests/bad_settings.rs
+++ b/crates/settings/tests/bad_settings.rs
@@ -92,5 +92,8 @@
 fn hidden_secrets() {
     let settings: BalancerSettings = parse(&good().to_string()).unwrap();
     let text = format!("{settings:?}");
-    assert!(!text.contains("BEGIN") && !text.contains("00000000"), "{text}");
+    assert!(
+        !text.contains("BEGIN") && !text.contains("00000000"),
+        "{text}"
+    );
 }
