--- /dev/null
+++ b/crates/timeline/tests/hybrid_clock.rs
@@ -0,0 +1,70 @@
+//! The hybrid logical clock grows strictly and refuses stamps from the far future.
+
+use timeline::{ClockError, HybridClock, Stamp};
+use units::Millis;
+
+fn stamp(unix_ms: u64, logical: u32) -> Stamp {
+    Stamp::new(Millis::new(unix_ms), logical)
+}
+
+#[test]
+fn tick_grows() {
+    let mut clock = HybridClock::new();
+    let mut check = |wall, expect| assert_eq!(clock.tick(Millis::new(wall)), expect);
+    check(100, stamp(100, 0));
+    check(100, stamp(100, 1));
+    check(40, stamp(100, 2));
+    check(101, stamp(101, 0));
+}
+
+#[test]
+fn observe_orders() {
+    let mut clock = HybridClock::new();
+    clock.tick(Millis::new(100));
+    let res = clock.observe(stamp(150, 4), Millis::new(110));
+    assert_eq!(res, Ok(stamp(150, 5)));
+    assert_eq!(clock.tick(Millis::new(111)), stamp(150, 6));
+}
+
+#[test]
+fn far_future_refused() {
+    let mut clock = HybridClock::new().with_drift_max(Millis::new(10));
+    clock.tick(Millis::new(100));
+    let res = clock.observe(stamp(111, 0), Millis::new(100));
+    let expect = ClockError::FarFuture {
+        ahead_ms: Millis::new(11),
+        max_ms: Millis::new(10),
+    };
+    assert_eq!(res, Err(expect));
+    assert_eq!(clock.tick(Millis::new(100)), stamp(100, 1));
+}
+
+#[test]
+fn random_walls() {
+    bolero::check!()
+        .with_iterations(500)
+        .with_type::<Vec<(u16, Option<(u16, u32)>)>>()
+        .for_each(|steps| {
+            let mut clock = HybridClock::new().with_drift_max(Millis::new(100));
+            let mut last = stamp(0, 0);
+            for &(wall, remote) in steps {
+                let wall = Millis::new(u64::from(wall) + 1);
+                let remote = remote.map(|(ms, logical)| stamp(u64::from(ms), logical));
+                let next = match remote {
+                    None => clock.tick(wall),
+                    Some(remote) => match clock.observe(remote, wall) {
+                        Ok(next) => {
+                            assert!(next > remote);
+                            next
+                        }
+                        Err(ClockError::FarFuture { .. }) => {
+                            assert!(remote.unix_ms.since(wall) > Millis::new(100));
+                            continue;
+                        }
+                    },
+                };
+                assert!(next > last);
+                last = next;
+            }
+        });
+}
