Admission: slots, classes and waiting bounded by time

The agent needs to decide which request starts, waits or is refused. Adds the state machine without I/O: requests are refused on arrival when the observed running times say that the deadline can't be met, wait by earliest deadline within a class, and are refused after waiting before they start. Short work goes first; long work leaves a reserve that it may borrow after a time without short work; stragglers count as long. The limit on running requests falls when the upstream sheds and ramps after a cold start.

--- /dev/null
+++ b/crates/admission/src/admission.rs
@@ -0,0 +1,533 @@
+//! Slots and waiting: which request starts now, waits or is refused.
+//!
+//! Waiting is bounded by time, not by length: a request whose deadline can't be met by the
+//! estimate is refused at once, and one that has waited too long is refused before it starts.
+//! Short work goes first and long work leaves a reserve of slots for it.
+
+mod estimate;
+mod running;
+
+use std::fmt;
+
+use bundle::RequestClass;
+use units::{Millis, Slots};
+
+use crate::{
+    concurrency::{Concurrency, Signal},
+    running_time::RunningTimes,
+    waiting::{Waiting, WaitingList},
+};
+
+use running::Running;
+
+/// Requests that may wait at once, a bound on memory only.
+const WAITING_MAX: usize = 4096;
+
+/// Routes with running times of their own; later ones share the last.
+const ROUTES_MAX: usize = 64;
+
+/// Shortest time without short work after which long work may borrow the reserve.
+const BORROW_IDLE_MIN_MS: Millis = Millis::new(1000);
+
+/// Longest time without short work after which long work may borrow the reserve.
+const BORROW_IDLE_MAX_MS: Millis = Millis::new(30_000);
+
+/// Times a typical long run without short work after which long work may borrow the reserve.
+///
+/// A short request that finds all slots borrowed waits for one long run to end. Such a run is
+/// started only after this many times its length without short work, which bounds the share of
+/// time in which it can happen.
+const BORROW_IDLE_RUNS: u64 = 4;
+
+/// Time after the start of a drain in which waiting and arriving requests may still start.
+const DRAIN_START_MS: Millis = Millis::new(2000);
+
+/// A request within one agent, unique for the life of the process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(u64);
+
+impl RequestId {
+    /// Wraps a raw number.
+    #[must_use]
+    pub const fn new(raw: u64) -> Self {
+        Self(raw)
+    }
+
+    /// Returns the raw number.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// What the endpoint offers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Config {
+    /// Requests the upstream runs at once.
+    pub slots: Slots,
+    /// Share of the slots that long work leaves free for short work, in percent.
+    pub short_reserve_percent: u8,
+    /// Time over which a cold upstream ramps to all its slots.
+    pub cold_start_ramp_ms: Millis,
+}
+
+impl Config {
+    /// Starts with a reserve of a fifth of the slots and no cold-start ramp.
+    #[must_use]
+    pub const fn new(slots: Slots) -> Self {
+        Self {
+            slots,
+            short_reserve_percent: 20,
+            cold_start_ramp_ms: Millis::new(0),
+        }
+    }
+
+    /// Sets the share of the slots that long work leaves free.
+    #[must_use]
+    pub const fn with_short_reserve_percent(self, short_reserve_percent: u8) -> Self {
+        Self {
+            short_reserve_percent,
+            ..self
+        }
+    }
+
+    /// Sets the time over which a cold upstream ramps to all its slots.
+    #[must_use]
+    pub const fn with_cold_start_ramp_ms(self, cold_start_ramp_ms: Millis) -> Self {
+        Self {
+            cold_start_ramp_ms,
+            ..self
+        }
+    }
+}
+
+/// Something that happened to a request or to the endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Event {
+    /// A request came in, or came back from a hand-off that was refused.
+    Arrive {
+        /// Not in use by another request.
+        id: RequestId,
+        /// Class after route rule and priority.
+        class: RequestClass,
+        /// Index of the route rule.
+        route: u16,
+        /// When the answer must have ended.
+        deadline_ms: Millis,
+    },
+    /// The upstream is done with a request, whether it answered, failed or was cancelled.
+    Finished {
+        /// A request that was started.
+        id: RequestId,
+        /// What the answer says about the upstream's load.
+        signal: Signal,
+    },
+    /// A waiting request is taken away, because its caller cancelled it or to hand it off.
+    ///
+    /// No effect on a request that was started: it holds its slot until it is finished.
+    Withdrawn {
+        /// Any request.
+        id: RequestId,
+    },
+    /// Time has passed; due at [`Admission::next_tick_ms`].
+    Tick,
+    /// The endpoint began to leave.
+    DrainBegan,
+    /// A bundle changed what the endpoint offers.
+    ConfigChanged(Config),
+}
+
+/// What to do with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// Send it to the upstream now.
+    Start(RequestId),
+    /// Keep it; another decision follows in time.
+    Wait(RequestId),
+    /// Answer that it did not run.
+    Refuse {
+        /// The request, which was never started and never will be.
+        id: RequestId,
+        /// Why.
+        refusal: Refusal,
+        /// When a retry may fare better.
+        retry_after_ms: Millis,
+    },
+    /// The request was withdrawn before it was started and never will be.
+    Forget(RequestId),
+}
+
+/// Why a request was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// By the estimate it can't end before its deadline.
+    DeadlineUnmeetable,
+    /// It waited until it couldn't end before its deadline.
+    Waited,
+    /// Too many requests wait.
+    QueueFull,
+    /// The endpoint is leaving.
+    Draining,
+}
+
+/// Counts since the start of the process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Requests sent to the upstream.
+    pub started: u64,
+    /// Refused on arrival by the estimate.
+    pub refused_unmeetable: u64,
+    /// Refused after waiting.
+    pub refused_waited: u64,
+    /// Refused because too many wait.
+    pub refused_queue_full: u64,
+    /// Refused because the endpoint is leaving.
+    pub refused_draining: u64,
+    /// Running short requests that were demoted to long.
+    pub demoted: u64,
+    /// Answers that say the upstream is overloaded.
+    pub shed: u64,
+}
+
+/// Load as told to peers and balancers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that may run at once now.
+    pub limit: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Short requests that could start at once.
+    pub free_short: u32,
+    /// Long requests that could start at once.
+    pub free_long: u32,
+}
+
+/// The decisions of one endpoint.
+///
+/// After every event no request waits that could start.
+#[derive(Debug)]
+pub struct Admission {
+    config: Config,
+    concurrency: Concurrency,
+    /// Never more than the slots in force when the last of them started.
+    running: Running,
+    waiting_short: WaitingList,
+    waiting_long: WaitingList,
+    /// By route, at most [`ROUTES_MAX`].
+    routes: Vec<RunningTimes>,
+    /// Over all requests that came as short and as long.
+    short_times: RunningTimes,
+    long_times: RunningTimes,
+    last_short_ms: Millis,
+    drain_began_ms: Option<Millis>,
+    /// The latest moment seen; time never goes back.
+    now_ms: Millis,
+    counters: Counters,
+}
+
+impl Admission {
+    /// Starts with an idle upstream at `now_ms`.
+    #[must_use]
+    pub fn new(now_ms: Millis, config: Config) -> Self {
+        Self {
+            config,
+            concurrency: Concurrency::new(now_ms, config.slots, config.cold_start_ramp_ms),
+            running: Running::default(),
+            waiting_short: WaitingList::default(),
+            waiting_long: WaitingList::default(),
+            routes: Vec::new(),
+            short_times: RunningTimes::new(),
+            long_times: RunningTimes::new(),
+            last_short_ms: now_ms,
+            drain_began_ms: None,
+            now_ms,
+            counters: Counters::default(),
+        }
+    }
+
+    /// Takes in an event and appends the decisions that follow from it.
+    ///
+    /// A moment before an earlier one counts as that one.
+    ///
+    /// # Panics
+    ///
+    /// Panics if an arriving request is already known or a finished one was not started.
+    pub fn handle(&mut self, now_ms: Millis, event: Event, decisions: &mut Vec<Decision>) {
+        self.now_ms = self.now_ms.max(now_ms);
+        self.counters.demoted += self.demote_stragglers();
+        self.refuse_late(decisions);
+        match event {
+            Event::Arrive {
+                id,
+                class,
+                route,
+                deadline_ms,
+            } => {
+                self.arrive(id, class, route, deadline_ms, decisions);
+            }
+            Event::Finished { id, signal } => self.finish(id, signal),
+            Event::Withdrawn { id } => self.withdraw(id, decisions),
+            Event::Tick => {}
+            Event::DrainBegan => {
+                self.drain_began_ms.get_or_insert(self.now_ms);
+            }
+            Event::ConfigChanged(config) => self.reconfigure(config),
+        }
+        self.start_waiting(decisions);
+        self.check();
+    }
+
+    /// Returns when the next [`Event::Tick`] is due.
+    #[must_use]
+    pub fn next_tick_ms(&self) -> Option<Millis> {
+        if self.waiting() == 0 {
+            return None;
+        }
+        let drain = self.drain_began_ms.map(|at| at.plus(DRAIN_START_MS));
+        let borrow = (!self.waiting_long.is_empty()).then(|| self.borrow_from_ms());
+        let ramp = self.concurrency.next_change_ms(self.now_ms);
+        [
+            self.waiting_short.next_late_ms(),
+            self.waiting_long.next_late_ms(),
+            self.next_demotion_ms(),
+            drain,
+            borrow,
+            ramp,
+        ]
+        .into_iter()
+        .flatten()
+        .filter(|at| *at > self.now_ms)
+        .min()
+    }
+
+    /// Returns the load at the last event.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        let waiting = u32::try_from(self.waiting()).unwrap_or(u32::MAX);
+        Load {
+            limit: self.limit(),
+            running: self.running.len(),
+            waiting,
+            free_short: self.free_slots(RequestClass::Short),
+            free_long: self.free_slots(RequestClass::Long),
+        }
+    }
+
+    /// Returns the counts since the start.
+    #[must_use]
+    pub const fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Returns whether nothing runs and nothing waits.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.running.len() == 0 && self.waiting() == 0
+    }
+
+    fn arrive(
+        &mut self,
+        id: RequestId,
+        class: RequestClass,
+        route: u16,
+        deadline_ms: Millis,
+        decisions: &mut Vec<Decision>,
+    ) {
+        assert!(
+            !self.running.contains(id),
+            "request {id} arrives while it runs"
+        );
+        let class = self.observed_class(class, route);
+        if class == RequestClass::Short {
+            self.last_short_ms = self.now_ms;
+        }
+        let latest_start_ms = self.latest_start_ms(route, class, deadline_ms);
+        if let Some(refusal) = self.refusal_on_arrival(class, deadline_ms, latest_start_ms) {
+            self.refuse(id, class, refusal, decisions);
+            return;
+        }
+        self.list(class).insert(Waiting {
+            id,
+            route,
+            deadline_ms,
+            latest_start_ms,
+        });
+        self.start_waiting(decisions);
+        if !self.running.contains(id) {
+            decisions.push(Decision::Wait(id));
+        }
+    }
+
+    fn refusal_on_arrival(
+        &self,
+        class: RequestClass,
+        deadline_ms: Millis,
+        latest_start_ms: Millis,
+    ) -> Option<Refusal> {
+        if self.is_drained() {
+            return Some(Refusal::Draining);
+        }
+        if self.waiting() >= WAITING_MAX {
+            return Some(Refusal::QueueFull);
+        }
+        let start_ms = self.now_ms.plus(self.expected_wait_ms(class, deadline_ms));
+        (start_ms > latest_start_ms).then_some(Refusal::DeadlineUnmeetable)
+    }
+
+    fn finish(&mut self, id: RequestId, signal: Signal) {
+        let run = self.running.remove(id);
+        let running_ms = self.now_ms.since(run.started_ms);
+        if signal == Signal::Answered {
+            self.record_run(run, running_ms);
+        } else {
+            self.counters.shed += 1;
+        }
+        self.concurrency.signal(self.now_ms, run.started_ms, signal);
+    }
+
+    fn withdraw(&mut self, id: RequestId, decisions: &mut Vec<Decision>) {
+        let short = self.waiting_short.remove(id);
+        let long = self.waiting_long.remove(id);
+        if short.or(long).is_some() {
+            decisions.push(Decision::Forget(id));
+        }
+    }
+
+    fn reconfigure(&mut self, config: Config) {
+        if config.slots != self.config.slots {
+            self.concurrency.resize(config.slots);
+        }
+        self.config = config;
+    }
+
+    /// Starts what fits: all short work first, then long work up to its share.
+    fn start_waiting(&mut self, decisions: &mut Vec<Decision>) {
+        for class in [RequestClass::Short, RequestClass::Long] {
+            for _slot in 0..self.free_slots(class) {
+                let Some(next) = self.list(class).pop() else {
+                    break;
+                };
+                self.running.insert(next.id, class, next.route, self.now_ms);
+                self.counters.started += 1;
+                decisions.push(Decision::Start(next.id));
+            }
+        }
+    }
+
+    /// Returns how many requests of a class may start now.
+    fn free_slots(&self, class: RequestClass) -> u32 {
+        if self.is_drained() {
+            return 0;
+        }
+        let free = self.limit().saturating_sub(self.running.len());
+        match class {
+            RequestClass::Short => free,
+            RequestClass::Long => free.min(self.long_cap().saturating_sub(self.running.long())),
+        }
+    }
+
+    /// Returns how many slots long work may hold.
+    fn long_cap(&self) -> u32 {
+        let limit = self.limit();
+        if self.may_borrow() {
+            return limit;
+        }
+        let reserve = (limit * u32::from(self.config.short_reserve_percent)).div_ceil(100);
+        limit.saturating_sub(reserve).max(1)
+    }
+
+    /// Returns whether there has been no short work for so long that long work may hold all slots.
+    fn may_borrow(&self) -> bool {
+        let is_short_idle = self.running.short() == 0 && self.waiting_short.is_empty();
+        is_short_idle && self.now_ms >= self.borrow_from_ms()
+    }
+
+    fn borrow_from_ms(&self) -> Millis {
+        let run_ms = self
+            .long_times
+            .quantile_ms(500)
+            .unwrap_or(BORROW_IDLE_MAX_MS);
+        let idle_ms = Millis::new(run_ms.get().saturating_mul(BORROW_IDLE_RUNS))
+            .clamp(BORROW_IDLE_MIN_MS, BORROW_IDLE_MAX_MS);
+        self.last_short_ms.plus(idle_ms)
+    }
+
+    fn refuse_late(&mut self, decisions: &mut Vec<Decision>) {
+        let now_ms = self.now_ms;
+        for class in [RequestClass::Short, RequestClass::Long] {
+            for late in self.list(class).take_late(now_ms) {
+                self.refuse(late.id, class, Refusal::Waited, decisions);
+            }
+            if self.is_drained() {
+                for left in self.list(class).take_all() {
+                    self.refuse(left.id, class, Refusal::Draining, decisions);
+                }
+            }
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        id: RequestId,
+        class: RequestClass,
+        refusal: Refusal,
+        decisions: &mut Vec<Decision>,
+    ) {
+        let counter = match refusal {
+            Refusal::DeadlineUnmeetable => &mut self.counters.refused_unmeetable,
+            Refusal::Waited => &mut self.counters.refused_waited,
+            Refusal::QueueFull => &mut self.counters.refused_queue_full,
+            Refusal::Draining => &mut self.counters.refused_draining,
+        };
+        *counter += 1;
+        let retry_after_ms = self.retry_after_ms(class, refusal);
+        decisions.push(Decision::Refuse {
+            id,
+            refusal,
+            retry_after_ms,
+        });
+    }
+
+    /// Returns whether the endpoint leaves and nothing may start any more.
+    fn is_drained(&self) -> bool {
+        self.drain_began_ms
+            .is_some_and(|at| self.now_ms >= at.plus(DRAIN_START_MS))
+    }
+
+    fn limit(&self) -> u32 {
+        self.concurrency.limit(self.now_ms)
+    }
+
+    const fn waiting(&self) -> usize {
+        self.waiting_short.len() + self.waiting_long.len()
+    }
+
+    const fn list(&mut self, class: RequestClass) -> &mut WaitingList {
+        match class {
+            RequestClass::Short => &mut self.waiting_short,
+            RequestClass::Long => &mut self.waiting_long,
+        }
+    }
+
+    /// Asserts what must hold after every event.
+    fn check(&self) {
+        assert!(
+            self.waiting() <= WAITING_MAX,
+            "waiting requests are bounded"
+        );
+        let short_left = !self.waiting_short.is_empty() && self.free_slots(RequestClass::Short) > 0;
+        let long_left = !self.waiting_long.is_empty() && self.free_slots(RequestClass::Long) > 0;
+        assert!(
+            !short_left && !long_left,
+            "no request waits that could start"
+        );
+    }
+}
--- /dev/null
+++ b/crates/admission/src/admission/estimate.rs
@@ -0,0 +1,193 @@
+//! Estimates from observed running times: waiting, latest start, stragglers.
+
+use bundle::RequestClass;
+use units::Millis;
+
+use super::{Admission, ROUTES_MAX, Refusal, running::Run};
+use crate::running_time::RunningTimes;
+
+/// Quantile a run is expected to stay within, in permille.
+const SAFE_PERMILLE: u32 = 990;
+
+/// Times the median of its route after which a short run is a straggler.
+const STRAGGLER_MEDIANS: u64 = 4;
+
+/// Shortest running time of a straggler, above the noise of the clock.
+const STRAGGLER_MIN_MS: Millis = Millis::new(10);
+
+/// Times the median of all short work above which a route's work counts as long.
+const LONG_ROUTE_MEDIANS: u64 = 16;
+
+/// Shortest and longest hint for a retry.
+const RETRY_AFTER_MIN_MS: Millis = Millis::new(100);
+const RETRY_AFTER_MAX_MS: Millis = Millis::new(30_000);
+
+/// Hint for a retry at an endpoint that leaves: another one serves at once.
+const RETRY_AFTER_DRAIN_MS: Millis = Millis::new(0);
+
+impl Admission {
+    /// Returns the class after what was observed of the route.
+    pub(super) fn observed_class(&self, class: RequestClass, route: u16) -> RequestClass {
+        let route_ms = self.route_times(route).and_then(|it| it.quantile_ms(500));
+        let short_ms = self.short_times.quantile_ms(500);
+        let (Some(route_ms), Some(short_ms)) = (route_ms, short_ms) else {
+            return class;
+        };
+        let bound_ms = times(short_ms, LONG_ROUTE_MEDIANS).max(STRAGGLER_MIN_MS);
+        if route_ms > bound_ms {
+            RequestClass::Long
+        } else {
+            class
+        }
+    }
+
+    /// Returns the latest start from which a run is expected to end before the deadline.
+    pub(super) fn latest_start_ms(
+        &self,
+        route: u16,
+        class: RequestClass,
+        deadline_ms: Millis,
+    ) -> Millis {
+        let safe_ms = self.safe_run_ms(route, class);
+        Millis::new(deadline_ms.get().saturating_sub(safe_ms.get()))
+    }
+
+    /// Returns how long a request with this deadline is expected to wait for a slot.
+    pub(super) fn expected_wait_ms(&self, class: RequestClass, deadline_ms: Millis) -> Millis {
+        let list = match class {
+            RequestClass::Short => &self.waiting_short,
+            RequestClass::Long => &self.waiting_long,
+        };
+        let ahead = u64::try_from(list.ahead_of(deadline_ms)).unwrap_or(u64::MAX);
+        let free = u64::from(self.free_slots(class));
+        if ahead < free {
+            return Millis::new(0);
+        }
+        let run_ms = self.mean_run_ms(class).get();
+        let lanes = u64::from(self.lanes(class));
+        let first_free_ms = self.first_free_ms(class).get();
+        Millis::new(first_free_ms.saturating_add(ahead.saturating_mul(run_ms) / lanes))
+    }
+
+    /// Returns when a refused request may fare better.
+    pub(super) fn retry_after_ms(&self, class: RequestClass, refusal: Refusal) -> Millis {
+        if refusal == Refusal::Draining {
+            return RETRY_AFTER_DRAIN_MS;
+        }
+        self.expected_wait_ms(class, Millis::new(u64::MAX))
+            .clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS)
+    }
+
+    pub(super) fn record_run(&mut self, run: Run, running_ms: Millis) {
+        let idx = route_index(run.route);
+        if self.routes.len() <= idx {
+            self.routes.resize(idx + 1, RunningTimes::new());
+        }
+        self.routes[idx].record(running_ms);
+        match run.class {
+            RequestClass::Short => self.short_times.record(running_ms),
+            RequestClass::Long => self.long_times.record(running_ms),
+        }
+    }
+
+    /// Marks short runs that take too long; returns how many are new.
+    pub(super) fn demote_stragglers(&mut self) -> u64 {
+        let mut demoted = 0;
+        for idx in 0..self.running.items.len() {
+            let run = self.running.items[idx];
+            let is_due = self.demotion_ms(&run).is_some_and(|at| at <= self.now_ms);
+            if is_due {
+                self.running.items[idx].is_demoted = true;
+                demoted += 1;
+            }
+        }
+        demoted
+    }
+
+    pub(super) fn next_demotion_ms(&self) -> Option<Millis> {
+        self.running
+            .items
+            .iter()
+            .filter_map(|it| self.demotion_ms(it))
+            .min()
+    }
+
+    /// Returns when a run becomes a straggler, `None` if it is none and can't become one.
+    fn demotion_ms(&self, run: &Run) -> Option<Millis> {
+        if !run.is_short() {
+            return None;
+        }
+        let median_ms = self.route_times(run.route)?.quantile_ms(500)?;
+        let bound_ms = times(median_ms, STRAGGLER_MEDIANS).max(STRAGGLER_MIN_MS);
+        Some(run.started_ms.plus(bound_ms))
+    }
+
+    /// Returns the time nearly all runs stay within, stragglers aside; zero while unknown.
+    fn safe_run_ms(&self, route: u16, class: RequestClass) -> Millis {
+        let of_route = self
+            .route_times(route)
+            .filter(|it| it.quantile_ms(500).is_some());
+        let observed = of_route.unwrap_or_else(|| self.class_times(class));
+        let Some(median_ms) = observed.quantile_ms(500) else {
+            return Millis::new(0);
+        };
+        let straggler_ms = times(median_ms, STRAGGLER_MEDIANS).max(STRAGGLER_MIN_MS);
+        let safe_ms = observed.quantile_ms(SAFE_PERMILLE).unwrap_or(median_ms);
+        safe_ms.min(straggler_ms)
+    }
+
+    /// Returns the mean time that a request of the class holds its slot, zero while unknown.
+    fn mean_run_ms(&self, class: RequestClass) -> Millis {
+        let observed = self.class_times(class);
+        let cap_ms = observed.quantile_ms(SAFE_PERMILLE);
+        cap_ms
+            .and_then(|cap_ms| observed.mean_up_to_ms(cap_ms))
+            .unwrap_or_default()
+    }
+
+    /// Returns the expected time until the first slot that the class may use is free.
+    fn first_free_ms(&self, class: RequestClass) -> Millis {
+        let is_usable = |run: &&Run| class == RequestClass::Short || !run.is_short();
+        let left_ms = |run: &Run| {
+            let held = if run.is_short() {
+                RequestClass::Short
+            } else {
+                RequestClass::Long
+            };
+            let run_ms = self.mean_run_ms(held).get();
+            let passed_ms = self.now_ms.since(run.started_ms).get();
+            // A run past its mean still has something to do.
+            Millis::new(run_ms.saturating_sub(passed_ms).max(run_ms / 4))
+        };
+        let usable = self.running.items.iter().filter(is_usable);
+        usable.map(left_ms).min().unwrap_or_default()
+    }
+
+    /// Returns how many slots work of the class moves through, at least 1.
+    fn lanes(&self, class: RequestClass) -> u32 {
+        let lanes = match class {
+            RequestClass::Short => self.limit().saturating_sub(self.running.long()),
+            RequestClass::Long => self.long_cap(),
+        };
+        lanes.max(1)
+    }
+
+    const fn class_times(&self, class: RequestClass) -> &RunningTimes {
+        match class {
+            RequestClass::Short => &self.short_times,
+            RequestClass::Long => &self.long_times,
+        }
+    }
+
+    fn route_times(&self, route: u16) -> Option<&RunningTimes> {
+        self.routes.get(route_index(route))
+    }
+}
+
+fn route_index(route: u16) -> usize {
+    usize::from(route).min(ROUTES_MAX - 1)
+}
+
+fn times(base_ms: Millis, factor: u64) -> Millis {
+    Millis::new(base_ms.get().saturating_mul(factor))
+}
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,1 +1,15 @@
 //! Request decisions of the agent: slots, classes, deadlines, retries and at-most-once.
+//!
+//! Everything here is a state machine without I/O and without a clock: events and the present
+//! moment go in, decisions come out. The invariants are asserted in the program.
+
+mod admission;
+mod class;
+mod concurrency;
+mod running_time;
+mod waiting;
+
+pub use admission::{Admission, Config, Counters, Decision, Event, Load, Refusal, RequestId};
+pub use class::{Priority, class_of};
+pub use concurrency::{Concurrency, Signal};
+pub use running_time::RunningTimes;
--- /dev/null
+++ b/crates/admission/src/running_time.rs
@@ -0,0 +1,122 @@
+//! Observed running times as a decaying histogram with quantiles.
+
+use units::Millis;
+
+/// Buckets of the histogram; four for each doubling, the last from about two minutes on.
+const BUCKETS: usize = 68;
+
+/// Samples after which all counts are halved, so that old behaviour fades.
+const DECAY_SAMPLES: u32 = 512;
+
+/// Samples below which there is no estimate.
+const SAMPLES_MIN: u32 = 16;
+
+/// Observed running times of one route or class.
+#[derive(Debug, Clone)]
+pub struct RunningTimes {
+    /// Samples by bucket; `total` is their sum.
+    counts: [u32; BUCKETS],
+    /// Below [`DECAY_SAMPLES`] after each record.
+    total: u32,
+}
+
+impl Default for RunningTimes {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl RunningTimes {
+    /// Starts with no samples.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            counts: [0; BUCKETS],
+            total: 0,
+        }
+    }
+
+    /// Adds one finished run.
+    ///
+    /// # Panics
+    ///
+    /// Panics only on a bug: when the total and the counts disagree.
+    pub fn record(&mut self, running_ms: Millis) {
+        self.counts[bucket_of(running_ms)] += 1;
+        self.total += 1;
+        if self.total >= DECAY_SAMPLES {
+            self.decay();
+        }
+        assert_eq!(
+            self.total,
+            self.counts.iter().sum(),
+            "histogram total is the sum of its counts"
+        );
+    }
+
+    /// Returns the running time that `permille` of the samples don't exceed, or `None` while there
+    /// are too few samples.
+    #[must_use]
+    pub fn quantile_ms(&self, permille: u32) -> Option<Millis> {
+        if self.total < SAMPLES_MIN {
+            return None;
+        }
+        let rank = (self.total * permille).div_ceil(1000).max(1);
+        let mut seen = 0;
+        for (idx, count) in self.counts.iter().enumerate() {
+            seen += count;
+            if seen >= rank {
+                return Some(upper_edge(idx));
+            }
+        }
+        Some(upper_edge(BUCKETS - 1))
+    }
+
+    /// Returns the mean of the samples that are at most `cap_ms`, each counted at its bucket's
+    /// upper edge, or `None` while there are too few.
+    #[must_use]
+    pub fn mean_up_to_ms(&self, cap_ms: Millis) -> Option<Millis> {
+        if self.total < SAMPLES_MIN {
+            return None;
+        }
+        let (mut count, mut sum_ms) = (0_u64, 0_u64);
+        for (idx, it) in self.counts.iter().enumerate() {
+            if upper_edge(idx) > cap_ms {
+                break;
+            }
+            count += u64::from(*it);
+            sum_ms += u64::from(*it) * upper_edge(idx).get();
+        }
+        (count > 0).then(|| Millis::new(sum_ms.div_ceil(count)))
+    }
+
+    fn decay(&mut self) {
+        for count in &mut self.counts {
+            *count /= 2;
+        }
+        self.total = self.counts.iter().sum();
+    }
+}
+
+/// Returns the bucket of a running time: the value itself below 4 ms, then its highest bit and the
+/// two bits after it.
+fn bucket_of(running_ms: Millis) -> usize {
+    let raw = running_ms.get();
+    if raw < 4 {
+        return usize::try_from(raw).unwrap_or(0);
+    }
+    let high = raw.ilog2();
+    let next_two = (raw >> (high - 2)) & 3;
+    let idx = u64::from(high - 1) * 4 + next_two;
+    usize::try_from(idx).map_or(BUCKETS - 1, |it| it.min(BUCKETS - 1))
+}
+
+/// Returns the largest running time of a bucket.
+fn upper_edge(bucket: usize) -> Millis {
+    let bucket = u64::try_from(bucket).unwrap_or(u64::MAX);
+    if bucket < 4 {
+        return Millis::new(bucket);
+    }
+    let shift = bucket / 4 - 1;
+    Millis::new(((4 + bucket % 4 + 1) << shift) - 1)
+}
--- /dev/null
+++ b/crates/admission/tests/slots.rs
@@ -0,0 +1,239 @@
+//! Which request starts, waits or is refused.
+
+use admission::{Admission, Config, Decision, Event, Refusal, RequestId, Signal};
+use bundle::RequestClass::{self, Long, Short};
+use units::{Millis, Slots};
+
+const FAR_MS: u64 = 1_000_000;
+
+/// Runs admission by short calls.
+struct Endpoint {
+    admission: Admission,
+    now_ms: u64,
+}
+
+impl Endpoint {
+    fn new(slots: u16, reserve_percent: u8) -> Self {
+        let config = Config::new(Slots::new(slots)).with_short_reserve_percent(reserve_percent);
+        Self {
+            admission: Admission::new(Millis::new(0), config),
+            now_ms: 0,
+        }
+    }
+
+    fn handle(&mut self, event: Event) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        self.admission
+            .handle(Millis::new(self.now_ms), event, &mut decisions);
+        decisions
+    }
+
+    fn arrive(&mut self, id: u64, class: RequestClass, deadline_ms: u64) -> Vec<Decision> {
+        let deadline_ms = Millis::new(deadline_ms);
+        let route = u16::from(class == Long);
+        self.handle(Event::Arrive {
+            id: RequestId::new(id),
+            class,
+            route,
+            deadline_ms,
+        })
+    }
+
+    fn finish(&mut self, id: u64) -> Vec<Decision> {
+        self.handle(Event::Finished {
+            id: RequestId::new(id),
+            signal: Signal::Answered,
+        })
+    }
+
+    /// Teaches that runs of the class take `running_ms`.
+    fn learn(&mut self, class: RequestClass, running_ms: u64) {
+        for id in 1_000_000..1_000_032 {
+            assert_eq!(self.arrive(id, class, self.now_ms + FAR_MS), [start(id)]);
+            self.now_ms += running_ms;
+            assert_eq!(self.finish(id), []);
+        }
+    }
+}
+
+fn start(id: u64) -> Decision {
+    Decision::Start(RequestId::new(id))
+}
+
+fn wait(id: u64) -> Decision {
+    Decision::Wait(RequestId::new(id))
+}
+
+fn refused(decisions: &[Decision]) -> Vec<(u64, Refusal)> {
+    let refusal = |it: &Decision| match it {
+        Decision::Refuse { id, refusal, .. } => Some((id.get(), *refusal)),
+        _ => None,
+    };
+    decisions.iter().filter_map(refusal).collect()
+}
+
+#[test]
+fn long_reserve() {
+    fn check(slots: u16, expect_started: usize) {
+        let mut endpoint = Endpoint::new(slots, 20);
+        let started = (0..30).flat_map(|id| endpoint.arrive(id, Long, FAR_MS));
+        let started = started
+            .filter(|it| matches!(it, Decision::Start(_)))
+            .count();
+        assert_eq!(started, expect_started);
+        assert_eq!(
+            endpoint.arrive(99, Short, FAR_MS),
+            [start(99)],
+            "a slot is left"
+        );
+    }
+    check(2, 1);
+    check(5, 4);
+    check(20, 16);
+}
+
+#[test]
+fn reserve_borrowed() {
+    let mut endpoint = Endpoint::new(2, 20);
+    endpoint.learn(Long, 100);
+    endpoint.now_ms += 1_000;
+    assert_eq!(
+        endpoint.arrive(1, Long, endpoint.now_ms + FAR_MS),
+        [start(1)]
+    );
+    assert_eq!(
+        endpoint.arrive(2, Long, endpoint.now_ms + FAR_MS),
+        [start(2)]
+    );
+    assert_eq!(
+        endpoint.arrive(3, Short, endpoint.now_ms + FAR_MS),
+        [wait(3)]
+    );
+    assert_eq!(
+        endpoint.arrive(4, Long, endpoint.now_ms + FAR_MS),
+        [wait(4)]
+    );
+    endpoint.now_ms += 50;
+    assert_eq!(endpoint.finish(1), [start(3)], "short goes first");
+    assert_eq!(endpoint.finish(2), [start(4)]);
+    assert_eq!(endpoint.finish(4), []);
+    assert_eq!(
+        endpoint.arrive(5, Long, endpoint.now_ms + FAR_MS),
+        [start(5)]
+    );
+    assert_eq!(
+        endpoint.arrive(6, Long, endpoint.now_ms + FAR_MS),
+        [wait(6)],
+        "no borrowing"
+    );
+}
+
+#[test]
+fn earliest_deadline() {
+    let mut endpoint = Endpoint::new(1, 0);
+    assert_eq!(endpoint.arrive(1, Short, FAR_MS), [start(1)]);
+    assert_eq!(endpoint.arrive(2, Short, 900), [wait(2)]);
+    assert_eq!(endpoint.arrive(3, Short, 500), [wait(3)]);
+    assert_eq!(endpoint.arrive(4, Short, 700), [wait(4)]);
+    assert_eq!(endpoint.finish(1), [start(3)]);
+    assert_eq!(endpoint.finish(3), [start(4)]);
+    assert_eq!(endpoint.finish(4), [start(2)]);
+}
+
+#[test]
+fn unmeetable_deadline() {
+    let mut endpoint = Endpoint::new(1, 0);
+    endpoint.learn(Short, 100);
+    let now_ms = endpoint.now_ms;
+    let too_soon = endpoint.arrive(1, Short, now_ms + 50);
+    assert_eq!(refused(&too_soon), [(1, Refusal::DeadlineUnmeetable)]);
+    assert_eq!(endpoint.arrive(2, Short, now_ms + 150), [start(2)]);
+    let behind = endpoint.arrive(3, Short, now_ms + 150);
+    assert_eq!(refused(&behind), [(3, Refusal::DeadlineUnmeetable)]);
+    assert_eq!(endpoint.arrive(4, Short, now_ms + 300), [wait(4)]);
+}
+
+#[test]
+fn late_waiting() {
+    let mut endpoint = Endpoint::new(1, 0);
+    endpoint.learn(Short, 100);
+    let now_ms = endpoint.now_ms;
+    assert_eq!(endpoint.arrive(1, Short, now_ms + FAR_MS), [start(1)]);
+    assert_eq!(endpoint.arrive(2, Short, now_ms + 400), [wait(2)]);
+    let tick_ms = endpoint.admission.next_tick_ms().unwrap().get();
+    assert!(tick_ms <= now_ms + 400, "the tick is before the deadline");
+    endpoint.now_ms = now_ms + 400;
+    assert_eq!(
+        refused(&endpoint.handle(Event::Tick)),
+        [(2, Refusal::Waited)]
+    );
+    assert_eq!(endpoint.finish(1), [], "the refused request never starts");
+}
+
+#[test]
+fn straggler_demoted() {
+    let mut endpoint = Endpoint::new(2, 20);
+    endpoint.learn(Short, 10);
+    let far_ms = endpoint.now_ms + FAR_MS;
+    assert_eq!(endpoint.arrive(1, Short, far_ms), [start(1)]);
+    endpoint.now_ms += 100;
+    assert_eq!(
+        endpoint.arrive(2, Long, far_ms),
+        [wait(2)],
+        "its slot counts as long"
+    );
+    assert_eq!(endpoint.admission.counters().demoted, 1);
+    assert_eq!(
+        endpoint.arrive(3, Short, far_ms),
+        [start(3)],
+        "the other slot serves short work"
+    );
+    assert_eq!(endpoint.finish(3), []);
+    assert_eq!(endpoint.finish(1), [start(2)]);
+}
+
+#[test]
+fn withdrawn_request() {
+    let mut endpoint = Endpoint::new(1, 0);
+    assert_eq!(endpoint.arrive(1, Short, FAR_MS), [start(1)]);
+    assert_eq!(endpoint.arrive(2, Short, FAR_MS), [wait(2)]);
+    let withdraw = |id| Event::Withdrawn {
+        id: RequestId::new(id),
+    };
+    assert_eq!(
+        endpoint.handle(withdraw(2)),
+        [Decision::Forget(RequestId::new(2))]
+    );
+    assert_eq!(
+        endpoint.handle(withdraw(1)),
+        [],
+        "a started request keeps its slot"
+    );
+    assert_eq!(endpoint.finish(1), []);
+}
+
+#[test]
+fn drain_stops() {
+    let mut endpoint = Endpoint::new(1, 0);
+    assert_eq!(endpoint.arrive(1, Short, FAR_MS), [start(1)]);
+    assert_eq!(endpoint.arrive(2, Short, FAR_MS), [wait(2)]);
+    assert_eq!(endpoint.handle(Event::DrainBegan), []);
+    endpoint.now_ms += 1_000;
+    assert_eq!(endpoint.arrive(3, Short, FAR_MS), [wait(3)]);
+    assert_eq!(
+        endpoint.finish(1),
+        [start(2)],
+        "waiting work may start for a while"
+    );
+    endpoint.now_ms += 1_000;
+    assert_eq!(
+        refused(&endpoint.handle(Event::Tick)),
+        [(3, Refusal::Draining)]
+    );
+    assert_eq!(
+        refused(&endpoint.arrive(4, Short, FAR_MS)),
+        [(4, Refusal::Draining)]
+    );
+    assert_eq!(endpoint.finish(2), []);
+    assert!(endpoint.admission.is_idle());
+}
