Bundle: envelope, key set, acceptance, claims and store

Cause: the document types had no signature, no rule of acceptance and nothing that holds what is in force.

Change: a signed JSON envelope whose digest covers the document's exact text; key sets signed by root keys, with retirement by service and version; `accept` with a refusal kind and remedy for each rule; `Store`, which per service only moves up in the order (version, lower digest); claims of two services settled alike at every process. Rules that compare with what is held bind publications from the platform only, so that processes that heard in different orders agree.

--- /dev/null
+++ b/crates/bundle/src/check.rs
@@ -0,0 +1,190 @@
+//! The document's own rules, whatever a process holds.
+
+use std::{collections::BTreeSet, fmt, net::SocketAddr};
+
+use units::Millis;
+
+use crate::{Bundle, Endpoint, Refusal, RouteRule, Sharing};
+
+/// Most endpoints of one service.
+const ENDPOINTS_MAX: usize = 4_096;
+
+/// Most addresses of one service.
+const ADDRESSES_MAX: usize = 256;
+
+/// Most route rules of one service.
+const ROUTES_MAX: usize = 1_024;
+
+/// Longest name of a service, in bytes.
+const NAME_MAX_BYTES: usize = 64;
+
+/// Longest time a request may take.
+const TIMEOUT_MAX_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// Checks what a document says by itself.
+///
+/// # Errors
+///
+/// The first rule broken.
+pub fn check(bundle: &Bundle) -> Result<(), Refusal> {
+    check_head(bundle)?;
+    check_addresses(&bundle.addresses)?;
+    check_endpoints(&bundle.endpoints)?;
+    bundle.routes.iter().try_for_each(check_route)?;
+    check_sharing(&bundle.sharing)?;
+    check_time("drain_timeout_ms", bundle.leaving.drain_timeout_ms)
+}
+
+fn check_head(bundle: &Bundle) -> Result<(), Refusal> {
+    if bundle.service.get() == 0 {
+        return invalid("service", "is 0, which is reserved; use 1 or higher");
+    }
+    if bundle.name.is_empty() || bundle.name.len() > NAME_MAX_BYTES {
+        return invalid("name", "has a bad length; use 1 to 64 bytes");
+    }
+    if bundle.version.get() == 0 {
+        return invalid("version", "is 0; start at 1");
+    }
+    if (bundle.version.get() == 1) != bundle.previous.is_none() {
+        return invalid(
+            "previous",
+            "must be null for version 1 and the predecessor's digest for every other",
+        );
+    }
+    if bundle.routes.len() > ROUTES_MAX {
+        return invalid(
+            "routes",
+            format_args!("has over {ROUTES_MAX} rules; merge some"),
+        );
+    }
+    Ok(())
+}
+
+fn check_addresses(addresses: &[SocketAddr]) -> Result<(), Refusal> {
+    if addresses.is_empty() || addresses.len() > ADDRESSES_MAX {
+        return invalid("addresses", format_args!("must list 1 to {ADDRESSES_MAX}"));
+    }
+    if !addresses.is_sorted_by(|a, b| a < b) {
+        return invalid("addresses", "must be sorted, each once");
+    }
+    addresses
+        .iter()
+        .try_for_each(|it| check_address("addresses", it))
+}
+
+fn check_endpoints(endpoints: &[Endpoint]) -> Result<(), Refusal> {
+    if endpoints.len() > ENDPOINTS_MAX {
+        return invalid(
+            "endpoints",
+            format_args!("lists over {ENDPOINTS_MAX}; split the service"),
+        );
+    }
+    if !endpoints.is_sorted_by(|a, b| a.id < b.id) {
+        return invalid("endpoints", "must be sorted by id, each once");
+    }
+    if !endpoints
+        .iter()
+        .any(|it| !it.is_leaving && it.weight.get() > 0)
+    {
+        return Err(Refusal::NoUpstreams);
+    }
+    endpoints.iter().try_for_each(check_endpoint)?;
+    check_unique(
+        "tunnel_address",
+        endpoints.iter().map(|it| it.tunnel_address),
+    )?;
+    check_unique(
+        "control_address",
+        endpoints.iter().map(|it| it.control_address),
+    )?;
+    check_unique(
+        "upstream_address",
+        endpoints.iter().map(|it| it.upstream_address),
+    )
+}
+
+fn check_endpoint(endpoint: &Endpoint) -> Result<(), Refusal> {
+    if endpoint.slots.get() == 0 {
+        return invalid(
+            "slots",
+            format_args!("of endpoint {} is 0; use 1 or more", endpoint.id),
+        );
+    }
+    check_address("tunnel_address", &endpoint.tunnel_address)?;
+    check_address("control_address", &endpoint.control_address)?;
+    check_address("upstream_address", &endpoint.upstream_address)
+}
+
+fn check_address(field: &'static str, address: &SocketAddr) -> Result<(), Refusal> {
+    if address.port() == 0 || address.ip().is_unspecified() {
+        return invalid(
+            field,
+            format_args!("{address} can't be reached; give an IP number and port"),
+        );
+    }
+    Ok(())
+}
+
+fn check_unique(
+    field: &'static str,
+    addresses: impl Iterator<Item = SocketAddr>,
+) -> Result<(), Refusal> {
+    let mut seen = BTreeSet::new();
+    for address in addresses {
+        if !seen.insert(address) {
+            return invalid(
+                field,
+                format_args!("{address} is of two endpoints; give each its own"),
+            );
+        }
+    }
+    Ok(())
+}
+
+fn check_route(route: &RouteRule) -> Result<(), Refusal> {
+    if !route.path_prefix.starts_with('/') {
+        return invalid(
+            "path_prefix",
+            format_args!("`{}` must start with `/`", route.path_prefix),
+        );
+    }
+    let is_method =
+        |it: &String| !it.is_empty() && it.bytes().all(|byte| byte.is_ascii_uppercase());
+    if !route.method.iter().all(is_method) {
+        return invalid("method", "must be upper case letters, or null for any");
+    }
+    check_time("timeout_ms", route.timeout_ms)
+}
+
+fn check_sharing(sharing: &Sharing) -> Result<(), Refusal> {
+    if sharing.short_reserve_percent > 100 {
+        return invalid("short_reserve_percent", "is over 100; use 0 to 100");
+    }
+    if sharing.retry_budget_percent > 100 {
+        return invalid("retry_budget_percent", "is over 100; use 0 to 100");
+    }
+    if sharing.cold_start_ramp_ms.get() > TIMEOUT_MAX_MS {
+        return invalid(
+            "cold_start_ramp_ms",
+            format_args!("is over {TIMEOUT_MAX_MS} ms"),
+        );
+    }
+    Ok(())
+}
+
+fn check_time(field: &'static str, time: Millis) -> Result<(), Refusal> {
+    if (1..=TIMEOUT_MAX_MS).contains(&time.get()) {
+        return Ok(());
+    }
+    invalid(
+        field,
+        format_args!("is {time}; use 1 to {TIMEOUT_MAX_MS} ms"),
+    )
+}
+
+fn invalid(field: &'static str, detail: impl fmt::Display) -> Result<(), Refusal> {
+    Err(Refusal::Invalid {
+        field,
+        detail: detail.to_string(),
+    })
+}
--- a/crates/bundle/src/in_force.rs
+++ b/crates/bundle/src/in_force.rs
@@ -2,16 +2,16 @@
 
 use std::sync::Arc;
 
-use units::BundleDigest;
+use units::{BundleDigest, ServiceId};
 
-use crate::Bundle;
+use crate::{Bundle, Held};
 
 /// A bundle that passed acceptance, with the exact bytes it was signed and published as.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Accepted {
     /// The parsed document.
     pub bundle: Bundle,
-    /// Digest of `envelope`.
+    /// Digest of the signed document inside `envelope`.
     pub digest: BundleDigest,
     /// The published bytes, signature included; passed on to peers unchanged.
     pub envelope: Arc<[u8]>,
@@ -19,7 +19,8 @@
 
 /// The bundle of one service that is in force, and its predecessor if the process held it.
 ///
-/// `current` has a higher version than `previous`; both are of the same service.
+/// `current` supersedes `previous` (higher version, or the lower digest of one version); both are of
+/// the same service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct InForce {
     /// What applies now.
@@ -27,3 +28,21 @@
     /// What applied before, whose owners may still hold flows being opened.
     pub previous: Option<Arc<Accepted>>,
 }
+
+impl InForce {
+    /// Returns the service.
+    #[must_use]
+    pub fn service(&self) -> ServiceId {
+        self.current.bundle.service
+    }
+
+    /// Returns the entry of a version vector.
+    #[must_use]
+    pub fn held(&self) -> Held {
+        Held {
+            service: self.service(),
+            version: self.current.bundle.version,
+            digest: self.current.digest,
+        }
+    }
+}
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -3,8 +3,24 @@
 //! Everything here is pure: bytes and views in, decisions out. Fetching, spreading and time belong
 //! to `control`.
 
+mod accept;
+mod check;
+mod claims;
 pub mod document;
+mod envelope;
 mod in_force;
+mod key;
+mod key_set;
+mod refusal;
+mod store;
 
+pub use accept::{Source, accept, is_superseded};
+pub use check::check;
+pub use claims::{Claim, Dispute};
 pub use document::{Bundle, Endpoint, Leaving, RequestClass, RetrySafety, RouteRule, Sharing};
+pub use envelope::{ENVELOPE_MAX_BYTES, digest, sign, sign_bundle, verify};
 pub use in_force::{Accepted, InForce};
+pub use key::{KeyId, PublicKey, SecretKey};
+pub use key_set::{KeySet, KeySetDocument, LastVersion, OperatorKey};
+pub use refusal::Refusal;
+pub use store::{Change, Held, KEY_SET_SERVICE, Store};
--- /dev/null
+++ b/crates/bundle/tests/acceptance.rs
@@ -0,0 +1,190 @@
+//! Which bundles are put in force beside what a process holds.
+
+#[path = "support/sample.rs"]
+mod sample;
+
+use bundle::{Bundle, Change, KeySet, Source, Store, sign_bundle};
+use sample::{endpoint, first, key, next};
+use units::{BundleVersion, Weight};
+
+fn store() -> Store {
+    let mut store = Store::new(KeySet::new(vec![key(1).public()]));
+    for service in [1, 2] {
+        let envelope = sign_bundle(&first(service), &key(1));
+        store.offer(Source::Platform, &envelope).unwrap();
+    }
+    store
+}
+
+fn offer(store: &mut Store, source: Source, bundle: &Bundle) -> String {
+    let before = store.in_force().to_vec();
+    let res = store.offer(source, &sign_bundle(bundle, &key(1)));
+    match res {
+        Ok(_) => "accepted".to_owned(),
+        Err(refusal) => {
+            assert_eq!(store.in_force(), before, "a refusal changes nothing");
+            assert!(refusal.to_string().len() > 20, "a refusal names the remedy");
+            refusal.kind().to_owned()
+        }
+    }
+}
+
+fn check(change: impl Fn(&mut Bundle), from_platform: &str, from_peer: &str) {
+    let mut bundle = next(&first(1));
+    change(&mut bundle);
+    let sources = [(Source::Platform, from_platform), (Source::Peer, from_peer)];
+    for (source, expect) in sources {
+        assert_eq!(offer(&mut store(), source, &bundle), expect, "{source:?}");
+    }
+}
+
+#[test]
+fn next_version() {
+    check(|_| {}, "accepted", "accepted");
+    check(
+        |it| it.endpoints[0].is_leaving = true,
+        "accepted",
+        "accepted",
+    );
+    check(|it| it.endpoints.truncate(1), "accepted", "accepted");
+}
+
+#[test]
+fn document_rules() {
+    let both = |change: fn(&mut Bundle), expect| check(change, expect, expect);
+    both(|it| it.endpoints.clear(), "no_upstreams");
+    both(
+        |it| {
+            it.endpoints.iter_mut().for_each(|it| it.is_leaving = true);
+        },
+        "no_upstreams",
+    );
+    both(
+        |it| {
+            it.endpoints
+                .iter_mut()
+                .for_each(|it| it.weight = Weight::new(0));
+        },
+        "no_upstreams",
+    );
+    both(|it| it.endpoints.reverse(), "invalid");
+    both(|it| it.endpoints[1].id = it.endpoints[0].id, "invalid");
+    both(
+        |it| it.endpoints[1].tunnel_address = it.endpoints[0].tunnel_address,
+        "invalid",
+    );
+    both(|it| it.endpoints[0].upstream_address.set_port(0), "invalid");
+    both(|it| it.endpoints[0].slots = units::Slots::new(0), "invalid");
+    both(|it| it.addresses.clear(), "invalid");
+    both(|it| it.previous = None, "invalid");
+    both(|it| it.version = BundleVersion::new(0), "invalid");
+    both(|it| it.name.clear(), "invalid");
+    both(|it| it.routes[0].path_prefix.clear(), "invalid");
+    both(|it| it.routes[0].method = Some("get".to_owned()), "invalid");
+    both(
+        |it| it.routes[0].timeout_ms = units::Millis::new(0),
+        "invalid",
+    );
+    both(|it| it.sharing.short_reserve_percent = 101, "invalid");
+    both(
+        |it| it.leaving.drain_timeout_ms = units::Millis::new(0),
+        "invalid",
+    );
+}
+
+#[test]
+fn publication_rules() {
+    check(
+        |it| it.previous = Some(bundle::digest("x")),
+        "broken_chain",
+        "accepted",
+    );
+    check(
+        |it| it.endpoints = vec![endpoint(91), endpoint(92)],
+        "all_replaced",
+        "accepted",
+    );
+    check(|it| it.endpoints.push(endpoint(21)), "claimed", "accepted");
+    check(
+        |it| it.addresses = first(2).addresses,
+        "claimed",
+        "accepted",
+    );
+}
+
+#[test]
+fn missed_versions() {
+    let later = next(&next(&next(&first(1))));
+    let mut store = store();
+    assert_eq!(offer(&mut store, Source::Platform, &later), "accepted");
+    assert_eq!(offer(&mut store, Source::Platform, &later), "already_held");
+    assert_eq!(offer(&mut store, Source::Peer, &first(1)), "lower_version");
+    assert_eq!(
+        offer(&mut store, Source::Platform, &next(&first(1))),
+        "lower_version"
+    );
+}
+
+#[test]
+fn forked_version() {
+    let mut forks: Vec<Bundle> = ["left", "right", "third"]
+        .into_iter()
+        .map(|name| Bundle {
+            name: name.to_owned(),
+            ..next(&first(1))
+        })
+        .collect();
+    forks.sort_by_key(|it| bundle::digest(&serde_json::to_string(it).unwrap()));
+    for order in [[0, 1, 2], [2, 1, 0], [1, 0, 2], [1, 2, 0]] {
+        let mut store = store();
+        for idx in order {
+            let change = store.offer(Source::Peer, &sign_bundle(&forks[idx], &key(1)));
+            if let Ok(Change::Bundle { is_fork, .. }) = change {
+                assert_eq!(
+                    is_fork,
+                    idx != order[0],
+                    "a second document raises the alarm"
+                );
+            }
+        }
+        let held = &store.find(forks[0].service).unwrap().current.bundle;
+        assert_eq!(held, &forks[0], "the lower digest stays whatever the order");
+    }
+}
+
+#[test]
+fn disputed_claims() {
+    let mut claimer = next(&first(2));
+    claimer.endpoints.insert(0, endpoint(11));
+    claimer.addresses.insert(0, first(1).addresses[0]);
+    let mut store = store();
+    assert_eq!(offer(&mut store, Source::Peer, &claimer), "accepted");
+    let (view, disputes) = store.view();
+    assert_eq!(
+        disputes.len(),
+        5,
+        "an address and an endpoint's four claims"
+    );
+    assert_eq!(
+        view[0].current.bundle,
+        first(1),
+        "the lower service keeps its own"
+    );
+    assert_eq!(view[1].current.bundle.endpoints, first(2).endpoints);
+    assert_eq!(view[1].current.bundle.addresses, first(2).addresses);
+    assert_eq!(view[1].current.digest, store.in_force()[1].current.digest);
+}
+
+#[test]
+fn version_vectors() {
+    let mut ahead = store();
+    let behind = store();
+    assert!(ahead.newer_than(&behind.version_vector()).is_empty());
+    offer(&mut ahead, Source::Platform, &next(&first(2)));
+    let newer = ahead.newer_than(&behind.version_vector());
+    assert_eq!(newer.len(), 1);
+    assert!(behind.wants(newer[0].0) && !ahead.wants(newer[0].0));
+    assert_eq!(newer[0].1, ahead.in_force()[1].current.envelope);
+    assert!(behind.newer_than(&ahead.version_vector()).is_empty());
+    assert_eq!(ahead.newer_than(&[]).len(), 2);
+}
--- /dev/null
+++ b/crates/bundle/tests/key_rotation.rs
@@ -0,0 +1,131 @@
+//! Key sets: rotation, retirement and what stays good.
+
+#[path = "support/sample.rs"]
+mod sample;
+
+use bundle::{
+    Bundle, Change, KeySet, KeySetDocument, LastVersion, OperatorKey, Source, Store, sign_bundle,
+};
+use sample::{first, key, next};
+use units::{BundleVersion, ServiceId};
+
+const ROOT: u8 = 9;
+
+fn settings() -> KeySet {
+    KeySet::new(vec![key(1).public()]).with_roots(vec![key(ROOT).public()])
+}
+
+fn last(service: u32, version: u64) -> LastVersion {
+    LastVersion {
+        service: ServiceId::new(service),
+        version: BundleVersion::new(version),
+    }
+}
+
+/// Key 1 retired after `retired_after`, key 2 in use.
+fn rotated(version: u64, retired_after: Vec<LastVersion>) -> KeySetDocument {
+    KeySetDocument {
+        version: BundleVersion::new(version),
+        keys: vec![
+            OperatorKey::new(key(1).public()).with_retired_after(retired_after),
+            OperatorKey::new(key(2).public()),
+        ],
+    }
+}
+
+#[test]
+fn retired_key() {
+    let mut store = Store::new(settings());
+    let set = rotated(1, vec![last(1, 1)]).sign(&key(ROOT));
+    store.offer_keys(&set).unwrap();
+    let mut offer = |bundle: &Bundle, seed| {
+        let res = store.offer(Source::Platform, &sign_bundle(bundle, &key(seed)));
+        res.map_or_else(|it| it.kind(), |_| "accepted")
+    };
+    assert_eq!(offer(&first(1), 1), "accepted", "an old version stays good");
+    let second = next(&first(1));
+    assert_eq!(offer(&second, 1), "retired_key");
+    assert_eq!(offer(&second, 2), "accepted", "rolls on under the new key");
+    assert_eq!(offer(&first(2), 1), "retired_key", "of an unlisted service");
+    assert_eq!(offer(&first(2), 2), "accepted");
+}
+
+#[test]
+fn held_above_retirement() {
+    let mut store = Store::new(settings());
+    let second = next(&first(1));
+    store
+        .offer(Source::Platform, &sign_bundle(&second, &key(1)))
+        .unwrap();
+    let set = rotated(1, vec![last(1, 1)]).sign(&key(ROOT));
+    let change = store.offer_keys(&set).unwrap();
+    let expect = Change::KeySet {
+        version: BundleVersion::new(1),
+        above_retirement: vec![ServiceId::new(1)],
+    };
+    assert_eq!(change, expect);
+    assert_eq!(
+        store.in_force()[0].current.bundle,
+        second,
+        "nothing reverts"
+    );
+}
+
+#[test]
+fn key_set_order() {
+    let mut store = Store::new(settings());
+    let mut offer = |document: &KeySetDocument, seed| {
+        let res = store.offer_keys(&document.sign(&key(seed)));
+        res.map_or_else(|it| it.kind(), |_| "accepted")
+    };
+    assert_eq!(offer(&rotated(2, vec![]), 1), "unknown_key", "not a root");
+    assert_eq!(
+        offer(&rotated(2, vec![]), ROOT),
+        "accepted",
+        "a gap is fine"
+    );
+    assert_eq!(offer(&rotated(2, vec![]), ROOT), "already_held");
+    assert_eq!(offer(&rotated(1, vec![]), ROOT), "lower_version");
+    let fork = offer(&rotated(2, vec![last(1, 1)]), ROOT);
+    assert!(["accepted", "forked"].contains(&fork));
+    assert_eq!(
+        offer(&rotated(2, vec![]), ROOT) == "forked",
+        fork == "accepted"
+    );
+}
+
+#[test]
+fn unusable_key_set() {
+    let mut none_left = rotated(1, vec![]);
+    none_left.keys.truncate(1);
+    let mut named_twice = rotated(1, vec![]);
+    named_twice.keys.push(OperatorKey::new(key(2).public()));
+    let mut unsorted = rotated(1, vec![]);
+    unsorted.keys[0].retired_after = Some(vec![last(2, 1), last(1, 1)]);
+    for document in [none_left, named_twice, unsorted, rotated(0, vec![])] {
+        let res = settings().accept(&document.sign(&key(ROOT)));
+        assert_eq!(res.unwrap_err().kind(), "invalid", "{document:?}");
+    }
+}
+
+#[test]
+fn brought_back() {
+    let envelope = sign_bundle(&first(1), &key(1));
+    let set = rotated(7, vec![last(1, 1)]).sign(&key(ROOT));
+    let mut fresh = Store::new(settings());
+    fresh.offer_keys(&set).unwrap();
+    fresh.offer(Source::Platform, &envelope).unwrap();
+    assert_eq!(&*fresh.in_force()[0].current.envelope, envelope.as_slice());
+    let rolled = sign_bundle(&next(&first(1)), &key(2));
+    fresh.offer(Source::Platform, &rolled).unwrap();
+}
+
+#[test]
+fn contexts_differ() {
+    let document = rotated(1, vec![]);
+    let as_bundle = bundle::sign(&serde_json::to_string(&document).unwrap(), &key(ROOT));
+    assert_eq!(
+        settings().accept(&as_bundle).unwrap_err().kind(),
+        "bad_signature"
+    );
+}
