Admission: name the sum's type

Cause: a crate in the dependency graph now brings further comparisons with u32, so the compiler can't infer the type of the sum.

Change: the type is written out. Conclusion: the workspace compiles.

--- a/crates/admission/src/running_time.rs
+++ b/crates/admission/src/running_time.rs
@@ -49,7 +49,7 @@
         }
         assert_eq!(
             self.total,
-            self.counts.iter().sum(),
+            self.counts.iter().sum::<u32>(),
             "histogram total is the sum of its counts"
         );
     }
