Stand-ins for callers and upstreams

The upstream is an HTTP/1.1 server with slots: it records each run by Idempotency-Key and x-request-id, counts requests beyond its slots, can shed, straggle, start cold, answer health and load checks with any value and silence its open connections for good. The caller is an HTTP/3 client whose socket hands each datagram to a random balancer, drops, doubles or delays it, and takes answers as from the service address. Answer bodies follow from the request id, so a whole and own answer can be checked.

--- /dev/null
+++ b/crates/stand-ins/src/caller.rs
@@ -0,0 +1,168 @@
+//! A caller: an HTTP/3 client behind a fabric that hands any datagram to any balancer.
+
+mod call;
+mod fabric;
+mod socket;
+
+use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use quinn::{EndpointConfig, crypto::rustls::QuicClientConfig};
+use rustls_pki_types::CertificateDer;
+use tokio::task::JoinHandle;
+
+pub use call::{Answer, Call, CallError};
+pub use fabric::{Fabric, Faults};
+
+use socket::SprayingSocket;
+
+/// Longest silence before a connection counts as lost.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Time between the packets that keep an idle connection alive.
+const KEEP_ALIVE: Duration = Duration::from_secs(3);
+
+/// A caller with one socket; it opens connections to any service.
+#[derive(Debug)]
+pub struct Caller {
+    endpoint: quinn::Endpoint,
+    client: quinn::ClientConfig,
+}
+
+/// A connection to one service.
+pub struct CallerConnection {
+    quic: quinn::Connection,
+    requests: h3::client::SendRequest<h3_quinn::OpenStreams, Bytes>,
+    driver: JoinHandle<()>,
+}
+
+impl Caller {
+    /// Creates a caller that trusts the services' `certificates`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no socket can be opened or a certificate is malformed.
+    pub fn new(fabric: Arc<Fabric>, certificates: &[CertificateDer<'static>]) -> io::Result<Self> {
+        let socket = Arc::new(SprayingSocket::bind(fabric)?);
+        let endpoint = quinn::Endpoint::new_with_abstract_socket(
+            EndpointConfig::default(),
+            None,
+            socket,
+            Arc::new(quinn::TokioRuntime),
+        )?;
+        Ok(Self {
+            endpoint,
+            client: client_config(certificates)?,
+        })
+    }
+
+    /// Opens a connection to `service`, which presents a certificate for `name`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`CallError::ConnectionLost`] if no handshake succeeds.
+    pub async fn connect(
+        &self,
+        service: SocketAddr,
+        name: &str,
+    ) -> Result<CallerConnection, CallError> {
+        let lost = |reason: String| CallError::ConnectionLost { reason };
+        let connecting = self
+            .endpoint
+            .connect_with(self.client.clone(), service, name)
+            .map_err(|err| lost(err.to_string()))?;
+        let quic = connecting.await.map_err(|err| lost(err.to_string()))?;
+        let (mut driver, requests) = h3::client::new(h3_quinn::Connection::new(quic.clone()))
+            .await
+            .map_err(|err| lost(err.to_string()))?;
+        let driver = tokio::spawn(async move {
+            driver.wait_idle().await;
+        });
+        Ok(CallerConnection {
+            quic,
+            requests,
+            driver,
+        })
+    }
+
+    /// Closes all connections and waits until the peers were told.
+    pub async fn close(&self) {
+        self.endpoint.close(0_u32.into(), b"");
+        self.endpoint.wait_idle().await;
+    }
+}
+
+impl CallerConnection {
+    /// Makes a call and returns the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the kind that tells what the caller can know of the call's fate.
+    pub async fn request(&self, call: Call) -> Result<Answer, CallError> {
+        let timeout = call.timeout;
+        let making = call::make(self.requests.clone(), call);
+        match tokio::time::timeout(timeout, making).await {
+            Ok(result) => result.map_err(|err| self.explain(err)),
+            Err(_elapsed) => Err(CallError::Timeout),
+        }
+    }
+
+    /// Returns why the connection is closed, if it is.
+    #[must_use]
+    pub fn close_reason(&self) -> Option<quinn::ConnectionError> {
+        self.quic.close_reason()
+    }
+
+    /// Returns the QUIC connection below.
+    #[must_use]
+    pub fn quic(&self) -> &quinn::Connection {
+        &self.quic
+    }
+
+    /// Prefers the reason QUIC gives for a lost connection.
+    fn explain(&self, err: CallError) -> CallError {
+        match (err, self.quic.close_reason()) {
+            (CallError::ConnectionLost { .. }, Some(reason)) => CallError::ConnectionLost {
+                reason: reason.to_string(),
+            },
+            (err, _) => err,
+        }
+    }
+}
+
+impl fmt::Debug for CallerConnection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CallerConnection")
+            .field("quic", &self.quic)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Drop for CallerConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+        self.quic.close(0x100_u32.into(), b"");
+    }
+}
+
+fn client_config(certificates: &[CertificateDer<'static>]) -> io::Result<quinn::ClientConfig> {
+    let mut roots = rustls::RootCertStore::empty();
+    for certificate in certificates {
+        roots.add(certificate.clone()).map_err(io::Error::other)?;
+    }
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut tls = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(io::Error::other)?
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    tls.alpn_protocols = vec![b"h3".to_vec()];
+    let quic = QuicClientConfig::try_from(tls).map_err(io::Error::other)?;
+    let mut client = quinn::ClientConfig::new(Arc::new(quic));
+    let mut transport = quinn::TransportConfig::default();
+    let idle = IDLE_TIMEOUT.try_into().map_err(io::Error::other)?;
+    transport.max_idle_timeout(Some(idle));
+    transport.keep_alive_interval(Some(KEEP_ALIVE));
+    client.transport_config(Arc::new(transport));
+    Ok(client)
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -1,1 +1,5 @@
 //! Small stand-ins for the platform, upstreams and callers.
+
+pub mod caller;
+pub mod pattern;
+pub mod upstream;
--- /dev/null
+++ b/crates/stand-ins/src/upstream.rs
@@ -0,0 +1,207 @@
+//! An upstream: an HTTP/1.1 server with slots that records every run.
+
+mod behavior;
+mod io;
+mod ledger;
+mod serve;
+
+use std::{
+    io as std_io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Instant,
+};
+
+use tokio::{net::TcpListener, task::JoinHandle};
+use units::{Millis, Slots};
+
+pub use behavior::{Behavior, ColdStart, Stragglers};
+pub use ledger::{Run, RunEnd};
+pub use serve::{ANSWER_BYTES_HEADER, REQUEST_ID_HEADER, RUN_TIME_HEADER};
+
+/// A running upstream; it ends when dropped.
+#[derive(Debug)]
+pub struct Upstream {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    accepting: JoinHandle<()>,
+}
+
+/// What the server's tasks share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    slots: usize,
+    started: Instant,
+    /// Requests running now.
+    busy: AtomicUsize,
+    /// Requests that came while every slot was busy.
+    violations: AtomicU64,
+    /// Requests turned away by shedding.
+    shed: AtomicU64,
+    /// Highest number of requests running at once.
+    busy_peak: AtomicUsize,
+    /// Connections accepted so far.
+    connections: AtomicU64,
+    /// Connections numbered below this one are silent.
+    silent_below: AtomicU64,
+    behavior: Mutex<Behavior>,
+    runs: Mutex<Vec<Run>>,
+}
+
+impl Upstream {
+    /// Starts an upstream on an ephemeral loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn start(slots: Slots, behavior: Behavior) -> std_io::Result<Self> {
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), slots, behavior).await
+    }
+
+    /// Starts an upstream on `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn start_at(
+        address: SocketAddr,
+        slots: Slots,
+        behavior: Behavior,
+    ) -> std_io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared::new(slots, behavior));
+        let accepting = tokio::spawn(serve::accept(listener, Arc::clone(&shared)));
+        Ok(Self {
+            address,
+            shared,
+            accepting,
+        })
+    }
+
+    /// Returns the address it listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes how it behaves from now on.
+    pub fn change(&self, change: impl FnOnce(&mut Behavior)) {
+        change(&mut lock(&self.shared.behavior));
+    }
+
+    /// Makes every connection that is open now silent for good; new ones work.
+    pub fn silence_open_connections(&self) {
+        let accepted = self.shared.connections.load(Ordering::SeqCst);
+        self.shared.silent_below.store(accepted, Ordering::SeqCst);
+    }
+
+    /// Returns every run so far, in the order they began.
+    #[must_use]
+    pub fn runs(&self) -> Vec<Run> {
+        lock(&self.shared.runs).clone()
+    }
+
+    /// Returns the number of runs so far.
+    #[must_use]
+    pub fn run_count(&self) -> usize {
+        lock(&self.shared.runs).len()
+    }
+
+    /// Returns how many runs the request id had.
+    #[must_use]
+    pub fn runs_of(&self, request_id: &str) -> usize {
+        let runs = lock(&self.shared.runs);
+        runs.iter().filter(|it| it.request_id == request_id).count()
+    }
+
+    /// Returns the idempotency keys that ran more than once, sorted.
+    #[must_use]
+    pub fn keys_run_twice(&self) -> Vec<String> {
+        ledger::keys_run_twice(std::iter::once(self))
+    }
+
+    /// Returns how many requests came while every slot was busy.
+    #[must_use]
+    pub fn violations(&self) -> u64 {
+        self.shared.violations.load(Ordering::SeqCst)
+    }
+
+    /// Returns how many requests shedding turned away.
+    #[must_use]
+    pub fn shed(&self) -> u64 {
+        self.shared.shed.load(Ordering::SeqCst)
+    }
+
+    /// Returns how many requests run now.
+    #[must_use]
+    pub fn busy(&self) -> usize {
+        self.shared.busy.load(Ordering::SeqCst)
+    }
+
+    /// Returns the highest number of requests that ran at once.
+    #[must_use]
+    pub fn busy_peak(&self) -> usize {
+        self.shared.busy_peak.load(Ordering::SeqCst)
+    }
+
+    /// Returns how many connections it accepted.
+    #[must_use]
+    pub fn connections(&self) -> u64 {
+        self.shared.connections.load(Ordering::SeqCst)
+    }
+
+    /// Returns the time since its start.
+    #[must_use]
+    pub fn now(&self) -> Millis {
+        self.shared.now()
+    }
+
+    /// Returns when the last run began, measured from its start.
+    #[must_use]
+    pub fn last_new_work(&self) -> Option<Millis> {
+        lock(&self.shared.runs).last().map(|it| it.begun_ms)
+    }
+}
+
+impl Drop for Upstream {
+    fn drop(&mut self) {
+        self.accepting.abort();
+        self.shared.silent_below.store(u64::MAX, Ordering::SeqCst);
+    }
+}
+
+/// Returns the idempotency keys that ran more than once over all `upstreams`, sorted.
+#[must_use]
+pub fn keys_run_twice(upstreams: &[Upstream]) -> Vec<String> {
+    ledger::keys_run_twice(upstreams.iter())
+}
+
+impl Shared {
+    fn new(slots: Slots, behavior: Behavior) -> Self {
+        Self {
+            slots: usize::from(slots.get()),
+            started: Instant::now(),
+            busy: AtomicUsize::new(0),
+            violations: AtomicU64::new(0),
+            shed: AtomicU64::new(0),
+            busy_peak: AtomicUsize::new(0),
+            connections: AtomicU64::new(0),
+            silent_below: AtomicU64::new(0),
+            behavior: Mutex::new(behavior),
+            runs: Mutex::new(Vec::new()),
+        }
+    }
+
+    fn now(&self) -> Millis {
+        Millis::from_duration(self.started.elapsed())
+    }
+}
+
+/// Locks a mutex whose holders never leave half a change behind.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
