--- /dev/null
+++ b/crates/flow/src/opening.rs
@@ -0,0 +1,301 @@
+//! Which agent opens a flow: each opening has a home that decides once and remembers.
+//!
+//! Balancers may disagree on who should open a flow: their loads, bundles and lists of live
+//! endpoints differ. So they send every packet of an opening to its home, which depends on the
+//! bundle alone, and the home holds to its first decision. While a bundle changes there are two
+//! homes, and the older generation's comes first. An agent that started lately may have forgotten
+//! a decision; it asks the other candidates before it decides.
+
+use std::{collections::VecDeque, net::SocketAddr};
+
+use siphasher::sip128::SipHasher24;
+use units::{EndpointId, Millis};
+
+use crate::{
+    quic::CID_MAX_BYTES,
+    tunnel::{Candidate, Opening, Stage},
+};
+
+const KEY_MAX_BYTES: usize = 16 + 2 + CID_MAX_BYTES;
+
+/// Bounds of an opening table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// How long a decision is remembered: longer than any handshake.
+    pub lifetime_ms: Millis,
+    /// How long after its start an agent asks others before it decides.
+    pub young_ms: Millis,
+    /// Most decisions remembered.
+    pub entries_max: usize,
+}
+
+impl Limits {
+    /// Makes the limits used in service.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            lifetime_ms: Millis::new(30_000),
+            young_ms: Millis::new(10_000),
+            entries_max: 16_384,
+        }
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// One attempt of a caller to open a flow, as opening tables know it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OpeningKey(u128);
+
+/// What an agent does with a packet of an opening.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Open the flow here: the first packet.
+    Open,
+    /// The flow was opened here: give the packet to it.
+    Deliver,
+    /// Pass the packet on.
+    PassTo {
+        /// Who receives it.
+        to: Candidate,
+        /// The list to send along.
+        opening: Opening,
+    },
+    /// Drop and count the packet.
+    Refuse(Refusal),
+}
+
+/// Why an agent refuses a packet of an opening.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// The table is full of decisions that still bind.
+    Full,
+    /// The packet was passed on too often.
+    Hops,
+}
+
+/// An agent's decisions about openings, bounded in number and time.
+#[derive(Debug, Clone)]
+pub struct OpeningTable {
+    me: EndpointId,
+    started: Millis,
+    limits: Limits,
+    hasher: SipHasher24,
+    /// Sorted by key, without duplicates, at most `limits.entries_max`.
+    entries: Vec<Entry>,
+    /// When each entry is forgotten, in order of time; as many as entries.
+    expiry: VecDeque<(Millis, OpeningKey)>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    key: OpeningKey,
+    fate: Fate,
+}
+
+/// What became of an opening at this agent.
+///
+/// `Opened` is final. `Passed` at `Stage::Decide` leaves the decision to a later decider, which may
+/// come back with `Stage::Decided`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    Opened,
+    Passed { to: Candidate, stage: Stage },
+}
+
+impl OpeningTable {
+    /// Makes the empty table of an agent that starts now; `seed` must be random.
+    #[must_use]
+    pub fn new(me: EndpointId, started: Millis, limits: Limits, seed: u64) -> Self {
+        Self {
+            me,
+            started,
+            limits,
+            hasher: SipHasher24::new_with_keys(seed, !seed),
+            entries: Vec::new(),
+            expiry: VecDeque::new(),
+        }
+    }
+
+    /// Makes the key of an opening from the caller's address and the connection id it chose.
+    #[must_use]
+    pub fn key(&self, caller: SocketAddr, dcid: &[u8]) -> OpeningKey {
+        let mut input = [0; KEY_MAX_BYTES];
+        let ip = match caller {
+            SocketAddr::V4(it) => it.ip().to_ipv6_mapped(),
+            SocketAddr::V6(it) => *it.ip(),
+        };
+        let dcid = &dcid[..dcid.len().min(CID_MAX_BYTES)];
+        input[..16].copy_from_slice(&ip.octets());
+        input[16..18].copy_from_slice(&caller.port().to_be_bytes());
+        input[18..18 + dcid.len()].copy_from_slice(dcid);
+        OpeningKey(self.hasher.hash(&input[..18 + dcid.len()]).as_u128())
+    }
+
+    /// Decides what to do with a packet of an opening, and remembers it.
+    pub fn decide(&mut self, now: Millis, key: OpeningKey, opening: &Opening) -> Verdict {
+        self.forget(now);
+        let verdict = match self.fate(key) {
+            Some(fate) => self.follow(now, key, fate, opening),
+            None => self.consider(now, key, opening),
+        };
+        self.assert_bounds();
+        verdict
+    }
+
+    /// Returns the number of decisions remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether no decision is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn follow(&mut self, now: Millis, key: OpeningKey, fate: Fate, opening: &Opening) -> Verdict {
+        match (fate, opening.stage) {
+            (Fate::Opened, _) => Verdict::Deliver,
+            (Fate::Passed { to, .. }, Stage::Ask { from, .. })
+                if opening.candidates()[usize::from(from)].endpoint == to.endpoint =>
+            {
+                // The asker was to decide and has forgotten: this record says nothing more.
+                self.answer(now, key, opening)
+            }
+            (
+                Fate::Passed {
+                    stage: Stage::Decide,
+                    ..
+                },
+                Stage::Decided,
+            ) => self.open(now, key),
+            (Fate::Passed { to, stage }, _) => pass(to, stage, opening),
+        }
+    }
+
+    fn consider(&mut self, now: Millis, key: OpeningKey, opening: &Opening) -> Verdict {
+        match opening.stage {
+            Stage::Decided => self.open(now, key),
+            Stage::Ask { .. } => self.answer(now, key, opening),
+            Stage::Decide if self.is_young(now) => self.ask(now, key, opening),
+            Stage::Decide => self.settle(now, key, opening),
+        }
+    }
+
+    /// Decides, or passes on to the next decider.
+    fn settle(&mut self, now: Millis, key: OpeningKey, opening: &Opening) -> Verdict {
+        let next = opening.position(self.me).map_or(usize::MAX, |it| it + 1);
+        if let Some(&to) = opening.deciders().get(next) {
+            return self.pass_on(now, key, to, Stage::Decide, opening);
+        }
+        let target = opening.target();
+        if target.endpoint == self.me {
+            return self.open(now, key);
+        }
+        self.pass_on(now, key, target, Stage::Decided, opening)
+    }
+
+    /// Asks the first other candidate whether it knows the flow.
+    fn ask(&mut self, now: Millis, key: OpeningKey, opening: &Opening) -> Verdict {
+        let Some(from) = opening.position(self.me) else {
+            return self.settle(now, key, opening);
+        };
+        let from = u8::try_from(from).expect("lists are short");
+        let mut opening = *opening;
+        opening.stage = Stage::Ask { from, asked: 0 };
+        self.answer(now, key, &opening)
+    }
+
+    /// Passes a question on to the next candidate not yet asked, or back to the asker.
+    fn answer(&mut self, now: Millis, key: OpeningKey, opening: &Opening) -> Verdict {
+        let Stage::Ask { from, asked } = opening.stage else {
+            unreachable!("only questions are answered");
+        };
+        let me = opening.position(self.me);
+        let mark = |idx: usize| 1_u8 << idx;
+        let asked = asked | mark(usize::from(from)) | me.map_or(0, mark);
+        let next = (0..opening.candidates().len()).find(|&it| asked & mark(it) == 0);
+        let stage = Stage::Ask { from, asked };
+        match next {
+            Some(idx) => pass(opening.candidates()[idx], stage, opening),
+            None if me == Some(usize::from(from)) => self.settle(now, key, opening),
+            None => pass(opening.candidates()[usize::from(from)], stage, opening),
+        }
+    }
+
+    fn open(&mut self, now: Millis, key: OpeningKey) -> Verdict {
+        match self.record(now, key, Fate::Opened) {
+            Ok(()) => Verdict::Open,
+            Err(refusal) => Verdict::Refuse(refusal),
+        }
+    }
+
+    fn pass_on(
+        &mut self,
+        now: Millis,
+        key: OpeningKey,
+        to: Candidate,
+        stage: Stage,
+        opening: &Opening,
+    ) -> Verdict {
+        match self.record(now, key, Fate::Passed { to, stage }) {
+            Ok(()) => pass(to, stage, opening),
+            Err(refusal) => Verdict::Refuse(refusal),
+        }
+    }
+
+    fn record(&mut self, now: Millis, key: OpeningKey, fate: Fate) -> Result<(), Refusal> {
+        match self.entries.binary_search_by_key(&key, |it| it.key) {
+            Ok(idx) => {
+                let entry = &mut self.entries[idx];
+                assert_ne!(entry.fate, Fate::Opened, "a flow opened here stays here");
+                entry.fate = fate;
+            }
+            Err(_) if self.entries.len() >= self.limits.entries_max => return Err(Refusal::Full),
+            Err(idx) => {
+                self.entries.insert(idx, Entry { key, fate });
+                let end = now.plus(self.limits.lifetime_ms);
+                self.expiry.push_back((end, key));
+            }
+        }
+        Ok(())
+    }
+
+    fn fate(&self, key: OpeningKey) -> Option<Fate> {
+        let idx = self.entries.binary_search_by_key(&key, |it| it.key).ok()?;
+        Some(self.entries[idx].fate)
+    }
+
+    fn forget(&mut self, now: Millis) {
+        while let Some(&(end, key)) = self.expiry.front() {
+            if end > now {
+                return;
+            }
+            self.expiry.pop_front();
+            let idx = self.entries.binary_search_by_key(&key, |it| it.key);
+            self.entries.remove(idx.expect("expiry names an entry"));
+        }
+    }
+
+    fn is_young(&self, now: Millis) -> bool {
+        now.since(self.started) < self.limits.young_ms
+    }
+
+    fn assert_bounds(&self) {
+        assert!(self.entries.len() <= self.limits.entries_max);
+        assert_eq!(self.entries.len(), self.expiry.len());
+    }
+}
+
+fn pass(to: Candidate, stage: Stage, opening: &Opening) -> Verdict {
+    match opening.passed_on(stage) {
+        Some(opening) => Verdict::PassTo { to, opening },
+        None => Verdict::Refuse(Refusal::Hops),
+    }
+}
--- /dev/null
+++ b/crates/flow/src/quic.rs
@@ -0,0 +1,106 @@
+//! The version-independent part of QUIC headers, as far as routing needs it.
+
+use crate::cid::{CID_BYTES, Cid};
+
+/// Shortest datagram that may carry a caller's Initial packet.
+pub const INITIAL_DATAGRAM_MIN_BYTES: usize = 1200;
+
+/// Longest connection id of the QUIC versions in use.
+pub const CID_MAX_BYTES: usize = 20;
+
+const LONG_HEADER_BIT: u8 = 0x80;
+const VERSION_1: u32 = 1;
+const VERSION_2: u32 = 0x6b33_43cf;
+
+/// The first packet of a datagram.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Packet<'a> {
+    /// A packet of an established flow; its connection id has the length we mint.
+    Short {
+        /// Destination connection id.
+        dcid: &'a Cid,
+    },
+    /// A packet of the handshake.
+    Long {
+        /// QUIC version as the caller wrote it.
+        version: u32,
+        /// What the packet is for.
+        kind: LongKind,
+        /// Destination connection id, at most `CID_MAX_BYTES` long.
+        dcid: &'a [u8],
+        /// Source connection id, at most `CID_MAX_BYTES` long.
+        scid: &'a [u8],
+    },
+}
+
+/// What a long-header packet is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LongKind {
+    /// Opens a flow.
+    Initial,
+    /// Early data.
+    ZeroRtt,
+    /// Continues a handshake.
+    Handshake,
+    /// Only servers send it.
+    Retry,
+    /// Only servers send it.
+    VersionNegotiation,
+    /// A packet of a version this program doesn't know.
+    Unknown,
+}
+
+impl<'a> Packet<'a> {
+    /// Parses the first packet's header, `None` if the datagram is too short to hold it.
+    #[must_use]
+    pub fn parse(datagram: &'a [u8]) -> Option<Self> {
+        let (&first, rest) = datagram.split_first()?;
+        if first & LONG_HEADER_BIT == 0 {
+            let dcid = rest.get(..CID_BYTES)?.try_into().ok()?;
+            return Some(Self::Short { dcid });
+        }
+        let (version, rest) = rest.split_first_chunk()?;
+        let version = u32::from_be_bytes(*version);
+        let (dcid, rest) = split_cid(rest)?;
+        let (scid, _rest) = split_cid(rest)?;
+        let kind = LongKind::new(first, version);
+        Some(Self::Long {
+            version,
+            kind,
+            dcid,
+            scid,
+        })
+    }
+
+    /// Returns the destination connection id.
+    #[must_use]
+    pub fn dcid(&self) -> &'a [u8] {
+        match self {
+            Self::Short { dcid } => *dcid,
+            Self::Long { dcid, .. } => dcid,
+        }
+    }
+}
+
+impl LongKind {
+    fn new(first: u8, version: u32) -> Self {
+        let bits = (first >> 4) & 0b11;
+        match (version, bits) {
+            (0, _) => Self::VersionNegotiation,
+            (VERSION_1, 0) | (VERSION_2, 1) => Self::Initial,
+            (VERSION_1, 1) | (VERSION_2, 2) => Self::ZeroRtt,
+            (VERSION_1, 2) | (VERSION_2, 3) => Self::Handshake,
+            (VERSION_1 | VERSION_2, _) => Self::Retry,
+            _ => Self::Unknown,
+        }
+    }
+}
+
+fn split_cid(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
+    let (&len, rest) = bytes.split_first()?;
+    let len = usize::from(len);
+    if len > CID_MAX_BYTES {
+        return None;
+    }
+    rest.split_at_checked(len)
+}
--- /dev/null
+++ b/crates/flow/src/rendezvous.rs
@@ -0,0 +1,96 @@
+//! Weighted rendezvous hashing: which endpoints a key belongs to.
+//!
+//! Each endpoint draws a score from the key; the highest scores win. Removing an endpoint moves
+//! only the keys it held.
+
+use std::net::{IpAddr, SocketAddr};
+
+use units::{EndpointId, Weight};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::quic::CID_MAX_BYTES;
+
+const KEY_MAX_BYTES: usize = 16 + 2 + CID_MAX_BYTES;
+
+/// What is hashed: one attempt of a caller to open a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FlowKey(u64);
+
+impl FlowKey {
+    /// Hashes the caller's address and the connection id it chose.
+    ///
+    /// Bytes of `dcid` past `CID_MAX_BYTES` don't count.
+    #[must_use]
+    pub fn new(caller: SocketAddr, dcid: &[u8]) -> Self {
+        let mut input = [0; KEY_MAX_BYTES];
+        let ip = match caller.ip() {
+            IpAddr::V4(it) => it.to_ipv6_mapped(),
+            IpAddr::V6(it) => it,
+        };
+        let dcid = &dcid[..dcid.len().min(CID_MAX_BYTES)];
+        input[..16].copy_from_slice(&ip.octets());
+        input[16..18].copy_from_slice(&caller.port().to_be_bytes());
+        input[18..18 + dcid.len()].copy_from_slice(dcid);
+        Self(xxh3_64(&input[..18 + dcid.len()]))
+    }
+
+    /// Wraps a hash made elsewhere.
+    #[must_use]
+    pub const fn from_hash(hash: u64) -> Self {
+        Self(hash)
+    }
+}
+
+/// Draws an endpoint's score for a key at weight 1; scores scale with the weight.
+///
+/// The score is `-1 / ln(u)` for a uniform `u` in (0, 1), so that an endpoint of twice the weight
+/// wins twice the keys.
+#[must_use]
+pub fn draw(key: FlowKey, endpoint: EndpointId) -> f64 {
+    /// Hash bits that a `f64` holds exactly.
+    const BITS: u32 = 53;
+    let hash = xxh3_64_with_seed(&endpoint.get().to_be_bytes(), key.0);
+    #[expect(clippy::cast_precision_loss, reason = "53 bits are exact")]
+    let uniform = ((hash >> (u64::BITS - BITS)) as f64 + 0.5) / (1_u64 << BITS) as f64;
+    -1.0 / uniform.ln()
+}
+
+/// Keeps the `N` highest scores offered, best first.
+#[derive(Debug, Clone, Copy)]
+pub struct Top<const N: usize> {
+    /// Sorted by falling score; of equal scores the first offered comes first.
+    best: [(f64, Option<usize>); N],
+}
+
+impl<const N: usize> Top<N> {
+    /// Starts with nothing offered.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            best: [(0.0, None); N],
+        }
+    }
+
+    /// Offers the endpoint at position `idx`; weight zero never wins.
+    pub fn offer(&mut self, idx: usize, weight: Weight, draw: f64) {
+        let score = f64::from(weight.get()) * draw;
+        if score <= self.best[N - 1].0 {
+            return;
+        }
+        let at = self.best.partition_point(|it| it.0 >= score);
+        self.best[at..].rotate_right(1);
+        self.best[at] = (score, Some(idx));
+    }
+
+    /// Returns the positions of the winners, best first.
+    #[must_use]
+    pub fn winners(&self) -> [Option<usize>; N] {
+        self.best.map(|it| it.1)
+    }
+}
+
+impl<const N: usize> Default for Top<N> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/flow/src/table.rs
@@ -0,0 +1,210 @@
+//! The routing table: from a caller's datagram to the agent that gets it.
+//!
+//! A table is built when a bundle or a key changes and then only read. What changes faster, the
+//! endpoints' liveness and load, is read from cells that all tables share. Routing allocates
+//! nothing and keeps nothing about flows.
+
+mod board;
+mod routes;
+
+use std::{net::SocketAddr, sync::Arc};
+
+use bundle::{Endpoint, InForce};
+use units::{EndpointId, Incarnation, ServiceId};
+
+pub use self::{
+    board::{Board, EndpointCell, Liveness},
+    routes::ServiceRoutes,
+};
+use crate::{
+    key::{FLEET_SCOPE, ServiceKeys},
+    tunnel::{KeyRing, Opening},
+};
+
+/// What the table needs to know of one service.
+#[derive(Debug, Clone)]
+pub struct ServiceInput<'a> {
+    /// The bundle in force and the one before it.
+    pub in_force: &'a InForce,
+    /// The service's keys.
+    pub keys: Arc<ServiceKeys>,
+    /// Whether the previous bundle's endpoints still take part in opening flows.
+    pub generations: Generations,
+    /// Endpoints that neither bundle names but whose agents may still hold flows.
+    pub retired: &'a [Endpoint],
+}
+
+/// Which bundles' endpoints take part in opening flows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Generations {
+    /// The change is recent: processes may still use the previous bundle.
+    Both,
+    /// Every process has the current bundle.
+    Current,
+}
+
+/// How long after a change `Generations::Both` applies: the spread of a bundle to every process,
+/// then the lifetime of an opening.
+pub const GENERATIONS_OVERLAP_MS: units::Millis = units::Millis::new(45_000);
+
+/// Where a caller's datagram goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// To the agent that holds the flow, or to a later run of it that may reset the flow.
+    Established {
+        /// The endpoint that the connection id names.
+        endpoint: EndpointId,
+        /// The run of its agent that the connection id names.
+        incarnation: Incarnation,
+        /// Where its agent receives tunnel datagrams.
+        address: SocketAddr,
+    },
+    /// To the first decider of the opening.
+    Opening(Opening),
+    /// Nowhere.
+    Drop(DropReason),
+}
+
+/// Why a caller's datagram is dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum DropReason {
+    /// Not a QUIC header, or cut short.
+    Malformed,
+    /// Opens a flow with less than the 1,200 bytes that QUIC demands.
+    OpeningTooSmall,
+    /// Of an established flow, with a connection id no agent of the service minted.
+    UnknownCid,
+    /// The connection id names an endpoint that no bundle held here names.
+    UnknownEndpoint,
+    /// Of a kind that only servers send.
+    ServerKind,
+    /// No bundle in force has the address it came to.
+    NoService,
+    /// The service has no endpoint that may open flows.
+    NoEndpoint,
+    /// Too large to be tunnelled.
+    TooLarge,
+}
+
+impl DropReason {
+    /// Every reason, in the order of `Ord`.
+    pub const ALL: [Self; 8] = [
+        Self::Malformed,
+        Self::OpeningTooSmall,
+        Self::UnknownCid,
+        Self::UnknownEndpoint,
+        Self::ServerKind,
+        Self::NoService,
+        Self::NoEndpoint,
+        Self::TooLarge,
+    ];
+
+    /// Returns the name used for counters.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::OpeningTooSmall => "opening_too_small",
+            Self::UnknownCid => "unknown_cid",
+            Self::UnknownEndpoint => "unknown_endpoint",
+            Self::ServerKind => "server_kind",
+            Self::NoService => "no_service",
+            Self::NoEndpoint => "no_endpoint",
+            Self::TooLarge => "too_large",
+        }
+    }
+}
+
+/// Routes for every service, by service address.
+#[derive(Debug, Clone, Default)]
+pub struct RoutingTable {
+    /// Sorted by service id, without duplicates.
+    services: Vec<ServiceRoutes>,
+    /// Sorted by address, without duplicates; the position in `services`.
+    addresses: Vec<(SocketAddr, usize)>,
+    /// Keys for datagrams among balancers.
+    fleet_keys: Option<Arc<ServiceKeys>>,
+}
+
+impl RoutingTable {
+    /// Builds the table; `board` gains a cell for every endpoint it lacked.
+    ///
+    /// Of two services that claim one address, the lower service id keeps it: ids are never
+    /// reused, so that is the older service.
+    #[must_use]
+    pub fn new(inputs: &[ServiceInput<'_>], board: &mut Board) -> Self {
+        let mut services = Vec::with_capacity(inputs.len());
+        for input in inputs {
+            services.push(ServiceRoutes::new(input, board));
+        }
+        services.sort_by_key(ServiceRoutes::id);
+        services.dedup_by_key(|it| it.id());
+        let mut addresses = Vec::new();
+        for (idx, service) in services.iter().enumerate() {
+            addresses.extend(service.locals().iter().map(|&it| (it, idx)));
+        }
+        addresses.sort_unstable();
+        addresses.dedup_by_key(|it| it.0);
+        Self {
+            services,
+            addresses,
+            fleet_keys: None,
+        }
+    }
+
+    /// Adds the keys for datagrams among balancers.
+    #[must_use]
+    pub fn with_fleet_keys(mut self, keys: Arc<ServiceKeys>) -> Self {
+        self.fleet_keys = Some(keys);
+        self
+    }
+
+    /// Finds the service that callers reach at `local`.
+    #[must_use]
+    pub fn at(&self, local: SocketAddr) -> Option<&ServiceRoutes> {
+        let idx = self
+            .addresses
+            .binary_search_by_key(&local, |it| it.0)
+            .ok()?;
+        Some(&self.services[self.addresses[idx].1])
+    }
+
+    /// Finds a service by id.
+    #[must_use]
+    pub fn service(&self, id: ServiceId) -> Option<&ServiceRoutes> {
+        let idx = self
+            .services
+            .binary_search_by_key(&id, ServiceRoutes::id)
+            .ok()?;
+        Some(&self.services[idx])
+    }
+
+    /// Returns all services, sorted by id.
+    #[must_use]
+    pub fn services(&self) -> &[ServiceRoutes] {
+        &self.services
+    }
+
+    /// Returns every service address, sorted.
+    pub fn locals(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.addresses.iter().map(|it| it.0)
+    }
+
+    /// Decides where a caller's datagram to `local` goes.
+    #[must_use]
+    pub fn route(&self, local: SocketAddr, caller: SocketAddr, datagram: &[u8]) -> Decision {
+        match self.at(local) {
+            Some(service) => service.route(caller, datagram),
+            None => Decision::Drop(DropReason::NoService),
+        }
+    }
+}
+
+impl KeyRing for RoutingTable {
+    fn keys(&self, service: ServiceId) -> Option<&ServiceKeys> {
+        if service == FLEET_SCOPE {
+            return self.fleet_keys.as_deref();
+        }
+        self.service(service).map(ServiceRoutes::keys)
+    }
+}
--- /dev/null
+++ b/crates/flow/src/table/routes.rs
@@ -0,0 +1,374 @@
+//! The routes of one service.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use bundle::{Bundle, Endpoint};
+use units::{BundleVersion, EndpointId, Incarnation, ServiceId, Weight};
+
+use super::{Board, Decision, DropReason, EndpointCell, Generations, Liveness, ServiceInput};
+use crate::{
+    cid,
+    key::ServiceKeys,
+    quic::{INITIAL_DATAGRAM_MIN_BYTES, LongKind, Packet},
+    rendezvous::{FlowKey, Top, draw},
+    tunnel::{CANDIDATES_MAX, Candidate, Ecn, Header, Kind, Load, Opening},
+};
+
+/// The routes of one service.
+#[derive(Debug, Clone)]
+pub struct ServiceRoutes {
+    id: ServiceId,
+    version: BundleVersion,
+    keys: Arc<ServiceKeys>,
+    locals: Vec<SocketAddr>,
+    /// Endpoints whose agents may hold flows: sorted by id, without duplicates.
+    holders: Vec<Holder>,
+    /// Endpoints that may open flows, by the bundle in force.
+    current: Vec<Opener>,
+    /// Endpoints that decided by the previous bundle; empty if all processes have the current one
+    /// or it has the same.
+    previous: Vec<Opener>,
+}
+
+#[derive(Debug, Clone)]
+struct Holder {
+    endpoint: EndpointId,
+    address: SocketAddr,
+    cell: Arc<EndpointCell>,
+}
+
+#[derive(Debug, Clone)]
+struct Opener {
+    candidate: Candidate,
+    /// Share of new flows by the bundle alone, above zero.
+    weight: Weight,
+    cell: Arc<EndpointCell>,
+}
+
+impl ServiceRoutes {
+    pub(super) fn new(input: &ServiceInput<'_>, board: &mut Board) -> Self {
+        let bundle = &input.in_force.current.bundle;
+        let before = input.in_force.previous.as_ref().map(|it| &it.bundle);
+        let mut holders = Vec::new();
+        let former = before.map_or(&[][..], |it| &it.endpoints);
+        for endpoint in bundle.endpoints.iter().chain(former).chain(input.retired) {
+            holders.push(Holder::new(endpoint, board));
+        }
+        // The sort is stable, so the newest entry of each endpoint stays.
+        holders.sort_by_key(|it| it.endpoint);
+        holders.dedup_by_key(|it| it.endpoint);
+        let current = openers(bundle, board);
+        let mut previous = match (input.generations, before) {
+            (Generations::Both, Some(before)) => openers(before, board),
+            _ => Vec::new(),
+        };
+        if same_shares(&previous, &current) {
+            previous.clear();
+        }
+        Self {
+            id: bundle.service,
+            version: bundle.version,
+            keys: Arc::clone(&input.keys),
+            locals: bundle.addresses.clone(),
+            holders,
+            current,
+            previous,
+        }
+    }
+
+    /// Returns the service's id.
+    #[must_use]
+    pub const fn id(&self) -> ServiceId {
+        self.id
+    }
+
+    /// Returns the version of the bundle in force.
+    #[must_use]
+    pub const fn version(&self) -> BundleVersion {
+        self.version
+    }
+
+    /// Returns the service's keys.
+    #[must_use]
+    pub fn keys(&self) -> &ServiceKeys {
+        &self.keys
+    }
+
+    /// Returns the addresses that callers use.
+    #[must_use]
+    pub fn locals(&self) -> &[SocketAddr] {
+        &self.locals
+    }
+
+    /// Finds the cell of an endpoint whose agent may hold flows.
+    #[must_use]
+    pub fn cell(&self, endpoint: EndpointId) -> Option<&EndpointCell> {
+        self.holder(endpoint).map(|it| &*it.cell)
+    }
+
+    /// Returns every endpoint whose agent may hold flows and where it receives tunnel datagrams.
+    pub fn holders(&self) -> impl Iterator<Item = Candidate> + '_ {
+        self.holders.iter().map(|it| Candidate {
+            endpoint: it.endpoint,
+            address: it.address,
+        })
+    }
+
+    /// Decides where a caller's datagram goes.
+    #[must_use]
+    pub fn route(&self, caller: SocketAddr, datagram: &[u8]) -> Decision {
+        let Some(packet) = Packet::parse(datagram) else {
+            return Decision::Drop(DropReason::Malformed);
+        };
+        let dcid = packet.dcid();
+        if let Some(owner) = cid::decode(&self.keys, dcid) {
+            return self.route_established(owner.endpoint, owner.incarnation);
+        }
+        match packet {
+            Packet::Short { .. } => Decision::Drop(DropReason::UnknownCid),
+            Packet::Long { kind, .. } => self.route_long(kind, caller, dcid, datagram.len()),
+        }
+    }
+
+    /// Makes the tunnel header that carries a decision out, and says where it goes.
+    ///
+    /// `None` for dropped datagrams.
+    #[must_use]
+    pub fn header(
+        &self,
+        decision: &Decision,
+        caller: SocketAddr,
+        local: SocketAddr,
+        ecn: Ecn,
+    ) -> Option<(Header, SocketAddr)> {
+        let (kind, endpoint, incarnation, address, opening) = match *decision {
+            Decision::Established {
+                endpoint,
+                incarnation,
+                address,
+            } => (Kind::ToAgent, endpoint, incarnation, address, None),
+            Decision::Opening(opening) => {
+                let Candidate { endpoint, address } = opening.first();
+                let any = Incarnation::new(0);
+                (Kind::Opening, endpoint, any, address, Some(opening))
+            }
+            Decision::Drop(_) => return None,
+        };
+        let header = Header {
+            kind,
+            service: self.id,
+            endpoint,
+            incarnation,
+            bundle_version: self.version,
+            caller,
+            local,
+            ecn,
+            load: Load::default(),
+            opening,
+        };
+        Some((header, address))
+    }
+
+    fn route_established(&self, endpoint: EndpointId, incarnation: Incarnation) -> Decision {
+        match self.holder(endpoint) {
+            Some(holder) => Decision::Established {
+                endpoint,
+                incarnation,
+                address: holder.address,
+            },
+            None => Decision::Drop(DropReason::UnknownEndpoint),
+        }
+    }
+
+    fn route_long(
+        &self,
+        kind: LongKind,
+        caller: SocketAddr,
+        dcid: &[u8],
+        datagram_bytes: usize,
+    ) -> Decision {
+        match kind {
+            LongKind::Initial | LongKind::Unknown
+                if datagram_bytes < INITIAL_DATAGRAM_MIN_BYTES =>
+            {
+                Decision::Drop(DropReason::OpeningTooSmall)
+            }
+            LongKind::Initial | LongKind::ZeroRtt | LongKind::Unknown => {
+                self.route_opening(FlowKey::new(caller, dcid))
+            }
+            LongKind::Handshake => Decision::Drop(DropReason::UnknownCid),
+            LongKind::Retry | LongKind::VersionNegotiation => {
+                Decision::Drop(DropReason::ServerKind)
+            }
+        }
+    }
+
+    /// Lists who decides on the opening and who should open the flow.
+    fn route_opening(&self, key: FlowKey) -> Decision {
+        let mut list = CandidateList::new();
+        if !self.previous.is_empty() {
+            list.add(home(&self.previous, key));
+        }
+        let Choice { home, best, second } = choose(&self.current, key);
+        list.add(home);
+        let deciders = list.len;
+        let target = match (best, second) {
+            (Some(best), Some(second)) => Some(less_loaded(best, second)),
+            (best, _) => best.or(home),
+        };
+        let Some(target) = target else {
+            return Decision::Drop(DropReason::NoEndpoint);
+        };
+        let target = list.add(Some(target));
+        list.add(best);
+        list.add(second);
+        match Opening::new(list.get(), deciders.max(1), target) {
+            Ok(opening) => Decision::Opening(opening),
+            Err(err) => unreachable!("the list holds its target: {err}"),
+        }
+    }
+
+    fn holder(&self, endpoint: EndpointId) -> Option<&Holder> {
+        let idx = self
+            .holders
+            .binary_search_by_key(&endpoint, |it| it.endpoint)
+            .ok()?;
+        Some(&self.holders[idx])
+    }
+}
+
+impl Holder {
+    fn new(endpoint: &Endpoint, board: &mut Board) -> Self {
+        Self {
+            endpoint: endpoint.id,
+            address: endpoint.tunnel_address,
+            cell: board.cell(endpoint.id),
+        }
+    }
+}
+
+impl Opener {
+    /// Returns the weight for deciding: the bundle's, so that all balancers agree.
+    fn home_weight(&self) -> Weight {
+        match self.cell.liveness() {
+            Liveness::Alive | Liveness::Suspect => self.weight,
+            Liveness::Dead => Weight::new(0),
+        }
+    }
+
+    /// Returns the weight for opening flows now.
+    fn weight_now(&self) -> Weight {
+        if self.cell.liveness() != Liveness::Alive || self.cell.is_leaving() {
+            return Weight::new(0);
+        }
+        let ramped = u32::from(self.weight.get()) * u32::from(self.cell.ramp_percent());
+        let ramped = ramped.div_ceil(100);
+        Weight::new(u16::try_from(ramped).unwrap_or(u16::MAX))
+    }
+}
+
+/// Who decides on an opening, and the two best endpoints to open the flow.
+struct Choice<'a> {
+    home: Option<&'a Opener>,
+    best: Option<&'a Opener>,
+    second: Option<&'a Opener>,
+}
+
+fn openers(bundle: &Bundle, board: &mut Board) -> Vec<Opener> {
+    let open = |it: &&Endpoint| !it.is_leaving && it.weight.get() > 0;
+    let endpoints = bundle.endpoints.iter().filter(open);
+    endpoints
+        .map(|it| Opener {
+            candidate: Candidate {
+                endpoint: it.id,
+                address: it.tunnel_address,
+            },
+            weight: it.weight,
+            cell: board.cell(it.id),
+        })
+        .collect()
+}
+
+fn same_shares(left: &[Opener], right: &[Opener]) -> bool {
+    let share = |it: &Opener| (it.candidate, it.weight);
+    left.iter().map(share).eq(right.iter().map(share))
+}
+
+/// Finds who decides by one bundle; if all are thought dead, as though none were.
+fn home(openers: &[Opener], key: FlowKey) -> Option<&Opener> {
+    let mut alive = Top::<1>::new();
+    let mut all = Top::<1>::new();
+    for (idx, opener) in openers.iter().enumerate() {
+        let draw = draw(key, opener.candidate.endpoint);
+        alive.offer(idx, opener.home_weight(), draw);
+        all.offer(idx, opener.weight, draw);
+    }
+    let [idx] = alive.winners();
+    let [fallback] = all.winners();
+    idx.or(fallback).map(|it| &openers[it])
+}
+
+fn choose(openers: &[Opener], key: FlowKey) -> Choice<'_> {
+    let mut alive = Top::<1>::new();
+    let mut all = Top::<1>::new();
+    let mut ready = Top::<2>::new();
+    for (idx, opener) in openers.iter().enumerate() {
+        let draw = draw(key, opener.candidate.endpoint);
+        alive.offer(idx, opener.home_weight(), draw);
+        all.offer(idx, opener.weight, draw);
+        ready.offer(idx, opener.weight_now(), draw);
+    }
+    let [home] = alive.winners();
+    let [fallback] = all.winners();
+    let [best, second] = ready.winners();
+    Choice {
+        home: home.or(fallback).map(|it| &openers[it]),
+        best: best.map(|it| &openers[it]),
+        second: second.map(|it| &openers[it]),
+    }
+}
+
+/// Picks the less loaded of two; the first if they are equal or one has not said its load.
+fn less_loaded<'a>(first: &'a Opener, second: &'a Opener) -> &'a Opener {
+    let (a, b) = (first.cell.load(), second.cell.load());
+    if a.total.get() == 0 || b.total.get() == 0 {
+        return first;
+    }
+    let left = u32::from(a.busy.get()) * u32::from(b.total.get());
+    let right = u32::from(b.busy.get()) * u32::from(a.total.get());
+    if right < left { second } else { first }
+}
+
+/// Candidates without duplicates, at most the two homes and the two best.
+struct CandidateList {
+    /// Only the first `len` are meaningful.
+    candidates: [Candidate; CANDIDATES_MAX],
+    len: usize,
+}
+
+impl CandidateList {
+    fn new() -> Self {
+        Self {
+            candidates: [Candidate::NONE; CANDIDATES_MAX],
+            len: 0,
+        }
+    }
+
+    fn get(&self) -> &[Candidate] {
+        &self.candidates[..self.len]
+    }
+
+    /// Adds an endpoint unless it is there or nothing is given, and returns its position.
+    fn add(&mut self, opener: Option<&Opener>) -> usize {
+        let Some(opener) = opener else {
+            return self.len;
+        };
+        let same = |it: &Candidate| it.endpoint == opener.candidate.endpoint;
+        if let Some(idx) = self.get().iter().position(same) {
+            return idx;
+        }
+        self.candidates[self.len] = opener.candidate;
+        self.len += 1;
+        self.len - 1
+    }
+}
--- /dev/null
+++ b/crates/flow/src/tunnel/wire.rs
@@ -0,0 +1,474 @@
+//! The tunnel header's bytes.
+
+mod layout;
+
+use std::{fmt, net::SocketAddr, sync::Arc};
+
+use siphasher::sip128::SipHasher24;
+use subtle::ConstantTimeEq;
+use units::{BundleVersion, EndpointId, Incarnation, KeyIndex, ServiceId, Slots};
+use zerocopy::{FromBytes, IntoBytes};
+
+use self::layout::{Fixed, PeerFixed, WireAddress, WireCandidate, WireOpening};
+use super::header::{CANDIDATES_MAX, Candidate, Ecn, Header, Kind, Load, Opening, Stage};
+use crate::key::ServiceKeys;
+
+/// Bytes that the tunnel adds to a datagram of an established flow.
+pub const TUNNEL_OVERHEAD_BYTES: usize = size_of::<Fixed>();
+
+/// Bytes that the tunnel adds to a datagram that opens a flow.
+pub const OPENING_OVERHEAD_BYTES: usize = TUNNEL_OVERHEAD_BYTES + size_of::<WireOpening>();
+
+/// Bytes that the tunnel adds to a datagram between the system's own processes.
+pub const PEER_OVERHEAD_BYTES: usize = size_of::<PeerFixed>();
+
+const MAGIC: [u8; 2] = *b"LH";
+const VERSION: u8 = 1;
+const KIND_TO_AGENT: u8 = 1;
+const KIND_OPENING: u8 = 2;
+const KIND_PASSED_ON: u8 = 3;
+const KIND_TO_CALLER: u8 = 4;
+const KIND_PEER: u8 = 5;
+const ECN_MASK: u8 = 0b011;
+const LEAVING_FLAG: u8 = 0b100;
+const STAGE_DECIDE: u8 = 0;
+const STAGE_DECIDED: u8 = 1;
+const STAGE_ASK: u8 = 2;
+
+/// The keys that a process holds, by service.
+pub trait KeyRing {
+    /// Finds the keys of a service.
+    fn keys(&self, service: ServiceId) -> Option<&ServiceKeys>;
+}
+
+/// An agent's keys: those of its own service.
+#[derive(Debug, Clone)]
+pub struct OwnKeys {
+    service: ServiceId,
+    keys: Arc<ServiceKeys>,
+}
+
+impl OwnKeys {
+    /// Makes the key ring of an agent of `service`.
+    #[must_use]
+    pub const fn new(service: ServiceId, keys: Arc<ServiceKeys>) -> Self {
+        Self { service, keys }
+    }
+}
+
+impl KeyRing for OwnKeys {
+    fn keys(&self, service: ServiceId) -> Option<&ServiceKeys> {
+        (service == self.service).then(|| &*self.keys)
+    }
+}
+
+/// Writes a header and its payload, and returns their length.
+///
+/// # Errors
+///
+/// Returns an error if `out` is too small or the payload too large.
+pub fn encode(
+    header: &Header,
+    keys: &ServiceKeys,
+    payload: &[u8],
+    out: &mut [u8],
+) -> Result<usize, EncodeError> {
+    let start = encode_header(header, keys, payload.len(), out)?;
+    let end = start + payload.len();
+    let body = out.get_mut(start..end).ok_or(EncodeError::Space)?;
+    body.copy_from_slice(payload);
+    Ok(end)
+}
+
+/// Writes a header for a payload of the given length, and returns the header's length.
+///
+/// The same bytes serve any payload of that length.
+///
+/// # Errors
+///
+/// Returns an error if `out` is too small or the payload too large.
+pub fn encode_header(
+    header: &Header,
+    keys: &ServiceKeys,
+    payload_len: usize,
+    out: &mut [u8],
+) -> Result<usize, EncodeError> {
+    let key = keys.current();
+    let payload_bytes = u16::try_from(payload_len).map_err(|_too_large| EncodeError::Payload)?;
+    let len = match header.opening {
+        Some(_) => OPENING_OVERHEAD_BYTES,
+        None => TUNNEL_OVERHEAD_BYTES,
+    };
+    let out = out.get_mut(..len).ok_or(EncodeError::Space)?;
+    let (fixed_out, opening_out) = out.split_at_mut(TUNNEL_OVERHEAD_BYTES);
+    let mut fixed = fixed_of(header, key.index(), payload_bytes);
+    if let Some(opening) = &header.opening {
+        opening_out.copy_from_slice(wire_opening(opening).as_bytes());
+    }
+    fixed.mac = mac(&key.tunnel, &fixed, opening_out);
+    fixed_out.copy_from_slice(fixed.as_bytes());
+    Ok(len)
+}
+
+/// Checks and reads a tunnelled datagram.
+///
+/// The caller still has to check that the header's endpoint and incarnation are its own.
+///
+/// # Errors
+///
+/// Returns why the datagram must be dropped.
+pub fn decode<'a>(datagram: &'a [u8], ring: &impl KeyRing) -> Result<(Header, &'a [u8]), Reject> {
+    check_start(datagram)?;
+    let (fixed, rest) = Fixed::read_from_prefix(datagram).map_err(|_short| Reject::Truncated)?;
+    let kind = kind_of(fixed.kind)?;
+    let opening_len = match kind {
+        Kind::Opening | Kind::PassedOn => size_of::<WireOpening>(),
+        Kind::ToAgent | Kind::ToCaller => 0,
+    };
+    let (opening, payload) = rest
+        .split_at_checked(opening_len)
+        .ok_or(Reject::Truncated)?;
+    if payload.len() != usize::from(fixed.payload_bytes.get()) {
+        return Err(Reject::Length);
+    }
+    let service = ServiceId::new(fixed.service.get());
+    let keys = ring.keys(service).ok_or(Reject::Service)?;
+    let key = keys
+        .find(KeyIndex::new(fixed.key_index))
+        .ok_or(Reject::Key)?;
+    check_mac(mac(&key.tunnel, &fixed, opening), fixed.mac)?;
+    let header = Header {
+        kind,
+        service,
+        endpoint: EndpointId::new(fixed.endpoint.get()),
+        incarnation: Incarnation::new(fixed.incarnation.get()),
+        bundle_version: BundleVersion::new(fixed.bundle_version.get()),
+        caller: fixed.caller.get(),
+        local: fixed.local.get(),
+        ecn: Ecn::new(fixed.flags & ECN_MASK),
+        load: Load {
+            busy: Slots::new(fixed.busy_slots.get()),
+            total: Slots::new(fixed.total_slots.get()),
+            is_leaving: fixed.flags & LEAVING_FLAG != 0,
+        },
+        opening: read_opening(opening)?,
+    };
+    Ok((header, payload))
+}
+
+/// Writes a datagram between the system's own processes, and returns its length.
+///
+/// # Errors
+///
+/// Returns an error if `out` is too small or the payload too large.
+pub fn encode_peer(
+    scope: ServiceId,
+    keys: &ServiceKeys,
+    payload: &[u8],
+    out: &mut [u8],
+) -> Result<usize, EncodeError> {
+    let key = keys.current();
+    let payload_bytes = u16::try_from(payload.len()).map_err(|_too_large| EncodeError::Payload)?;
+    let len = PEER_OVERHEAD_BYTES + payload.len();
+    let out = out.get_mut(..len).ok_or(EncodeError::Space)?;
+    let mut fixed = PeerFixed {
+        magic: MAGIC,
+        version: VERSION,
+        kind: KIND_PEER,
+        key_index: key.index().get(),
+        reserved: 0,
+        payload_bytes: payload_bytes.into(),
+        service: scope.get().into(),
+        mac: [0; 16],
+    };
+    fixed.mac = peer_mac(&key.peer, &fixed, payload);
+    out[..PEER_OVERHEAD_BYTES].copy_from_slice(fixed.as_bytes());
+    out[PEER_OVERHEAD_BYTES..].copy_from_slice(payload);
+    Ok(len)
+}
+
+/// Checks and reads a datagram between the system's own processes.
+///
+/// Returns the service whose key signed it and the payload; `None` if the datagram is of another
+/// kind.
+///
+/// # Errors
+///
+/// Returns why the datagram must be dropped.
+pub fn decode_peer<'a>(
+    datagram: &'a [u8],
+    ring: &impl KeyRing,
+) -> Result<Option<(ServiceId, &'a [u8])>, Reject> {
+    check_start(datagram)?;
+    if datagram[3] != KIND_PEER {
+        return Ok(None);
+    }
+    let (fixed, payload) =
+        PeerFixed::read_from_prefix(datagram).map_err(|_short| Reject::Truncated)?;
+    if payload.len() != usize::from(fixed.payload_bytes.get()) {
+        return Err(Reject::Length);
+    }
+    let service = ServiceId::new(fixed.service.get());
+    let keys = ring.keys(service).ok_or(Reject::Service)?;
+    let key = keys
+        .find(KeyIndex::new(fixed.key_index))
+        .ok_or(Reject::Key)?;
+    check_mac(peer_mac(&key.peer, &fixed, payload), fixed.mac)?;
+    Ok(Some((service, payload)))
+}
+
+/// Why a tunnel datagram could not be written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EncodeError {
+    /// The output is too small.
+    Space,
+    /// The payload is larger than a datagram.
+    Payload,
+}
+
+impl fmt::Display for EncodeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Space => f.write_str("the buffer is too small; give payload plus overhead"),
+            Self::Payload => f.write_str("the payload is too large; give at most 65,535 bytes"),
+        }
+    }
+}
+
+impl std::error::Error for EncodeError {}
+
+/// Why a tunnel datagram must be dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Reject {
+    /// Too short to hold its header.
+    Truncated,
+    /// Not a tunnel datagram, or of a version not spoken here.
+    Magic,
+    /// Of a kind that is not expected here.
+    Kind,
+    /// The payload is not as long as the header says.
+    Length,
+    /// For a service whose keys this process doesn't hold.
+    Service,
+    /// Signed with a key index this process doesn't hold.
+    Key,
+    /// The MAC doesn't match: forged or damaged.
+    Mac,
+    /// The list of candidates is not valid.
+    Candidates,
+    /// For another endpoint: its address was reused.
+    Endpoint,
+    /// For an earlier or later run of this endpoint's agent.
+    Incarnation,
+}
+
+impl Reject {
+    /// Every kind, in the order of `Ord`.
+    pub const ALL: [Self; 10] = [
+        Self::Truncated,
+        Self::Magic,
+        Self::Kind,
+        Self::Length,
+        Self::Service,
+        Self::Key,
+        Self::Mac,
+        Self::Candidates,
+        Self::Endpoint,
+        Self::Incarnation,
+    ];
+
+    /// Returns the name used for counters.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Truncated => "truncated",
+            Self::Magic => "magic",
+            Self::Kind => "kind",
+            Self::Length => "length",
+            Self::Service => "service",
+            Self::Key => "key",
+            Self::Mac => "mac",
+            Self::Candidates => "candidates",
+            Self::Endpoint => "endpoint",
+            Self::Incarnation => "incarnation",
+        }
+    }
+}
+
+impl fmt::Display for Reject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "tunnel datagram refused: {}", self.name())
+    }
+}
+
+impl std::error::Error for Reject {}
+
+fn check_start(datagram: &[u8]) -> Result<(), Reject> {
+    let Some([m0, m1, version, _kind]) = datagram.first_chunk() else {
+        return Err(Reject::Truncated);
+    };
+    if [*m0, *m1] != MAGIC || *version != VERSION {
+        return Err(Reject::Magic);
+    }
+    Ok(())
+}
+
+fn check_mac(ours: [u8; 16], theirs: [u8; 16]) -> Result<(), Reject> {
+    if bool::from(ours.ct_eq(&theirs)) {
+        return Ok(());
+    }
+    Err(Reject::Mac)
+}
+
+fn kind_of(raw: u8) -> Result<Kind, Reject> {
+    match raw {
+        KIND_TO_AGENT => Ok(Kind::ToAgent),
+        KIND_OPENING => Ok(Kind::Opening),
+        KIND_PASSED_ON => Ok(Kind::PassedOn),
+        KIND_TO_CALLER => Ok(Kind::ToCaller),
+        _ => Err(Reject::Kind),
+    }
+}
+
+fn fixed_of(header: &Header, key_index: KeyIndex, payload_bytes: u16) -> Fixed {
+    let is_opening = matches!(header.kind, Kind::Opening | Kind::PassedOn);
+    assert_eq!(
+        header.opening.is_some(),
+        is_opening,
+        "candidates travel on openings and only there"
+    );
+    let kind = match header.kind {
+        Kind::ToAgent => KIND_TO_AGENT,
+        Kind::Opening => KIND_OPENING,
+        Kind::PassedOn => KIND_PASSED_ON,
+        Kind::ToCaller => KIND_TO_CALLER,
+    };
+    let leaving = if header.load.is_leaving {
+        LEAVING_FLAG
+    } else {
+        0
+    };
+    Fixed {
+        magic: MAGIC,
+        version: VERSION,
+        kind,
+        key_index: key_index.get(),
+        flags: header.ecn.get() | leaving,
+        busy_slots: header.load.busy.get().into(),
+        total_slots: header.load.total.get().into(),
+        payload_bytes: payload_bytes.into(),
+        service: header.service.get().into(),
+        endpoint: header.endpoint.get().into(),
+        incarnation: header.incarnation.get().into(),
+        bundle_version: header.bundle_version.get().into(),
+        caller: WireAddress::new(header.caller),
+        local: WireAddress::new(header.local),
+        mac: [0; 16],
+    }
+}
+
+fn wire_opening(opening: &Opening) -> WireOpening {
+    let none = WireCandidate::default();
+    let mut candidates = [none; CANDIDATES_MAX];
+    for (out, it) in candidates.iter_mut().zip(opening.candidates()) {
+        out.endpoint = it.endpoint.get().into();
+        out.address = WireAddress::new(it.address);
+    }
+    let (stage, from, asked) = match opening.stage {
+        Stage::Decide => (STAGE_DECIDE, 0, 0),
+        Stage::Decided => (STAGE_DECIDED, 0, 0),
+        Stage::Ask { from, asked } => (STAGE_ASK, from, asked),
+    };
+    let narrow = |it: usize| u8::try_from(it).expect("at most CANDIDATES_MAX candidates");
+    WireOpening {
+        count: narrow(opening.candidates().len()),
+        deciders: narrow(opening.deciders().len()),
+        target: narrow(opening.target_position()),
+        stage,
+        from,
+        asked,
+        hops: opening.hops(),
+        reserved: 0,
+        candidates,
+    }
+}
+
+fn read_opening(bytes: &[u8]) -> Result<Option<Opening>, Reject> {
+    if bytes.is_empty() {
+        return Ok(None);
+    }
+    let wire = WireOpening::ref_from_bytes(bytes).map_err(|_short| Reject::Truncated)?;
+    let stage = match wire.stage {
+        STAGE_DECIDE => Stage::Decide,
+        STAGE_DECIDED => Stage::Decided,
+        STAGE_ASK => Stage::Ask {
+            from: wire.from,
+            asked: wire.asked,
+        },
+        _ => return Err(Reject::Candidates),
+    };
+    let list = wire.candidates.map(|it| Candidate {
+        endpoint: EndpointId::new(it.endpoint.get()),
+        address: it.address.get(),
+    });
+    let list = list
+        .get(..usize::from(wire.count))
+        .ok_or(Reject::Candidates)?;
+    let (deciders, target) = (usize::from(wire.deciders), usize::from(wire.target));
+    Opening::new(list, deciders, target)
+        .and_then(|it| it.under_way(stage, wire.hops))
+        .map(Some)
+        .map_err(|_invalid| Reject::Candidates)
+}
+
+/// Computes the MAC over the header before its MAC field, and the extension.
+fn mac(keyed: &SipHasher24, fixed: &Fixed, opening: &[u8]) -> [u8; 16] {
+    let covered = &fixed.as_bytes()[..TUNNEL_OVERHEAD_BYTES - 16];
+    if opening.is_empty() {
+        return keyed.hash(covered).as_bytes();
+    }
+    let mut input = [0; OPENING_OVERHEAD_BYTES - 16];
+    input[..covered.len()].copy_from_slice(covered);
+    input[covered.len()..].copy_from_slice(opening);
+    keyed.hash(&input).as_bytes()
+}
+
+fn peer_mac(keyed: &SipHasher24, fixed: &PeerFixed, payload: &[u8]) -> [u8; 16] {
+    use std::hash::Hasher;
+
+    use siphasher::sip128::Hasher128;
+
+    let mut hasher = *keyed;
+    hasher.write(&fixed.as_bytes()[..PEER_OVERHEAD_BYTES - 16]);
+    hasher.write(payload);
+    hasher.finish128().as_bytes()
+}
+
+impl Header {
+    /// Checks that the datagram is for this endpoint and run of its agent.
+    ///
+    /// Openings name no run: they are for whichever is there.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the datagram must not reach the QUIC library.
+    pub fn check_recipient(
+        &self,
+        endpoint: EndpointId,
+        incarnation: Incarnation,
+    ) -> Result<(), Reject> {
+        if self.endpoint != endpoint {
+            return Err(Reject::Endpoint);
+        }
+        if self.opening.is_none() && self.incarnation != incarnation {
+            return Err(Reject::Incarnation);
+        }
+        Ok(())
+    }
+
+    /// Returns the two addresses of the flow: the caller's and the service's.
+    #[must_use]
+    pub const fn path(&self) -> (SocketAddr, SocketAddr) {
+        (self.caller, self.local)
+    }
+}
--- /dev/null
+++ b/crates/flow/tests/tunnel_header.rs
@@ -0,0 +1,143 @@
+//! Tunnel headers round trip, and forged or damaged ones are refused.
+
+use std::sync::Arc;
+
+use flow::{
+    key::{FleetKey, Secret, ServiceKeys},
+    tunnel::{
+        self, Candidate, Ecn, Header, Kind, Load, OPENING_OVERHEAD_BYTES, Opening, OwnKeys, Reject,
+        Stage, TUNNEL_OVERHEAD_BYTES,
+    },
+};
+use units::{BundleVersion, EndpointId, Incarnation, KeyIndex, ServiceId, Slots};
+
+const SERVICE: ServiceId = ServiceId::new(3);
+const PAYLOAD: &[u8] = b"a quic packet";
+
+fn keys(fill: u8) -> Arc<ServiceKeys> {
+    let fleet = FleetKey::new(KeyIndex::new(2), Secret::new([fill; 32])).expect("index fits");
+    Arc::new(ServiceKeys::derive(&fleet, &[], SERVICE).expect("one key"))
+}
+
+fn ring(fill: u8) -> OwnKeys {
+    OwnKeys::new(SERVICE, keys(fill))
+}
+
+fn header(kind: Kind) -> Header {
+    let list = [1, 2, 3].map(|id| Candidate {
+        endpoint: EndpointId::new(id),
+        address: "[2001:db8::7]:4433".parse().expect("address"),
+    });
+    let opening = Opening::new(&list, 2, 1)
+        .and_then(|it| it.under_way(Stage::Ask { from: 1, asked: 3 }, 2))
+        .expect("valid list");
+    Header {
+        kind,
+        service: SERVICE,
+        endpoint: EndpointId::new(1),
+        incarnation: Incarnation::new(9),
+        bundle_version: BundleVersion::new(12),
+        caller: "192.0.2.1:5000".parse().expect("address"),
+        local: "[2001:db8::1]:443".parse().expect("address"),
+        ecn: Ecn::new(2),
+        load: Load {
+            busy: Slots::new(1),
+            total: Slots::new(2),
+            is_leaving: true,
+        },
+        opening: matches!(kind, Kind::Opening | Kind::PassedOn).then_some(opening),
+    }
+}
+
+fn encode(header: &Header) -> Vec<u8> {
+    let mut out = vec![0; OPENING_OVERHEAD_BYTES + PAYLOAD.len()];
+    let len = tunnel::encode(header, &keys(1), PAYLOAD, &mut out).expect("fits");
+    out.truncate(len);
+    out
+}
+
+#[test]
+fn round_trip() {
+    for kind in [Kind::ToAgent, Kind::Opening, Kind::PassedOn, Kind::ToCaller] {
+        let sent = header(kind);
+        let datagram = encode(&sent);
+        assert_eq!(tunnel::decode(&datagram, &ring(1)), Ok((sent, PAYLOAD)));
+    }
+}
+
+#[test]
+fn refused_datagrams() {
+    let good = encode(&header(Kind::ToAgent));
+    let check = |datagram: &[u8], fill: u8, expect: Reject| {
+        assert_eq!(tunnel::decode(datagram, &ring(fill)).err(), Some(expect));
+    };
+    let changed = |at: usize, to: u8| {
+        let mut datagram = good.clone();
+        datagram[at] = to;
+        datagram
+    };
+    check(&good[..3], 1, Reject::Truncated);
+    check(&good[..TUNNEL_OVERHEAD_BYTES - 1], 1, Reject::Truncated);
+    check(&good[..good.len() - 1], 1, Reject::Length);
+    check(&changed(0, 0), 1, Reject::Magic);
+    check(&changed(2, 9), 1, Reject::Magic);
+    check(&changed(3, 77), 1, Reject::Kind);
+    check(&changed(4, 1), 1, Reject::Key);
+    check(&changed(15, 4), 1, Reject::Service);
+    check(&good, 2, Reject::Mac);
+}
+
+#[test]
+fn every_bit() {
+    for kind in [Kind::ToAgent, Kind::Opening] {
+        let good = encode(&header(kind));
+        let covered = good.len() - PAYLOAD.len();
+        for bit in 0..covered * 8 {
+            let mut datagram = good.clone();
+            datagram[bit / 8] ^= 1 << (bit % 8);
+            let res = tunnel::decode(&datagram, &ring(1));
+            assert!(res.is_err(), "bit {bit} of {kind:?} is not covered");
+        }
+    }
+}
+
+#[test]
+fn other_recipient() {
+    let check = |kind, endpoint, incarnation, expect| {
+        let (endpoint, incarnation) = (EndpointId::new(endpoint), Incarnation::new(incarnation));
+        let res = header(kind).check_recipient(endpoint, incarnation);
+        assert_eq!(res.err(), expect);
+    };
+    check(Kind::ToAgent, 1, 9, None);
+    check(Kind::ToAgent, 2, 9, Some(Reject::Endpoint));
+    check(Kind::ToAgent, 1, 10, Some(Reject::Incarnation));
+    check(Kind::Opening, 1, 10, None);
+    check(Kind::Opening, 2, 9, Some(Reject::Endpoint));
+}
+
+#[test]
+fn peer_payload() {
+    let mut out = [0; 128];
+    let len = tunnel::encode_peer(SERVICE, &keys(1), PAYLOAD, &mut out).expect("fits");
+    let good = &out[..len];
+    let res = tunnel::decode_peer(good, &ring(1));
+    assert_eq!(res, Ok(Some((SERVICE, PAYLOAD))));
+    assert_eq!(tunnel::decode(good, &ring(1)), Err(Reject::Truncated));
+    for bit in 0..len * 8 {
+        let mut datagram = good.to_vec();
+        datagram[bit / 8] ^= 1 << (bit % 8);
+        let res = tunnel::decode_peer(&datagram, &ring(1));
+        assert!(!matches!(res, Ok(Some(_))), "bit {bit} is not covered");
+    }
+}
+
+#[test]
+fn any_bytes() {
+    let ring = ring(1);
+    bolero::check!()
+        .with_iterations(20_000)
+        .for_each(|bytes: &[u8]| {
+            assert!(!matches!(tunnel::decode(bytes, &ring), Ok(_)));
+            assert!(!matches!(tunnel::decode_peer(bytes, &ring), Ok(Some(_))));
+        });
+}
