Platform stand-in, index document and messages of the bundle exchange

Cause: processes had nothing to read bundles from and no calls to pass them on by.

Change: the index and instance list as documents in `bundle`; a stand-in that serves them with long-poll watch, counts calls by kind and shows each reader the service down, stale by versions, empty, slow, erroring, hanging or garbled; calls Compare, Announce and Deliver beside Exchange, with digests in the version vector so that forks spread too.

--- a/crates/bundle/src/store.rs
+++ b/crates/bundle/src/store.rs
@@ -136,6 +136,23 @@
             .collect()
     }
 
+    /// Returns a digest of the version vector, of one service and the key set or of all.
+    ///
+    /// Equal digests mean equal holdings, so two processes compare 32 bytes in place of a vector.
+    #[must_use]
+    pub fn summary(&self, only: Option<ServiceId>) -> BundleDigest {
+        let mut hasher = blake3::Hasher::new();
+        for held in self.version_vector() {
+            if !is_within(only, held.service) {
+                continue;
+            }
+            hasher.update(&held.service.get().to_le_bytes());
+            hasher.update(&held.version.get().to_le_bytes());
+            hasher.update(held.digest.as_bytes());
+        }
+        BundleDigest::new(*hasher.finalize().as_bytes())
+    }
+
     /// Returns whether a peer's offer of this would be put in force here.
     #[must_use]
     pub fn wants(&self, offered: Held) -> bool {
@@ -211,6 +228,12 @@
     }
 }
 
+/// Returns whether an exchange restricted to `only` covers `service`; the key set always is.
+#[must_use]
+pub fn is_within(only: Option<ServiceId>, service: ServiceId) -> bool {
+    service == KEY_SET_SERVICE || only.is_none_or(|it| it == service)
+}
+
 /// Puts `current` in force in place of what `slot` held.
 fn replace(slot: &mut InForce, current: Arc<Accepted>) -> Change {
     let before = slot.held();
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod caller;
 pub mod pattern;
+pub mod platform;
 pub mod upstream;
