membership: probes, gossip and suspicion as a pure core

Cause: balancers must stop sending new work to a dead agent within 2 s and keep a healthy one through loss and pauses, with no shared store. Change: each member is watched by three balancers (rendezvous); unanswered probes start a check with repeated and indirect probes; suspicions spread as rumors and are refuted by the member's own epoch; time in which nothing arrived, late ticks and pauses never count against others; old claims and hints are verified, not believed; probes and gossip have token buckets. Datagrams have a fixed layout (zerocopy) under a BLAKE3 MAC; a service's key condemns nobody.

--- /dev/null
+++ b/crates/membership/src/codec.rs
@@ -0,0 +1,396 @@
+//! The compact binary form of messages, protected by a keyed MAC.
+//!
+//! A datagram is a [`Head`], then claims, then a 16-byte MAC over all before it. Agents hold only
+//! their service's key, so a datagram names its key by scope: the fleet's or one service's.
+
+use std::{
+    fmt,
+    net::{IpAddr, Ipv6Addr, SocketAddr},
+};
+
+use subtle::ConstantTimeEq as _;
+use units::{Incarnation, Millis, ServiceId};
+use zerocopy::{
+    FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned,
+    byteorder::big_endian::{U16, U32, U64},
+};
+
+use crate::{Claim, Introduction, Kind, MemberId, Message, Version};
+
+/// First byte of every datagram of this protocol.
+pub const MAGIC: u8 = 0xa7;
+
+/// Version of the layout.
+const LAYOUT: u8 = 1;
+
+/// Length of the MAC in bytes.
+const MAC_BYTES: usize = 16;
+
+/// Scope of datagrams under the fleet's key.
+const SCOPE_FLEET: u32 = u32::MAX;
+
+/// Unit of a claim's age on the wire.
+const AGE_STEP_MS: u64 = 50;
+
+const FLAG_SUSPECT: u8 = 1;
+const FLAG_LEAVING: u8 = 2;
+
+const KIND_PROBE: u8 = 1;
+const KIND_ACK: u8 = 2;
+const KIND_PROBE_FOR: u8 = 3;
+const KIND_ACK_FOR: u8 = 4;
+const KIND_GOSSIP: u8 = 5;
+const KIND_SYNC: u8 = 6;
+
+const CLAIM_AGENT: u8 = 1;
+const CLAIM_BALANCER: u8 = 2;
+
+/// A 32-byte key.
+pub type FleetKey = [u8; 32];
+
+/// Which key protects a datagram.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Scope {
+    /// The key that only balancers hold.
+    Fleet,
+    /// The key that balancers and the agents of one service hold.
+    Service(ServiceId),
+}
+
+/// The keys of one process.
+#[derive(Clone, Default)]
+pub struct Keyring {
+    fleet: Option<FleetKey>,
+    /// Sorted by service.
+    services: Vec<(ServiceId, FleetKey)>,
+}
+
+impl Keyring {
+    /// Makes a ring without keys.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            fleet: None,
+            services: Vec::new(),
+        }
+    }
+
+    /// Adds or replaces the key of a scope.
+    #[must_use]
+    pub fn with_key(mut self, scope: Scope, key: FleetKey) -> Self {
+        match scope {
+            Scope::Fleet => self.fleet = Some(key),
+            Scope::Service(id) => match self.services.binary_search_by_key(&id, |it| it.0) {
+                Ok(idx) => self.services[idx].1 = key,
+                Err(idx) => self.services.insert(idx, (id, key)),
+            },
+        }
+        self
+    }
+
+    fn key(&self, scope: Scope) -> Option<&FleetKey> {
+        match scope {
+            Scope::Fleet => self.fleet.as_ref(),
+            Scope::Service(id) => {
+                let idx = self.services.binary_search_by_key(&id, |it| it.0).ok()?;
+                Some(&self.services[idx].1)
+            }
+        }
+    }
+}
+
+impl fmt::Debug for Keyring {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Keyring({} services)", self.services.len())
+    }
+}
+
+/// Why a datagram was dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reject {
+    /// Too short, too long or not in this layout.
+    Malformed,
+    /// Protected by a key that this process does not hold.
+    UnknownKey,
+    /// The MAC does not match.
+    Forged,
+    /// The sender may not send this under its key.
+    Forbidden,
+}
+
+impl fmt::Display for Reject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Malformed => "malformed; run the same version of the program on both instances",
+            Self::UnknownKey => "key unknown; give the process the key of the sender's service",
+            Self::Forged => "wrong MAC; give both processes the same key",
+            Self::Forbidden => "not allowed under the sender's key; check who holds which key",
+        })
+    }
+}
+
+impl std::error::Error for Reject {}
+
+#[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
+#[repr(C)]
+struct Head {
+    magic: u8,
+    layout: u8,
+    kind: u8,
+    flags: u8,
+    scope: U32,
+    nonce: U32,
+    sender: U64,
+    target: U64,
+    incarnation: U32,
+    epoch: U16,
+    claims: U16,
+}
+
+#[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
+#[repr(C)]
+struct ClaimHead {
+    tag: u8,
+    flags: u8,
+    age: u8,
+    epoch: U16,
+    incarnation: U32,
+}
+
+#[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
+#[repr(C)]
+struct IntroductionHead {
+    ip: [u8; 16],
+    port: U16,
+    name_bytes: u8,
+}
+
+/// Encodes a message under the key of a scope; `None` if the ring lacks that key.
+#[must_use]
+pub fn seal(keys: &Keyring, scope: Scope, message: &Message) -> Option<Vec<u8>> {
+    let key = keys.key(scope)?;
+    let mut out = Vec::with_capacity(64 + message.claims.len() * 16);
+    out.extend_from_slice(head(scope, message).as_bytes());
+    for claim in &message.claims {
+        put_claim(&mut out, claim);
+    }
+    let mac = mac(key, &out);
+    out.extend_from_slice(&mac);
+    Some(out)
+}
+
+/// Checks and decodes a datagram.
+///
+/// # Errors
+///
+/// Rejects what is malformed, forged, or not allowed under the sender's key.
+pub fn open(keys: &Keyring, datagram: &[u8]) -> Result<(Scope, Message), Reject> {
+    let split = datagram.len().checked_sub(MAC_BYTES);
+    let (body, tag) = datagram.split_at(split.ok_or(Reject::Malformed)?);
+    let (head, rest) = Head::ref_from_prefix(body).map_err(|_short| Reject::Malformed)?;
+    if head.magic != MAGIC || head.layout != LAYOUT {
+        return Err(Reject::Malformed);
+    }
+    let scope = match head.scope.get() {
+        SCOPE_FLEET => Scope::Fleet,
+        id => Scope::Service(ServiceId::new(id)),
+    };
+    let key = keys.key(scope).ok_or(Reject::UnknownKey)?;
+    if !bool::from(mac(key, body).ct_eq(tag)) {
+        return Err(Reject::Forged);
+    }
+    let message = Message {
+        kind: read_kind(head).ok_or(Reject::Malformed)?,
+        sender: MemberId::from_raw(head.sender.get()).ok_or(Reject::Malformed)?,
+        claims: read_claims(rest, head.claims.get()).ok_or(Reject::Malformed)?,
+    };
+    if is_allowed(scope, &message) {
+        Ok((scope, message))
+    } else {
+        Err(Reject::Forbidden)
+    }
+}
+
+/// Under a service's key only probes, their answers and a member's word on itself may travel: who
+/// holds one service's key must not be able to condemn anyone else.
+fn is_allowed(scope: Scope, message: &Message) -> bool {
+    let own_word = |it: &Claim| it.id == message.sender && !it.is_suspect;
+    match (scope, message.kind) {
+        (Scope::Fleet, _) => message.sender.is_balancer(),
+        (Scope::Service(_), Kind::Probe { .. }) => message.claims.is_empty(),
+        (Scope::Service(_), Kind::Ack { .. } | Kind::Gossip) => {
+            !message.sender.is_balancer() && message.claims.iter().all(own_word)
+        }
+        (Scope::Service(_), _) => false,
+    }
+}
+
+fn mac(key: &FleetKey, body: &[u8]) -> [u8; MAC_BYTES] {
+    let mut out = [0; MAC_BYTES];
+    out.copy_from_slice(&blake3::keyed_hash(key, body).as_bytes()[..MAC_BYTES]);
+    out
+}
+
+fn head(scope: Scope, message: &Message) -> Head {
+    let zero = (0, 0, Version::default(), 0);
+    let (kind, (nonce, target, version, flags)) = match message.kind {
+        Kind::Probe {
+            nonce,
+            target,
+            seen,
+            is_suspect,
+        } => {
+            let flags = u8::from(is_suspect) * FLAG_SUSPECT;
+            (KIND_PROBE, (nonce, target.to_raw(), seen, flags))
+        }
+        Kind::Ack {
+            nonce,
+            version,
+            is_leaving,
+        } => {
+            let flags = u8::from(is_leaving) * FLAG_LEAVING;
+            (KIND_ACK, (nonce, 0, version, flags))
+        }
+        Kind::ProbeFor { nonce, target } => {
+            let fields = (nonce, target.to_raw(), Version::default(), 0);
+            (KIND_PROBE_FOR, fields)
+        }
+        Kind::AckFor {
+            nonce,
+            target,
+            version,
+        } => (KIND_ACK_FOR, (nonce, target.to_raw(), version, 0)),
+        Kind::Gossip => (KIND_GOSSIP, zero),
+        Kind::Sync { known } => (KIND_SYNC, (known, 0, Version::default(), 0)),
+    };
+    let scope = match scope {
+        Scope::Fleet => SCOPE_FLEET,
+        Scope::Service(id) => id.get(),
+    };
+    let claims = u16::try_from(message.claims.len()).expect("claims are bounded by the sender");
+    Head {
+        magic: MAGIC,
+        layout: LAYOUT,
+        kind,
+        flags,
+        scope: U32::new(scope),
+        nonce: U32::new(nonce),
+        sender: U64::new(message.sender.to_raw()),
+        target: U64::new(target),
+        incarnation: U32::new(version.incarnation.get()),
+        epoch: U16::new(version.epoch),
+        claims: U16::new(claims),
+    }
+}
+
+fn read_kind(head: &Head) -> Option<Kind> {
+    let nonce = head.nonce.get();
+    let incarnation = Incarnation::new(head.incarnation.get());
+    let version = Version::new(incarnation, head.epoch.get());
+    let target = MemberId::from_raw(head.target.get())?;
+    Some(match head.kind {
+        KIND_PROBE => Kind::Probe {
+            nonce,
+            target,
+            seen: version,
+            is_suspect: head.flags & FLAG_SUSPECT != 0,
+        },
+        KIND_ACK => Kind::Ack {
+            nonce,
+            version,
+            is_leaving: head.flags & FLAG_LEAVING != 0,
+        },
+        KIND_PROBE_FOR => Kind::ProbeFor { nonce, target },
+        KIND_ACK_FOR => Kind::AckFor {
+            nonce,
+            target,
+            version,
+        },
+        KIND_GOSSIP => Kind::Gossip,
+        KIND_SYNC => Kind::Sync { known: nonce },
+        _ => return None,
+    })
+}
+
+fn put_claim(out: &mut Vec<u8>, claim: &Claim) {
+    let tag = match claim.id {
+        MemberId::Agent(_) => CLAIM_AGENT,
+        MemberId::Balancer(_) => CLAIM_BALANCER,
+    };
+    let suspect = u8::from(claim.is_suspect) * FLAG_SUSPECT;
+    let leaving = u8::from(claim.is_leaving) * FLAG_LEAVING;
+    let age = (claim.age_ms.get() / AGE_STEP_MS).min(u64::from(u8::MAX));
+    let head = ClaimHead {
+        tag,
+        flags: suspect | leaving,
+        age: u8::try_from(age).unwrap_or(u8::MAX),
+        epoch: U16::new(claim.version.epoch),
+        incarnation: U32::new(claim.version.incarnation.get()),
+    };
+    out.extend_from_slice(head.as_bytes());
+    match (claim.id, &claim.introduction) {
+        (MemberId::Agent(id), _) => out.extend_from_slice(&id.get().to_be_bytes()),
+        (MemberId::Balancer(_), Some(it)) => put_introduction(out, it),
+        (MemberId::Balancer(_), None) => panic!("a claim about a balancer introduces it"),
+    }
+}
+
+fn put_introduction(out: &mut Vec<u8>, introduction: &Introduction) {
+    let ip = match introduction.address.ip() {
+        IpAddr::V4(ip) => ip.to_ipv6_mapped(),
+        IpAddr::V6(ip) => ip,
+    };
+    let name = introduction.name.as_str().as_bytes();
+    let head = IntroductionHead {
+        ip: ip.octets(),
+        port: U16::new(introduction.address.port()),
+        name_bytes: u8::try_from(name.len()).expect("names have at most 64 bytes"),
+    };
+    out.extend_from_slice(head.as_bytes());
+    out.extend_from_slice(name);
+}
+
+fn read_claims(mut rest: &[u8], count: u16) -> Option<Vec<Claim>> {
+    let mut claims = Vec::new();
+    for _ in 0..count {
+        let (claim, tail) = read_claim(rest)?;
+        claims.push(claim);
+        rest = tail;
+    }
+    rest.is_empty().then_some(claims)
+}
+
+fn read_claim(bytes: &[u8]) -> Option<(Claim, &[u8])> {
+    let (head, rest) = ClaimHead::ref_from_prefix(bytes).ok()?;
+    let (id, introduction, rest) = match head.tag {
+        CLAIM_AGENT => {
+            let (raw, rest) = U32::ref_from_prefix(rest).ok()?;
+            (MemberId::from_raw(u64::from(raw.get()))?, None, rest)
+        }
+        CLAIM_BALANCER => {
+            let (introduction, rest) = read_introduction(rest)?;
+            let id = MemberId::balancer(&introduction.name);
+            (id, Some(introduction), rest)
+        }
+        _ => return None,
+    };
+    let incarnation = Incarnation::new(head.incarnation.get());
+    let claim = Claim {
+        id,
+        version: Version::new(incarnation, head.epoch.get()),
+        is_suspect: head.flags & FLAG_SUSPECT != 0,
+        is_leaving: head.flags & FLAG_LEAVING != 0,
+        age_ms: Millis::new(u64::from(head.age) * AGE_STEP_MS),
+        introduction,
+    };
+    Some((claim, rest))
+}
+
+fn read_introduction(bytes: &[u8]) -> Option<(Introduction, &[u8])> {
+    let (head, rest) = IntroductionHead::ref_from_prefix(bytes).ok()?;
+    let (name, rest) = rest.split_at_checked(usize::from(head.name_bytes))?;
+    let name = std::str::from_utf8(name).ok()?.parse().ok()?;
+    let ip = IpAddr::V6(Ipv6Addr::from(head.ip)).to_canonical();
+    let address = SocketAddr::new(ip, head.port.get());
+    Some((Introduction { name, address }, rest))
+}
--- /dev/null
+++ b/crates/membership/src/members/receive.rs
@@ -0,0 +1,356 @@
+//! What a balancer does with a datagram received.
+
+use std::net::SocketAddr;
+
+use rand::Rng as _;
+use units::Millis;
+
+use super::{Members, Output, Relay, changed, claim_about};
+use crate::{
+    Claim, Condition, Kind, Member, MemberId, Message, Scope, Version,
+    message::split_claims,
+    table::{Applied, apply},
+};
+
+/// Time for which a probe on behalf of another balancer is remembered.
+const RELAY_MS: Millis = Millis::new(1_000);
+
+/// Probes on behalf of others remembered at most.
+const RELAYS_MAX: usize = 256;
+
+/// Balancers introduced in an answer to a balancer that knows as many.
+const INTRODUCTIONS: usize = 4;
+
+impl Members {
+    /// Takes a message that passed its key check.
+    pub fn handle(
+        &mut self,
+        now: Millis,
+        from: SocketAddr,
+        scope: Scope,
+        message: Message,
+        out: &mut Vec<Output>,
+    ) {
+        let sender = message.sender;
+        if sender == self.me {
+            return;
+        }
+        self.note_received(now);
+        match message.kind {
+            Kind::Probe {
+                nonce,
+                target,
+                seen,
+                is_suspect,
+            } => {
+                self.learn(now, from, message.claims, out);
+                if target == self.me {
+                    self.answer(now, from, nonce, (seen, is_suspect), out);
+                }
+            }
+            Kind::Ack {
+                nonce,
+                version,
+                is_leaving,
+            } => {
+                let Some(sent_ms) = self.sent_at(now, nonce) else {
+                    return;
+                };
+                self.counters.answers += 1;
+                self.relay_answer(now, sender, version, out);
+                self.take_evidence(now, sent_ms, scope, (sender, version, is_leaving), out);
+            }
+            Kind::ProbeFor { nonce, target } => self.probe_for(now, from, nonce, target, out),
+            Kind::AckFor {
+                nonce,
+                target,
+                version,
+            } => {
+                let Some(sent_ms) = self.sent_at(now, nonce) else {
+                    return;
+                };
+                let scope = self.table.find(target).map(|it| it.scope);
+                if let Some(scope) = scope {
+                    self.take_evidence(now, sent_ms, scope, (target, version, false), out);
+                }
+            }
+            Kind::Gossip => self.learn(now, from, message.claims, out),
+            Kind::Sync { known } => {
+                self.learn(now, from, message.claims.clone(), out);
+                self.answer_sync(now, from, known, &message.claims, out);
+            }
+        }
+    }
+
+    fn answer(
+        &mut self,
+        now: Millis,
+        from: SocketAddr,
+        nonce: u32,
+        seen: (Version, bool),
+        out: &mut Vec<Output>,
+    ) {
+        self.refute(now, seen);
+        let kind = Kind::Ack {
+            nonce,
+            version: self.version,
+            is_leaving: self.is_leaving,
+        };
+        let message = self.message(kind, Vec::new());
+        out.push(send(from, message));
+    }
+
+    /// Raises the own version above a suspicion.
+    fn refute(&mut self, now: Millis, (seen, is_suspect): (Version, bool)) {
+        if !is_suspect || seen < self.version {
+            return;
+        }
+        self.version = seen.refuted();
+        self.counters.refuted += 1;
+        let claim = self.own_claim();
+        self.rumors.add(now, claim);
+    }
+
+    /// Takes an answer of a member to a probe sent at `sent_ms`.
+    fn take_evidence(
+        &mut self,
+        now: Millis,
+        sent_ms: Millis,
+        scope: Scope,
+        (id, version, is_leaving): (MemberId, Version, bool),
+        out: &mut Vec<Output>,
+    ) {
+        let interval_ms = self.config.probe_interval_ms;
+        let Some(member) = self.table.find_mut(id) else {
+            return;
+        };
+        if member.scope != scope {
+            return;
+        }
+        let was_reported = member.check.is_some_and(|it| it.reported.is_some());
+        member.heard_ms = member.heard_ms.max(Some(sent_ms));
+        let claim = Claim {
+            id,
+            version,
+            is_suspect: false,
+            is_leaving,
+            age_ms: Millis::new(0),
+            introduction: None,
+        };
+        let applied = apply(member, &claim, now);
+        if member.condition == Condition::Alive {
+            member.check = None;
+            member.wake_ms = if member.is_watched {
+                sent_ms.plus(interval_ms)
+            } else {
+                super::NEVER
+            };
+        }
+        let is_news =
+            applied == Applied::Condition || (applied == Applied::Version && was_reported);
+        if is_news {
+            self.announce(now, id, applied, out);
+        }
+    }
+
+    /// Reports a changed member and passes the change on.
+    pub(super) fn announce(
+        &mut self,
+        now: Millis,
+        id: MemberId,
+        applied: Applied,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(member) = self.table.find(id) else {
+            return;
+        };
+        if let Some(claim) = claim_about(member, now) {
+            self.rumors.add(now, claim);
+        }
+        if applied != Applied::Condition {
+            return;
+        }
+        self.counters.revived += u64::from(member.condition == Condition::Alive);
+        self.is_watch_stale |= id.is_balancer();
+        out.push(changed(member, now));
+    }
+
+    fn probe_for(
+        &mut self,
+        now: Millis,
+        asker: SocketAddr,
+        nonce: u32,
+        target: MemberId,
+        out: &mut Vec<Output>,
+    ) {
+        self.relays.retain(|it| it.until_ms > now);
+        if self.relays.len() >= RELAYS_MAX || !self.probe_budget.take(now, 1) {
+            return;
+        }
+        let Some(probe) = self.probe(now, target) else {
+            return;
+        };
+        out.push(probe);
+        self.relays.push(Relay {
+            target,
+            asker,
+            nonce,
+            until_ms: now.plus(RELAY_MS),
+        });
+    }
+
+    fn relay_answer(
+        &mut self,
+        now: Millis,
+        target: MemberId,
+        version: Version,
+        out: &mut Vec<Output>,
+    ) {
+        let mut relays = std::mem::take(&mut self.relays);
+        for it in relays
+            .iter()
+            .filter(|it| it.target == target && it.until_ms > now)
+        {
+            let kind = Kind::AckFor {
+                nonce: it.nonce,
+                target,
+                version,
+            };
+            out.push(send(it.asker, self.message(kind, Vec::new())));
+        }
+        relays.retain(|it| it.target != target);
+        self.relays = relays;
+    }
+
+    fn learn(&mut self, now: Millis, from: SocketAddr, claims: Vec<Claim>, out: &mut Vec<Output>) {
+        for claim in claims {
+            self.learn_one(now, from, claim, out);
+        }
+    }
+
+    fn learn_one(&mut self, now: Millis, from: SocketAddr, claim: Claim, out: &mut Vec<Output>) {
+        if claim.id == self.me {
+            self.refute(now, claim.rank());
+            return;
+        }
+        let Some(member) = self.table.find_mut(claim.id) else {
+            self.meet(now, claim, out);
+            return;
+        };
+        let held = (member.version, member.condition != Condition::Alive);
+        if claim.rank() < held && claim.is_suspect {
+            self.correct(now, from, claim.id, out);
+            return;
+        }
+        if let Some(it) = claim
+            .introduction
+            .as_ref()
+            .filter(|_it| claim.version >= member.version)
+        {
+            member.address = it.address;
+        }
+        if claim.is_suspect && claim.rank() > held && !self.is_believed(now, &claim) {
+            self.counters.doubted += 1;
+            self.verify(now, claim.id, Some(claim.version));
+            return;
+        }
+        let Some(member) = self.table.find_mut(claim.id) else {
+            return;
+        };
+        let applied = apply(member, &claim, now);
+        if applied != Applied::Nothing {
+            self.announce(now, claim.id, applied, out);
+        }
+    }
+
+    /// A suspicion is believed if it is fresh and nothing was heard of the member meanwhile.
+    fn is_believed(&self, now: Millis, claim: &Claim) -> bool {
+        let Some(member) = self.table.find(claim.id) else {
+            return false;
+        };
+        let silent_ms = member.silent_ms(now);
+        let is_fresh = claim.age_ms <= self.config.claim_age_max_ms;
+        is_fresh && silent_ms.is_none_or(|it| it >= self.config.believed_silence_ms)
+    }
+
+    /// Takes up a balancer that was not known.
+    fn meet(&mut self, now: Millis, claim: Claim, out: &mut Vec<Output>) {
+        let Some(introduction) = claim.introduction else {
+            return;
+        };
+        if claim.is_suspect {
+            return;
+        }
+        let mut member = Member::new(claim.id, introduction.address, Scope::Fleet, now);
+        member.name = Some(introduction.name);
+        member.version = claim.version;
+        member.is_leaving = claim.is_leaving;
+        self.table.insert(member);
+        self.announce(now, claim.id, Applied::Condition, out);
+    }
+
+    /// Tells a balancer that its suspicion is out of date.
+    fn correct(&mut self, now: Millis, to: SocketAddr, id: MemberId, out: &mut Vec<Output>) {
+        let Some(claim) = self.table.find(id).and_then(|it| claim_about(it, now)) else {
+            return;
+        };
+        self.send_claims(now, to, vec![claim], out);
+    }
+
+    /// Answers a balancer's exchange with what it may not know.
+    fn answer_sync(
+        &mut self,
+        now: Millis,
+        to: SocketAddr,
+        known: u32,
+        theirs: &[Claim],
+        out: &mut Vec<Output>,
+    ) {
+        let balancers = self.table.iter().filter(|it| it.id.is_balancer()).count();
+        let knows_less = usize::try_from(known).is_ok_and(|it| it < balancers);
+        let share = if knows_less { balancers } else { INTRODUCTIONS };
+        let mut claims = vec![self.own_claim()];
+        for member in self.table.iter() {
+            let is_known = theirs
+                .iter()
+                .any(|it| it.id == member.id && it.rank() >= rank(member));
+            let is_picked = member.id.is_balancer() && self.rng.random_range(0..balancers) < share;
+            let is_told = member.condition != Condition::Alive || member.is_leaving;
+            if !is_known && (is_picked || is_told) {
+                claims.extend(claim_about(member, now));
+            }
+        }
+        self.send_claims(now, to, claims, out);
+    }
+
+    /// Sends claims in as many datagrams as the budget allows.
+    fn send_claims(
+        &mut self,
+        now: Millis,
+        to: SocketAddr,
+        claims: Vec<Claim>,
+        out: &mut Vec<Output>,
+    ) {
+        for part in split_claims(claims) {
+            let message = self.message(Kind::Gossip, part);
+            if !self.gossip_budget.take(now, message.wire_bytes() as u64) {
+                self.counters.gossip_deferred += 1;
+                return;
+            }
+            out.push(send(to, message));
+        }
+    }
+}
+
+fn rank(member: &Member) -> (Version, bool) {
+    (member.version, member.condition != Condition::Alive)
+}
+
+/// Makes an output that sends a message between balancers.
+pub(super) const fn send(to: SocketAddr, message: Message) -> Output {
+    Output::Send {
+        to,
+        scope: Scope::Fleet,
+        message,
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/agent_death.rs
@@ -0,0 +1,88 @@
+//! A dead agent gets no new work soon; one that lives is back soon.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use fleet::{Fleet, agent_id, is_alive};
+use membership::Config;
+use units::{EndpointId, Incarnation, ServiceId};
+
+/// Longest time from an agent's death until no balancer sends it new work.
+const STOP_MAX_MS: u64 = 2_000;
+
+fn stop_ms(balancers: u16, agents: u16, loss_percent: u32, seed: u64) -> Option<u64> {
+    let mut fleet = Fleet::new(balancers, agents, seed, &Config::new());
+    fleet.run(3_000);
+    fleet.loss_percent = loss_percent;
+    fleet.run(seed % 700);
+    fleet.agents[0].is_dead = true;
+    fleet.run_until(10_000, |it| !is_alive(it, agent_id(0)))
+}
+
+#[test]
+fn death_noticed() {
+    let check = |balancers, agents| {
+        for seed in 0..20 {
+            let stopped = stop_ms(balancers, agents, 0, seed * 37);
+            assert!(
+                stopped.is_some_and(|it| it <= STOP_MAX_MS),
+                "{balancers} {seed} {stopped:?}"
+            );
+        }
+    };
+    check(1, 10);
+    check(4, 20);
+    check(24, 60);
+}
+
+#[test]
+fn restart_revives() {
+    let mut fleet = Fleet::new(6, 20, 5, &Config::new());
+    fleet.run(3_000);
+    fleet.agents[3].is_dead = true;
+    fleet.run(9_000);
+    assert!(
+        fleet
+            .balancers
+            .iter()
+            .all(|it| !is_alive(&it.core, agent_id(3)))
+    );
+    fleet.agents[3].is_dead = false;
+    let endpoint = EndpointId::new(3);
+    let incarnation = Incarnation::new(2);
+    fleet.agents[3].core = membership::Responder::new(endpoint, ServiceId::new(1), incarnation);
+    let revived = fleet.run_until(5_000, |it| is_alive(it, agent_id(3)));
+    assert!(revived.is_some_and(|it| it <= 3_000), "{revived:?}");
+    fleet.run(10_000);
+    assert!(
+        fleet
+            .balancers
+            .iter()
+            .all(|it| is_alive(&it.core, agent_id(3)))
+    );
+}
+
+#[test]
+fn leaving_spreads() {
+    let mut fleet = Fleet::new(6, 20, 6, &Config::new());
+    fleet.run(3_000);
+    for output in fleet.agents[2].core.leave() {
+        let address = fleet.agents[2].address;
+        fleet.send(address, output);
+    }
+    let takes_work = |it: &membership::Members| it.find(agent_id(2)).unwrap().takes_work();
+    let told = fleet.run_until(3_000, |it| !takes_work(it));
+    assert!(told.is_some_and(|it| it <= 1_000), "{told:?}");
+    fleet.run(5_000);
+    assert!(fleet.balancers.iter().all(|it| !takes_work(&it.core)));
+}
+
+#[test]
+fn balancer_death() {
+    let mut fleet = Fleet::new(8, 10, 7, &Config::new());
+    fleet.run(3_000);
+    let dead = fleet.balancers[5].core.me();
+    fleet.balancers[5].is_dead = true;
+    let noticed = fleet.run_until(5_000, |it| !is_alive(it, dead));
+    assert!(noticed.is_some_and(|it| it <= STOP_MAX_MS), "{noticed:?}");
+}
--- /dev/null
+++ b/crates/membership/tests/datagrams.rs
@@ -0,0 +1,162 @@
+//! Datagrams survive encoding; forged, foreign and malformed ones are rejected.
+
+use std::net::SocketAddr;
+
+use membership::{
+    Claim, Introduction, Keyring, Kind, MemberId, Message, Reject, Scope, Version, open, seal,
+};
+use units::{EndpointId, Incarnation, Millis, ServiceId};
+
+const SERVICE: Scope = Scope::Service(ServiceId::new(7));
+
+fn keys() -> Keyring {
+    Keyring::new()
+        .with_key(Scope::Fleet, [1; 32])
+        .with_key(SERVICE, [2; 32])
+}
+
+fn balancer(name: &str) -> MemberId {
+    MemberId::balancer(&name.parse().unwrap())
+}
+
+fn agent(id: u32) -> MemberId {
+    MemberId::Agent(EndpointId::new(id))
+}
+
+fn claim(id: MemberId, introduction: Option<Introduction>) -> Claim {
+    Claim {
+        id,
+        version: Version::new(Incarnation::new(9), 3),
+        is_suspect: true,
+        is_leaving: true,
+        age_ms: Millis::new(150),
+        introduction,
+    }
+}
+
+fn introduction(name: &str, address: &str) -> Introduction {
+    Introduction {
+        name: name.parse().unwrap(),
+        address: address.parse().unwrap(),
+    }
+}
+
+fn gossip() -> Message {
+    Message {
+        kind: Kind::Gossip,
+        sender: balancer("b-1"),
+        claims: vec![
+            claim(agent(5), None),
+            claim(balancer("b-2"), Some(introduction("b-2", "10.1.2.3:4"))),
+            claim(
+                balancer("b-3"),
+                Some(introduction("b-3", "[2001:db8::1]:9")),
+            ),
+        ],
+    }
+}
+
+fn bare(kind: Kind, sender: MemberId) -> Message {
+    Message {
+        kind,
+        sender,
+        claims: Vec::new(),
+    }
+}
+
+#[test]
+fn round_trip() {
+    let check = |scope, message: Message| {
+        let bytes = seal(&keys(), scope, &message).unwrap();
+        assert_eq!(bytes.len(), message.wire_bytes());
+        assert_eq!(open(&keys(), &bytes), Ok((scope, message)));
+    };
+    let version = Version::new(Incarnation::new(1), 2);
+    let probe = Kind::Probe {
+        nonce: 1,
+        target: agent(3),
+        seen: version,
+        is_suspect: true,
+    };
+    let ack = Kind::Ack {
+        nonce: 2,
+        version,
+        is_leaving: true,
+    };
+    let target = balancer("b-9");
+    check(SERVICE, bare(probe, balancer("b-1")));
+    check(SERVICE, bare(ack, agent(3)));
+    check(
+        Scope::Fleet,
+        bare(Kind::ProbeFor { nonce: 3, target }, balancer("b-1")),
+    );
+    let relayed = Kind::AckFor {
+        nonce: 4,
+        target,
+        version,
+    };
+    check(Scope::Fleet, bare(relayed, balancer("b-1")));
+    check(Scope::Fleet, bare(Kind::Sync { known: 5 }, balancer("b-1")));
+    check(Scope::Fleet, gossip());
+}
+
+#[test]
+fn rejected() {
+    let check = |keys: &Keyring, bytes: &[u8], expect| {
+        assert_eq!(open(keys, bytes).map(|_message| ()), Err(expect));
+    };
+    let good = seal(&keys(), Scope::Fleet, &gossip()).unwrap();
+    check(&keys(), &[], Reject::Malformed);
+    check(&keys(), &good[..20], Reject::Malformed);
+    check(&keys(), &good[1..], Reject::Malformed);
+    check(&keys(), &good[..good.len() - 1], Reject::Forged);
+    let other = Keyring::new().with_key(Scope::Fleet, [3; 32]);
+    check(&other, &good, Reject::Forged);
+    check(&Keyring::new(), &good, Reject::UnknownKey);
+}
+
+/// Who holds only a service's key condemns nobody and speaks for nobody else.
+#[test]
+fn service_key_limits() {
+    let check = |message: &Message| {
+        let bytes = seal(&keys(), SERVICE, message).unwrap();
+        assert_eq!(open(&keys(), &bytes), Err(Reject::Forbidden));
+    };
+    check(&gossip());
+    check(&bare(Kind::Sync { known: 0 }, balancer("b-1")));
+    let target = agent(1);
+    check(&bare(Kind::ProbeFor { nonce: 1, target }, agent(5)));
+    let mut own = gossip();
+    own.sender = agent(5);
+    own.claims.truncate(1);
+    check(&own);
+    own.claims[0].is_suspect = false;
+    own.sender = agent(6);
+    check(&own);
+}
+
+#[test]
+fn random_bytes() {
+    let good = seal(&keys(), Scope::Fleet, &gossip()).unwrap();
+    bolero::check!()
+        .with_iterations(5_000)
+        .with_type::<(Vec<u8>, u16, u8)>()
+        .for_each(|(bytes, at, flip)| {
+            open(&keys(), bytes).unwrap_err();
+            let mut changed = good.clone();
+            changed[usize::from(*at) % good.len()] ^= flip;
+            assert_eq!(open(&keys(), &changed).is_ok(), *flip == 0);
+        });
+}
+
+#[test]
+fn address_kinds() {
+    let mapped: SocketAddr = "[::ffff:10.1.2.3]:4".parse().unwrap();
+    let mut message = gossip();
+    message.claims.truncate(2);
+    message.claims[1].introduction.as_mut().unwrap().address = mapped;
+    let bytes = seal(&keys(), Scope::Fleet, &message).unwrap();
+    let (_scope, back) = open(&keys(), &bytes).unwrap();
+    let address = back.claims[1].introduction.as_ref().unwrap().address;
+    assert_eq!(address, "10.1.2.3:4".parse().unwrap());
+}
--- /dev/null
+++ b/crates/membership/tests/partition_heal.rs
@@ -0,0 +1,107 @@
+//! Both sides of a partition serve; after the heal nobody flaps and nobody is flooded.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use fleet::{Fleet, agent_id, is_alive};
+use membership::{Condition, Config, Members};
+use units::Millis;
+
+const BALANCERS: u16 = 12;
+const AGENTS: u16 = 40;
+
+/// Bytes a second that a balancer may spend on control.
+const BYTES_PER_SECOND_MAX: u64 = 18_000;
+
+/// Splits a fleet by halves, for longer than it takes to declare members dead.
+fn split(seed: u64, config: &Config) -> Fleet {
+    let mut fleet = Fleet::new(BALANCERS, AGENTS, seed, config);
+    fleet.run(3_000);
+    for (idx, it) in fleet.balancers.iter_mut().enumerate() {
+        it.side = u8::from(idx % 2 == 1);
+    }
+    for (idx, it) in fleet.agents.iter_mut().enumerate() {
+        it.side = u8::from(idx % 2 == 1);
+    }
+    fleet.run(15_000);
+    fleet
+}
+
+fn heal(fleet: &mut Fleet) {
+    fleet.balancers.iter_mut().for_each(|it| it.side = 0);
+    fleet.agents.iter_mut().for_each(|it| it.side = 0);
+}
+
+fn own_side(members: &Members, side: u16) -> impl Iterator<Item = bool> {
+    let agents = (0..AGENTS).filter(move |it| it % 2 == side);
+    agents.map(|it| is_alive(members, agent_id(it)))
+}
+
+#[test]
+fn both_sides_serve() {
+    let fleet = split(1, &Config::new());
+    for (idx, it) in fleet.balancers.iter().enumerate() {
+        let side = u16::from(idx % 2 == 1);
+        assert!(own_side(&it.core, side).all(|it| it));
+        assert!(own_side(&it.core, 1 - side).all(|it| !it));
+    }
+}
+
+/// Heals a split fleet; returns how often a balancer took out an agent of its own side.
+fn flaps(seed: u64, config: &Config) -> u64 {
+    let mut fleet = split(seed, config);
+    let removals = fleet.removals;
+    heal(&mut fleet);
+    let everyone = |it: &Members| it.iter().all(|it| it.condition == Condition::Alive);
+    let before = fleet.bytes_sent;
+    let healed = fleet.run_until(30_000, everyone);
+    assert!(
+        healed.is_some_and(|it| it <= 10_000),
+        "seed {seed}: {healed:?}"
+    );
+    fleet.run(10_000);
+    let seconds = (healed.unwrap() + 10_000) / 1_000;
+    let rate = (fleet.bytes_sent - before) / seconds / u64::from(BALANCERS);
+    assert!(rate <= BYTES_PER_SECOND_MAX, "{rate} bytes a second");
+    fleet.removals - removals
+}
+
+#[test]
+fn heal_without_flap() {
+    for seed in 0..10 {
+        assert_eq!(flaps(seed, &Config::new()), 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn heal_broken() {
+    let broken = Config::new()
+        .with_claim_age_max(Millis::new(u64::MAX))
+        .with_believed_silence(Millis::new(0));
+    let flaps: u64 = (0..10).map(|seed| flaps(seed, &broken)).sum();
+    assert!(flaps > 0);
+}
+
+#[test]
+fn zone_dark() {
+    let mut fleet = Fleet::new(BALANCERS, AGENTS, 2, &Config::new());
+    fleet.run(3_000);
+    let (dark_balancers, dark_agents) = (4, 13);
+    for it in &mut fleet.balancers[..dark_balancers] {
+        it.is_dead = true;
+    }
+    for it in &mut fleet.agents[..dark_agents] {
+        it.is_dead = true;
+    }
+    let is_dark = |members: &Members| {
+        let dark = u16::try_from(dark_agents).unwrap();
+        (0..dark).all(|it| !is_alive(members, agent_id(it)))
+    };
+    let noticed = fleet.run_until(10_000, is_dark);
+    assert!(noticed.is_some_and(|it| it <= 2_000), "{noticed:?}");
+    fleet.run(10_000);
+    for it in &fleet.balancers[dark_balancers..] {
+        let mut others = u16::try_from(dark_agents).unwrap()..AGENTS;
+        assert!(others.all(|idx| is_alive(&it.core, agent_id(idx))));
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/support/fleet.rs
@@ -0,0 +1,263 @@
+//! Balancers and agents on a simulated clock and network.
+
+use std::{cmp::Reverse, collections::BinaryHeap, net::SocketAddr};
+
+use membership::{
+    AgentSpec, Condition, Config, Introduction, Keyring, MemberId, Members, Output, Responder,
+    Scope, Version, open, seal,
+};
+use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
+use units::{EndpointId, Incarnation, Millis, ServiceId};
+
+const STEP_MS: u64 = 10;
+const TICK_MS: u64 = 50;
+const SERVICE: ServiceId = ServiceId::new(1);
+
+/// One process: a balancer or an agent.
+pub struct Process<T> {
+    pub core: T,
+    pub address: SocketAddr,
+    pub is_dead: bool,
+    pub paused_until_ms: u64,
+    /// Side of the partition.
+    pub side: u8,
+    inbox: Vec<(SocketAddr, Vec<u8>)>,
+}
+
+impl<T> Process<T> {
+    fn new(core: T, address: SocketAddr) -> Self {
+        Self {
+            core,
+            address,
+            is_dead: false,
+            paused_until_ms: 0,
+            side: 0,
+            inbox: Vec::new(),
+        }
+    }
+}
+
+/// A datagram under way: arrival, order, source, destination, content.
+type Flight = Reverse<(u64, u64, SocketAddr, SocketAddr, Vec<u8>)>;
+
+pub struct Fleet {
+    pub now_ms: u64,
+    pub balancers: Vec<Process<Members>>,
+    pub agents: Vec<Process<Responder>>,
+    pub loss_percent: u32,
+    /// Longest time for which some balancer held an agent as not alive, by agent.
+    pub removed_max_ms: Vec<u64>,
+    removed_since_ms: Vec<Vec<Option<u64>>>,
+    versions: Vec<Vec<Version>>,
+    /// Bytes sent by balancers, 28 bytes of IP and UDP headers included.
+    pub bytes_sent: u64,
+    /// Times that a balancer took an agent out.
+    pub removals: u64,
+    flights: BinaryHeap<Flight>,
+    sequence: u64,
+    rng: StdRng,
+    keys: Keyring,
+}
+
+impl Fleet {
+    pub fn new(balancers: u16, agents: u16, seed: u64, config: &Config) -> Self {
+        let specs: Vec<_> = (0..agents).map(agent_spec).collect();
+        let addresses: Vec<_> = (0..balancers).map(balancer_address).collect();
+        let new_members = |idx: u16| {
+            let introduction = Introduction {
+                name: format!("b-{idx}").parse().unwrap(),
+                address: addresses[usize::from(idx)],
+            };
+            let incarnation = Incarnation::new(1);
+            let start = Millis::new(1_000);
+            let seed = seed.wrapping_add(u64::from(idx));
+            let mut members = Members::new(config.clone(), introduction, incarnation, seed, start)
+                .with_seeds(addresses.clone());
+            members.set_agents(start, &specs);
+            Process::new(members, addresses[usize::from(idx)])
+        };
+        let new_agent = |spec: &AgentSpec| {
+            let core = Responder::new(spec.endpoint, SERVICE, Incarnation::new(1));
+            Process::new(core, spec.address)
+        };
+        let keys = Keyring::new()
+            .with_key(Scope::Fleet, [1; 32])
+            .with_key(Scope::Service(SERVICE), [2; 32]);
+        Self {
+            now_ms: 1_000,
+            balancers: (0..balancers).map(new_members).collect(),
+            agents: specs.iter().map(new_agent).collect(),
+            loss_percent: 0,
+            removed_max_ms: vec![0; usize::from(agents)],
+            removed_since_ms: vec![vec![None; usize::from(agents)]; usize::from(balancers)],
+            versions: vec![vec![Version::default(); usize::from(agents)]; usize::from(balancers)],
+            bytes_sent: 0,
+            removals: 0,
+            flights: BinaryHeap::new(),
+            sequence: 0,
+            rng: StdRng::seed_from_u64(seed),
+            keys,
+        }
+    }
+
+    pub fn run(&mut self, for_ms: u64) {
+        let end_ms = self.now_ms + for_ms;
+        while self.now_ms < end_ms {
+            self.step();
+        }
+    }
+
+    /// Runs until every live balancer agrees with `expect`, at most `max_ms`; returns the time.
+    pub fn run_until(&mut self, max_ms: u64, expect: impl Fn(&Members) -> bool) -> Option<u64> {
+        let start_ms = self.now_ms;
+        while self.now_ms - start_ms < max_ms {
+            let live = self.balancers.iter().filter(|it| !it.is_dead);
+            if live.into_iter().all(|it| expect(&it.core)) {
+                return Some(self.now_ms - start_ms);
+            }
+            self.step();
+        }
+        None
+    }
+
+    pub fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        while self.flights.peek().is_some_and(|it| it.0.0 <= self.now_ms) {
+            let Some(Reverse((_at, _sequence, from, to, bytes))) = self.flights.pop() else {
+                break;
+            };
+            self.deliver(from, to, bytes);
+        }
+        self.run_balancers();
+        self.run_agents();
+        self.check();
+    }
+
+    fn deliver(&mut self, from: SocketAddr, to: SocketAddr, bytes: Vec<u8>) {
+        let idx = usize::from(to.port());
+        if to.ip().is_loopback() {
+            self.balancers[idx].inbox.push((from, bytes));
+        } else {
+            self.agents[idx].inbox.push((from, bytes));
+        }
+    }
+
+    fn run_balancers(&mut self) {
+        let now = Millis::new(self.now_ms);
+        let mut out = Vec::new();
+        for idx in 0..self.balancers.len() {
+            let it = &mut self.balancers[idx];
+            if it.is_dead || it.paused_until_ms > self.now_ms {
+                continue;
+            }
+            for (from, bytes) in std::mem::take(&mut it.inbox) {
+                let (scope, message) = open(&self.keys, &bytes).unwrap();
+                it.core.handle(now, from, scope, message, &mut out);
+            }
+            if self.now_ms.is_multiple_of(TICK_MS) {
+                it.core.tick(now, &mut out);
+            }
+            let address = it.address;
+            for output in out.drain(..) {
+                self.send(address, output);
+            }
+        }
+    }
+
+    fn run_agents(&mut self) {
+        let now = Millis::new(self.now_ms);
+        for idx in 0..self.agents.len() {
+            let it = &mut self.agents[idx];
+            if it.is_dead || it.paused_until_ms > self.now_ms {
+                continue;
+            }
+            let address = it.address;
+            for (from, bytes) in std::mem::take(&mut it.inbox) {
+                let (_scope, message) = open(&self.keys, &bytes).unwrap();
+                if let Some(output) = self.agents[idx].core.handle(now, from, &message) {
+                    self.send(address, output);
+                }
+            }
+        }
+    }
+
+    pub fn send(&mut self, from: SocketAddr, output: Output) {
+        let Output::Send { to, scope, message } = output else {
+            return;
+        };
+        let bytes = seal(&self.keys, scope, &message).unwrap();
+        assert!(
+            bytes.len() <= 1_200,
+            "a datagram fits the smallest common path"
+        );
+        if from.ip().is_loopback() {
+            self.bytes_sent += bytes.len() as u64 + 28;
+        }
+        if self.side(from) != self.side(to) || self.rng.random_range(0..100) < self.loss_percent {
+            return;
+        }
+        let at_ms = self.now_ms + self.rng.random_range(1..=20);
+        self.sequence += 1;
+        self.flights
+            .push(Reverse((at_ms, self.sequence, from, to, bytes)));
+    }
+
+    fn side(&self, address: SocketAddr) -> u8 {
+        let idx = usize::from(address.port());
+        if address.ip().is_loopback() {
+            self.balancers[idx].side
+        } else {
+            self.agents[idx].side
+        }
+    }
+
+    /// Checks that versions only grow, and notes how long agents are taken out.
+    fn check(&mut self) {
+        for (balancer, process) in self.balancers.iter().enumerate() {
+            for member in process.core.iter() {
+                let MemberId::Agent(endpoint) = member.id else {
+                    continue;
+                };
+                let agent = endpoint.get() as usize;
+                let held = &mut self.versions[balancer][agent];
+                assert!(member.version >= *held, "a version went back");
+                *held = member.version;
+                let since_ms = &mut self.removed_since_ms[balancer][agent];
+                if process.paused_until_ms > self.now_ms {
+                    // A paused balancer sends nothing to anyone; its time does not count.
+                    *since_ms = since_ms.map(|it| it + STEP_MS);
+                    continue;
+                }
+                if member.condition == Condition::Alive {
+                    *since_ms = None;
+                    continue;
+                }
+                self.removals += u64::from(since_ms.is_none());
+                let removed_ms = self.now_ms - *since_ms.get_or_insert(self.now_ms);
+                self.removed_max_ms[agent] = self.removed_max_ms[agent].max(removed_ms);
+            }
+        }
+    }
+}
+
+pub fn agent_id(agent: u16) -> MemberId {
+    MemberId::Agent(EndpointId::new(u32::from(agent)))
+}
+
+pub fn is_alive(members: &Members, id: MemberId) -> bool {
+    members
+        .find(id)
+        .is_some_and(|it| it.condition == Condition::Alive)
+}
+
+fn agent_spec(agent: u16) -> AgentSpec {
+    AgentSpec {
+        endpoint: EndpointId::new(u32::from(agent)),
+        service: SERVICE,
+        address: SocketAddr::from(([10, 0, 0, 1], agent)),
+    }
+}
+
+fn balancer_address(balancer: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], balancer))
+}
