membership: leave the MAC to the tunnel

Cause: tunnel datagrams between processes already carry a MAC over the whole payload and tell whose key signed it; a second one cost 16 bytes a message. Change: encode and decode take the scope from outside; introductions carry the control address too, so that balancers learn whom to call. Figures: a bare message is 32 bytes instead of 52. Conclusion: one place for keys, the right of a key still checked here.

--- a/crates/membership/src/claim.rs
+++ b/crates/membership/src/claim.rs
@@ -10,7 +10,7 @@
 const AGENT_BYTES: usize = 13;
 
 /// Length of a claim about a balancer in a datagram, without the name.
-const BALANCER_BYTES: usize = 28;
+const BALANCER_BYTES: usize = 46;
 
 /// What one balancer tells another about a member.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,6 +36,8 @@
     pub name: InstanceId,
     /// Where it receives datagrams.
     pub address: SocketAddr,
+    /// Where other processes call it.
+    pub control_address: SocketAddr,
 }
 
 impl Claim {
--- a/crates/membership/src/codec.rs
+++ b/crates/membership/src/codec.rs
@@ -1,14 +1,13 @@
-//! The compact binary form of messages, protected by a keyed MAC.
+//! The compact binary form of messages.
 //!
-//! A datagram is a [`Head`], then claims, then a 16-byte MAC over all before it. Agents hold only
-//! their service's key, so a datagram names its key by scope: the fleet's or one service's.
+//! A datagram is a [`Head`], then claims. It travels inside a tunnel datagram between processes,
+//! whose MAC covers it whole and tells by which key, the fleet's or one service's, it was signed.
 
 use std::{
     fmt,
     net::{IpAddr, Ipv6Addr, SocketAddr},
 };
 
-use subtle::ConstantTimeEq as _;
 use units::{Incarnation, Millis, ServiceId};
 use zerocopy::{
     FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned,
@@ -17,18 +16,12 @@
 
 use crate::{Claim, Introduction, Kind, MemberId, Message, Version};
 
-/// First byte of every datagram of this protocol.
-pub const MAGIC: u8 = 0xa7;
+/// First byte of every message of this protocol.
+const MAGIC: u8 = 0xa7;
 
 /// Version of the layout.
 const LAYOUT: u8 = 1;
 
-/// Length of the MAC in bytes.
-const MAC_BYTES: usize = 16;
-
-/// Scope of datagrams under the fleet's key.
-const SCOPE_FLEET: u32 = u32::MAX;
-
 /// Unit of a claim's age on the wire.
 const AGE_STEP_MS: u64 = 50;
 
@@ -45,10 +38,7 @@
 const CLAIM_AGENT: u8 = 1;
 const CLAIM_BALANCER: u8 = 2;
 
-/// A 32-byte key.
-pub type FleetKey = [u8; 32];
-
-/// Which key protects a datagram.
+/// Which key signed a message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Scope {
     /// The key that only balancers hold.
@@ -57,63 +47,11 @@
     Service(ServiceId),
 }
 
-/// The keys of one process.
-#[derive(Clone, Default)]
-pub struct Keyring {
-    fleet: Option<FleetKey>,
-    /// Sorted by service.
-    services: Vec<(ServiceId, FleetKey)>,
-}
-
-impl Keyring {
-    /// Makes a ring without keys.
-    #[must_use]
-    pub const fn new() -> Self {
-        Self {
-            fleet: None,
-            services: Vec::new(),
-        }
-    }
-
-    /// Adds or replaces the key of a scope.
-    #[must_use]
-    pub fn with_key(mut self, scope: Scope, key: FleetKey) -> Self {
-        match scope {
-            Scope::Fleet => self.fleet = Some(key),
-            Scope::Service(id) => match self.services.binary_search_by_key(&id, |it| it.0) {
-                Ok(idx) => self.services[idx].1 = key,
-                Err(idx) => self.services.insert(idx, (id, key)),
-            },
-        }
-        self
-    }
-
-    fn key(&self, scope: Scope) -> Option<&FleetKey> {
-        match scope {
-            Scope::Fleet => self.fleet.as_ref(),
-            Scope::Service(id) => {
-                let idx = self.services.binary_search_by_key(&id, |it| it.0).ok()?;
-                Some(&self.services[idx].1)
-            }
-        }
-    }
-}
-
-impl fmt::Debug for Keyring {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "Keyring({} services)", self.services.len())
-    }
-}
-
 /// Why a datagram was dropped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reject {
     /// Too short, too long or not in this layout.
     Malformed,
-    /// Protected by a key that this process does not hold.
-    UnknownKey,
-    /// The MAC does not match.
-    Forged,
     /// The sender may not send this under its key.
     Forbidden,
 }
@@ -122,8 +60,6 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Malformed => "malformed; run the same version of the program on both instances",
-            Self::UnknownKey => "key unknown; give the process the key of the sender's service",
-            Self::Forged => "wrong MAC; give both processes the same key",
             Self::Forbidden => "not allowed under the sender's key; check who holds which key",
         })
     }
@@ -138,7 +74,6 @@
     layout: u8,
     kind: u8,
     flags: u8,
-    scope: U32,
     nonce: U32,
     sender: U64,
     target: U64,
@@ -157,55 +92,50 @@
     incarnation: U32,
 }
 
+/// An IPv6 or IPv4-mapped address.
 #[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
 #[repr(C)]
-struct IntroductionHead {
+struct WireAddress {
     ip: [u8; 16],
     port: U16,
+}
+
+#[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
+#[repr(C)]
+struct IntroductionHead {
+    address: WireAddress,
+    control_address: WireAddress,
     name_bytes: u8,
 }
 
-/// Encodes a message under the key of a scope; `None` if the ring lacks that key.
+/// Encodes a message.
 #[must_use]
-pub fn seal(keys: &Keyring, scope: Scope, message: &Message) -> Option<Vec<u8>> {
-    let key = keys.key(scope)?;
-    let mut out = Vec::with_capacity(64 + message.claims.len() * 16);
-    out.extend_from_slice(head(scope, message).as_bytes());
+pub fn encode(message: &Message) -> Vec<u8> {
+    let mut out = Vec::with_capacity(message.wire_bytes());
+    out.extend_from_slice(head(message).as_bytes());
     for claim in &message.claims {
         put_claim(&mut out, claim);
     }
-    let mac = mac(key, &out);
-    out.extend_from_slice(&mac);
-    Some(out)
+    out
 }
 
-/// Checks and decodes a datagram.
+/// Decodes a message that was signed with the key of `scope`.
 ///
 /// # Errors
 ///
-/// Rejects what is malformed, forged, or not allowed under the sender's key.
-pub fn open(keys: &Keyring, datagram: &[u8]) -> Result<(Scope, Message), Reject> {
-    let split = datagram.len().checked_sub(MAC_BYTES);
-    let (body, tag) = datagram.split_at(split.ok_or(Reject::Malformed)?);
-    let (head, rest) = Head::ref_from_prefix(body).map_err(|_short| Reject::Malformed)?;
+/// Rejects what is malformed or not allowed under that key.
+pub fn decode(scope: Scope, bytes: &[u8]) -> Result<Message, Reject> {
+    let (head, rest) = Head::ref_from_prefix(bytes).map_err(|_short| Reject::Malformed)?;
     if head.magic != MAGIC || head.layout != LAYOUT {
         return Err(Reject::Malformed);
     }
-    let scope = match head.scope.get() {
-        SCOPE_FLEET => Scope::Fleet,
-        id => Scope::Service(ServiceId::new(id)),
-    };
-    let key = keys.key(scope).ok_or(Reject::UnknownKey)?;
-    if !bool::from(mac(key, body).ct_eq(tag)) {
-        return Err(Reject::Forged);
-    }
     let message = Message {
         kind: read_kind(head).ok_or(Reject::Malformed)?,
         sender: MemberId::from_raw(head.sender.get()).ok_or(Reject::Malformed)?,
         claims: read_claims(rest, head.claims.get()).ok_or(Reject::Malformed)?,
     };
     if is_allowed(scope, &message) {
-        Ok((scope, message))
+        Ok(message)
     } else {
         Err(Reject::Forbidden)
     }
@@ -225,13 +155,7 @@
     }
 }
 
-fn mac(key: &FleetKey, body: &[u8]) -> [u8; MAC_BYTES] {
-    let mut out = [0; MAC_BYTES];
-    out.copy_from_slice(&blake3::keyed_hash(key, body).as_bytes()[..MAC_BYTES]);
-    out
-}
-
-fn head(scope: Scope, message: &Message) -> Head {
+fn head(message: &Message) -> Head {
     let zero = (0, 0, Version::default(), 0);
     let (kind, (nonce, target, version, flags)) = match message.kind {
         Kind::Probe {
@@ -263,17 +187,12 @@
         Kind::Gossip => (KIND_GOSSIP, zero),
         Kind::Sync { known } => (KIND_SYNC, (known, 0, Version::default(), 0)),
     };
-    let scope = match scope {
-        Scope::Fleet => SCOPE_FLEET,
-        Scope::Service(id) => id.get(),
-    };
     let claims = u16::try_from(message.claims.len()).expect("claims are bounded by the sender");
     Head {
         magic: MAGIC,
         layout: LAYOUT,
         kind,
         flags,
-        scope: U32::new(scope),
         nonce: U32::new(nonce),
         sender: U64::new(message.sender.to_raw()),
         target: U64::new(target),
@@ -336,20 +255,32 @@
 }
 
 fn put_introduction(out: &mut Vec<u8>, introduction: &Introduction) {
-    let ip = match introduction.address.ip() {
-        IpAddr::V4(ip) => ip.to_ipv6_mapped(),
-        IpAddr::V6(ip) => ip,
-    };
     let name = introduction.name.as_str().as_bytes();
     let head = IntroductionHead {
-        ip: ip.octets(),
-        port: U16::new(introduction.address.port()),
+        address: wire_address(introduction.address),
+        control_address: wire_address(introduction.control_address),
         name_bytes: u8::try_from(name.len()).expect("names have at most 64 bytes"),
     };
     out.extend_from_slice(head.as_bytes());
     out.extend_from_slice(name);
 }
 
+fn wire_address(address: SocketAddr) -> WireAddress {
+    let ip = match address.ip() {
+        IpAddr::V4(ip) => ip.to_ipv6_mapped(),
+        IpAddr::V6(ip) => ip,
+    };
+    WireAddress {
+        ip: ip.octets(),
+        port: U16::new(address.port()),
+    }
+}
+
+fn read_address(address: &WireAddress) -> SocketAddr {
+    let ip = IpAddr::V6(Ipv6Addr::from(address.ip)).to_canonical();
+    SocketAddr::new(ip, address.port.get())
+}
+
 fn read_claims(mut rest: &[u8], count: u16) -> Option<Vec<Claim>> {
     let mut claims = Vec::new();
     for _ in 0..count {
@@ -390,7 +321,10 @@
     let (head, rest) = IntroductionHead::ref_from_prefix(bytes).ok()?;
     let (name, rest) = rest.split_at_checked(usize::from(head.name_bytes))?;
     let name = std::str::from_utf8(name).ok()?.parse().ok()?;
-    let ip = IpAddr::V6(Ipv6Addr::from(head.ip)).to_canonical();
-    let address = SocketAddr::new(ip, head.port.get());
-    Some((Introduction { name, address }, rest))
+    let introduction = Introduction {
+        name,
+        address: read_address(&head.address),
+        control_address: read_address(&head.control_address),
+    };
+    Some((introduction, rest))
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -16,7 +16,7 @@
 mod watch;
 
 pub use claim::{Claim, Introduction};
-pub use codec::{FleetKey, Keyring, MAGIC, Reject, Scope, open, seal};
+pub use codec::{Reject, Scope, decode, encode};
 pub use config::Config;
 pub use member::{Condition, Member, MemberId, Version};
 pub use members::{AgentSpec, Counters, Members, Output};
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -4,7 +4,7 @@
 
 use units::{EndpointId, Incarnation, InstanceId, Millis};
 
-use crate::Scope;
+use crate::{Introduction, Scope};
 
 /// Marks the raw form of a balancer's id.
 const BALANCER_BIT: u64 = 1 << 63;
@@ -102,8 +102,8 @@
 pub struct Member {
     /// The member.
     pub id: MemberId,
-    /// Its name, for balancers.
-    pub name: Option<InstanceId>,
+    /// Its name and addresses, for balancers.
+    pub introduction: Option<Introduction>,
     /// Where it receives datagrams.
     pub address: SocketAddr,
     /// The key that its datagrams carry.
@@ -144,7 +144,7 @@
     pub(crate) fn new(id: MemberId, address: SocketAddr, scope: Scope, now: Millis) -> Self {
         Self {
             id,
-            name: None,
+            introduction: None,
             address,
             scope,
             version: Version::default(),
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -395,7 +395,7 @@
 fn changed(member: &Member, now: Millis) -> Output {
     Output::Changed {
         id: member.id,
-        name: member.name.clone(),
+        name: member.introduction.as_ref().map(|it| it.name.clone()),
         version: member.version,
         condition: member.condition,
         is_leaving: member.is_leaving,
@@ -405,10 +405,7 @@
 
 /// Makes the claim that passes on what is held of a member.
 fn claim_about(member: &Member, now: Millis) -> Option<Claim> {
-    let introduction = member.name.as_ref().map(|name| Introduction {
-        name: name.clone(),
-        address: member.address,
-    });
+    let introduction = member.introduction.clone();
     if member.id.is_balancer() && introduction.is_none() {
         return None;
     }
--- a/crates/membership/src/members/receive.rs
+++ b/crates/membership/src/members/receive.rs
@@ -248,6 +248,7 @@
             .filter(|_it| claim.version >= member.version)
         {
             member.address = it.address;
+            member.introduction = Some(it.clone());
         }
         if claim.is_suspect && claim.rank() > held && !self.is_believed(now, &claim) {
             self.counters.doubted += 1;
@@ -282,7 +283,7 @@
             return;
         }
         let mut member = Member::new(claim.id, introduction.address, Scope::Fleet, now);
-        member.name = Some(introduction.name);
+        member.introduction = Some(introduction);
         member.version = claim.version;
         member.is_leaving = claim.is_leaving;
         self.table.insert(member);
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -2,8 +2,8 @@
 
 use crate::{Claim, MemberId, Version};
 
-/// Length of a datagram without claims, MAC included.
-const BARE_BYTES: usize = 52;
+/// Length of a message without claims.
+const BARE_BYTES: usize = 32;
 
 /// Bytes of claims in one datagram at most, so that it fits the smallest common path.
 pub(crate) const CLAIMS_MAX_BYTES: usize = 1_100;
@@ -68,7 +68,7 @@
 }
 
 impl Message {
-    /// Returns the length of the datagram that carries this message.
+    /// Returns the encoded length.
     #[must_use]
     pub fn wire_bytes(&self) -> usize {
         let claims = self.claims.iter().map(Claim::wire_bytes);
