Settings: operators' and root keys as public keys, one listening address

Cause: settings repeated a form of operator keys that the bundle crate has; per-service overrides of addresses did the work of one listening address. Change: settings hold the bundle crate's public keys and root keys; listen_ip replaces the override list; key indexes go to 7 as connection ids allow. Conclusion: one form of key, fewer settings.

--- a/crates/settings/src/agent.rs
+++ b/crates/settings/src/agent.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 
+use bundle::PublicKey;
 use serde::{Deserialize, Serialize};
 use units::{EndpointId, InstanceId, Millis, ServiceId, Zone};
 
-use crate::{CallerTls, Checked, OperatorKey, ProcessTls, SettingsError, SharedKey, check};
+use crate::{CallerTls, Checked, ProcessTls, SettingsError, SharedKey, check};
 
 /// Settings of an agent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,7 +33,10 @@
     /// Keys of the service, the current one first.
     pub service_keys: Vec<SharedKey>,
     /// Keys that bundles are signed with.
-    pub operator_keys: Vec<OperatorKey>,
+    pub operator_keys: Vec<PublicKey>,
+    /// Keys that published key sets are signed with.
+    #[serde(default)]
+    pub root_keys: Vec<PublicKey>,
     /// Certificates for calls between processes.
     pub tls: ProcessTls,
     /// Certificate shown to callers.
--- a/crates/settings/src/balancer.rs
+++ b/crates/settings/src/balancer.rs
@@ -1,11 +1,12 @@
 //! Settings of a balancer.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
+use bundle::PublicKey;
 use serde::{Deserialize, Serialize};
 use units::{InstanceId, Millis, Zone};
 
-use crate::{Checked, OperatorKey, ProcessTls, SettingsError, SharedKey, check};
+use crate::{Checked, ProcessTls, SettingsError, SharedKey, check};
 
 /// Settings of a balancer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,18 +20,25 @@
     pub tunnel_address: SocketAddr,
     /// Where other processes call this one.
     pub control_address: SocketAddr,
-    /// Local addresses to bind in place of a bundle's service addresses.
+    /// Address to bind the services' ports at, where the fabric rewrites to the instance's own
+    /// address; `None` binds the service addresses themselves.
     #[serde(default)]
-    pub address_overrides: Vec<AddressOverride>,
+    pub listen_ip: Option<IpAddr>,
     /// Address of the platform's configuration service.
     pub platform_address: SocketAddr,
     /// Control addresses of some other balancers; the rest is learnt from them.
     #[serde(default)]
     pub peers: Vec<SocketAddr>,
+    /// Tunnel addresses of some other balancers; the rest is learnt from them.
+    #[serde(default)]
+    pub peer_tunnels: Vec<SocketAddr>,
     /// Root keys of the fleet, the current one first.
     pub fleet_keys: Vec<SharedKey>,
     /// Keys that bundles are signed with.
-    pub operator_keys: Vec<OperatorKey>,
+    pub operator_keys: Vec<PublicKey>,
+    /// Keys that published key sets are signed with.
+    #[serde(default)]
+    pub root_keys: Vec<PublicKey>,
     /// Certificates for calls between processes.
     pub tls: ProcessTls,
     /// Longest time between the stop signal and the end, in milliseconds.
@@ -40,28 +48,17 @@
     pub statsd_address: Option<SocketAddr>,
 }
 
-/// A local address bound in place of a service address.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct AddressOverride {
-    /// The service address as bundles name it.
-    pub service_address: SocketAddr,
-    /// The address this process binds.
-    pub bind_address: SocketAddr,
-}
-
 impl Checked for BalancerSettings {
     fn check(&self) -> Result<(), SettingsError> {
         check::address("tunnel_address", self.tunnel_address)?;
         check::address("control_address", self.control_address)?;
         check::address("platform_address", self.platform_address)?;
-        for it in &self.address_overrides {
-            check::address("address_overrides.service_address", it.service_address)?;
-            check::address("address_overrides.bind_address", it.bind_address)?;
-        }
         self.peers
             .iter()
             .try_for_each(|it| check::address("peers", *it))?;
+        self.peer_tunnels
+            .iter()
+            .try_for_each(|it| check::address("peer_tunnels", *it))?;
         check::shared_keys("fleet_keys", &self.fleet_keys)?;
         check::operator_keys(&self.operator_keys)?;
         check::process_tls(&self.tls)?;
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -2,12 +2,13 @@
 
 use std::net::SocketAddr;
 
+use bundle::PublicKey;
 use units::Millis;
 
-use crate::{CallerTls, OperatorKey, ProcessTls, SettingsError, SharedKey};
+use crate::{CallerTls, ProcessTls, SettingsError, SharedKey};
 
-/// Key indexes that fit the connection id's rotation bits; 7 is reserved.
-const KEY_INDEX_MAX: u8 = 6;
+/// Highest key index that fits the connection id's rotation bits.
+const KEY_INDEX_MAX: u8 = 7;
 
 /// Longest drain time that a process accepts, one day.
 const DRAIN_MAX: Millis = Millis::new(24 * 3_600 * 1_000);
@@ -55,7 +56,7 @@
             return Err(SettingsError::Field {
                 field,
                 cause,
-                remedy: "use an index from 0 to 6",
+                remedy: "use an index from 0 to 7",
             });
         }
         if keys[..idx].iter().any(|it| it.index == key.index) {
@@ -70,8 +71,8 @@
     Ok(())
 }
 
-/// Checks that operator keys are there and each id is used once.
-pub(crate) fn operator_keys(keys: &[OperatorKey]) -> Result<(), SettingsError> {
+/// Checks that there is a key to sign bundles with, and each key is given once.
+pub(crate) fn operator_keys(keys: &[PublicKey]) -> Result<(), SettingsError> {
     let field = "operator_keys";
     if keys.is_empty() {
         let cause = "no key is given".to_owned();
@@ -83,12 +84,12 @@
         });
     }
     for (idx, key) in keys.iter().enumerate() {
-        if keys[..idx].iter().any(|it| it.id == key.id) {
-            let cause = format!("id `{}` is given twice", key.id);
+        if keys[..idx].contains(key) {
+            let cause = format!("key {} is given twice", key.id());
             return Err(SettingsError::Field {
                 field,
                 cause,
-                remedy: "give each id once",
+                remedy: "give each key once",
             });
         }
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -11,10 +11,10 @@
 mod parts;
 
 pub use agent::AgentSettings;
-pub use balancer::{AddressOverride, BalancerSettings};
+pub use balancer::BalancerSettings;
 pub use error::SettingsError;
 pub use operator::{OperatorSettings, ProcessAddress};
-pub use parts::{CallerTls, OperatorKey, ProcessTls, SecretKey, SharedKey};
+pub use parts::{CallerTls, ProcessTls, SecretKey, SharedKey};
 
 use serde::de::DeserializeOwned;
 
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 
+use bundle::PublicKey;
 use serde::{Deserialize, Serialize};
 use units::InstanceId;
 
-use crate::{Checked, OperatorKey, ProcessTls, SettingsError, check};
+use crate::{Checked, ProcessTls, SettingsError, check};
 
 /// Settings of the operators' program.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,7 +18,7 @@
     pub tls: ProcessTls,
     /// Keys that bundles are signed with.
     #[serde(default)]
-    pub operator_keys: Vec<OperatorKey>,
+    pub operator_keys: Vec<PublicKey>,
 }
 
 /// A process and where it is called.
--- a/crates/settings/src/parts.rs
+++ b/crates/settings/src/parts.rs
@@ -66,22 +66,12 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SharedKey {
-    /// Index in rotation, 0 to 6.
+    /// Index in rotation, 0 to 7.
     pub index: KeyIndex,
     /// The secret.
     pub key: SecretKey,
 }
 
-/// A public key that operators sign bundles with.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct OperatorKey {
-    /// Name of the key, as bundles cite it.
-    pub id: String,
-    /// The ed25519 public key, 64 hexadecimal digits.
-    pub public_key: SecretKey,
-}
-
 /// Certificates for calls between processes, in PEM.
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
