Routing table feed and fleet launcher

Cause: the datapath needs a table that follows bundles, time and liveness; benches need real fleets. Change: a pure feed builds tables, overlaps two generations after a change, keeps removed endpoints reachable for their drain time and ramps new ones; the bench crate plans, starts, signals and rolls a fleet of processes. Figures: 3 tests of the feed; the fleet starts once the roles are wired in. Conclusion: the balancer's role needs only glue now.

--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -9,6 +9,7 @@
 mod counters;
 mod datapath;
 mod downlink;
+mod feed;
 mod outgoing;
 mod peers;
 mod socket;
@@ -18,5 +19,6 @@
     config::{Config, ListenAt},
     counters::{Counter, Counters},
     datapath::{BindError, Datapath, DrainEnd, DrainReport, Handle, PeerError, run},
+    feed::Feed,
     peers::PeerDatagram,
 };
--- /dev/null
+++ b/crates/balancer/tests/table_feed.rs
@@ -0,0 +1,138 @@
+//! The routing table follows bundles, ramps new endpoints and forgets removed ones in time.
+
+use std::sync::Arc;
+
+use balancer::Feed;
+use bundle::{Accepted, Bundle, Endpoint, InForce, Leaving, Sharing};
+use flow::{
+    key::{FleetKey, Secret},
+    table::{GENERATIONS_OVERLAP_MS, Liveness},
+};
+use units::{
+    BundleDigest, BundleVersion, ByteSize, EndpointId, KeyIndex, Millis, ServiceId, Slots, Weight,
+};
+
+const RAMP_MS: Millis = Millis::new(1_000);
+const DRAIN_MS: Millis = Millis::new(5_000);
+
+fn feed() -> Feed {
+    let key = FleetKey::new(KeyIndex::new(0), Secret::new([1; 32])).unwrap();
+    Feed::new(key, Vec::new()).unwrap()
+}
+
+fn accepted(version: u64, endpoints: &[u32]) -> Arc<Accepted> {
+    let bundle = Bundle {
+        service: ServiceId::new(1),
+        name: "fit".to_owned(),
+        version: BundleVersion::new(version),
+        previous: None,
+        addresses: vec!["10.0.0.1:443".parse().unwrap()],
+        endpoints: endpoints.iter().map(|&id| endpoint(id)).collect(),
+        routes: Vec::new(),
+        sharing: Sharing {
+            short_reserve_percent: 20,
+            retry_budget_percent: 10,
+            cold_start_ramp_ms: RAMP_MS,
+            body_max_bytes: ByteSize::new(1_000),
+        },
+        leaving: Leaving {
+            drain_timeout_ms: DRAIN_MS,
+        },
+    };
+    let digest = BundleDigest::default();
+    Arc::new(Accepted {
+        bundle,
+        digest,
+        envelope: Arc::from([]),
+    })
+}
+
+fn endpoint(id: u32) -> Endpoint {
+    let address = |port| format!("127.0.0.{id}:{port}").parse().unwrap();
+    Endpoint {
+        id: EndpointId::new(id),
+        zone: "a".parse().unwrap(),
+        tunnel_address: address(1),
+        control_address: address(2),
+        upstream_address: address(3),
+        slots: Slots::new(2),
+        weight: Weight::new(100),
+        is_leaving: false,
+    }
+}
+
+fn first() -> InForce {
+    InForce {
+        current: accepted(1, &[1, 2]),
+        previous: None,
+    }
+}
+
+fn second() -> InForce {
+    InForce {
+        current: accepted(2, &[2, 3]),
+        previous: Some(accepted(1, &[1, 2])),
+    }
+}
+
+fn ramp(feed: &Feed, id: u32) -> u8 {
+    feed.board()
+        .find(EndpointId::new(id))
+        .unwrap()
+        .ramp_percent()
+}
+
+#[test]
+fn table_changes() {
+    let mut feed = feed();
+    let now = Millis::new(0);
+    assert_eq!(feed.update(now, &[first()]).unwrap().services().len(), 1);
+    assert!(feed.update(now, &[first()]).is_none(), "nothing changed");
+    assert!(feed.update(now, &[second()]).is_some(), "a newer bundle");
+    assert!(
+        feed.update(now, &[first()]).is_none(),
+        "an older bundle changes nothing"
+    );
+    let overlap_ends = now.plus(GENERATIONS_OVERLAP_MS);
+    assert!(
+        feed.update(overlap_ends, &[second()]).is_some(),
+        "one generation decides again"
+    );
+}
+
+#[test]
+fn ramp_up() {
+    let mut feed = feed();
+    feed.update(Millis::new(0), &[first()]);
+    assert_eq!(
+        (ramp(&feed, 1), ramp(&feed, 2)),
+        (100, 100),
+        "known at the start"
+    );
+    let changed_at = Millis::new(10);
+    feed.update(changed_at, &[second()]);
+    let check = |feed: &mut Feed, after_ms: u64, expect: u8| {
+        feed.update(changed_at.plus(Millis::new(after_ms)), &[second()]);
+        assert_eq!(ramp(feed, 3), expect, "after {after_ms} ms");
+        assert_eq!(ramp(feed, 2), 100);
+    };
+    check(&mut feed, 1, 10);
+    check(&mut feed, 500, 55);
+    check(&mut feed, 1_000, 100);
+}
+
+#[test]
+fn back_from_dead() {
+    let mut feed = feed();
+    feed.update(Millis::new(0), &[first()]);
+    feed.set_liveness(Millis::new(1), EndpointId::new(1), Liveness::Dead);
+    feed.set_liveness(Millis::new(2), EndpointId::new(1), Liveness::Alive);
+    assert_eq!(ramp(&feed, 1), 10);
+    feed.set_liveness(Millis::new(3), EndpointId::new(2), Liveness::Suspect);
+    feed.set_liveness(Millis::new(4), EndpointId::new(2), Liveness::Alive);
+    assert_eq!(
+        ramp(&feed, 2),
+        100,
+        "a suspicion alone doesn't cool an endpoint down"
+    );
+}
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -1,9 +1,266 @@
 //! A fleet of real processes on loopback, with stand-ins for platform, upstreams and callers.
+//!
+//! Balancers and agents are `lovagehall` processes; platform, upstreams and callers run inside the
+//! bench program, so that their counts are what callers and upstreams saw.
 
 mod addresses;
 mod certificates;
+mod plan;
 mod process;
+mod settings_files;
 
-pub(crate) use addresses::AddressPlan;
-pub(crate) use certificates::Certificates;
-pub(crate) use process::Process;
+use std::{
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bundle::{Bundle, KeySet, SecretKey, sign_bundle, verify};
+use flow::key::Secret;
+use stand_ins::{
+    caller::{Caller, Fabric},
+    platform::Platform,
+    upstream::{Behavior, Upstream},
+};
+use units::{BundleDigest, BundleVersion};
+
+use crate::error::{BenchError, Result};
+
+pub(crate) use self::{
+    addresses::AddressPlan,
+    certificates::SERVICE_NAME,
+    plan::{FleetPlan, RoutePlan, ServicePlan},
+    process::Process,
+};
+use self::{certificates::Certificates, settings_files::SettingsFiles};
+
+/// Longest time a fleet may take until every process answers.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// How often a fleet that starts is asked whether it answers.
+const START_STEP: Duration = Duration::from_millis(50);
+
+/// A running fleet; its processes end when dropped.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    pub(crate) plan: FleetPlan,
+    pub(crate) addresses: AddressPlan,
+    pub(crate) platform: Platform,
+    pub(crate) balancers: Vec<Process>,
+    pub(crate) agents: Vec<Process>,
+    pub(crate) upstreams: Vec<Upstream>,
+    pub(crate) fabric: Arc<Fabric>,
+    /// Current bundle of each service with the digest of its signed form, as the plan orders them.
+    bundles: Vec<(Bundle, BundleDigest)>,
+    certificates: Certificates,
+    operator: SecretKey,
+    files: SettingsFiles,
+    program: PathBuf,
+}
+
+impl Fleet {
+    /// Starts every process and stand-in of `plan` and publishes the first bundles.
+    pub(crate) async fn start(plan: FleetPlan, seed: u64) -> Result<Self> {
+        let addresses = AddressPlan::new();
+        let platform = Platform::start(addresses.platform())
+            .await
+            .map_err(|err| BenchError::setup("starting the platform", &err))?;
+        let certificates = Certificates::new()?;
+        let operator = SecretKey::new([7; 32]);
+        let files = SettingsFiles::new(
+            run_dir()?,
+            addresses,
+            certificates.clone(),
+            operator.public(),
+            Secret::new([9; 32]),
+        )?;
+        let mut fleet = Self {
+            bundles: plan
+                .bundles(addresses)
+                .into_iter()
+                .map(|it| (it, EMPTY))
+                .collect(),
+            plan,
+            addresses,
+            platform,
+            balancers: Vec::new(),
+            agents: Vec::new(),
+            upstreams: Vec::new(),
+            fabric: Arc::new(Fabric::new(seed)),
+            certificates,
+            operator,
+            files,
+            program: program()?,
+        };
+        fleet.start_upstreams(seed).await?;
+        for service_idx in 0..fleet.bundles.len() {
+            fleet.publish(service_idx)?;
+        }
+        fleet.start_processes()?;
+        fleet.route_all();
+        fleet.wait_until_answering().await?;
+        Ok(fleet)
+    }
+
+    /// Makes a caller behind the fleet's fabric.
+    pub(crate) fn caller(&self) -> Result<Caller> {
+        let roots = self.certificates.caller_roots()?;
+        Caller::new(Arc::clone(&self.fabric), &roots)
+            .map_err(|err| BenchError::setup("making a caller", &err))
+    }
+
+    /// Address callers use for a service.
+    pub(crate) fn service_address(&self, service_idx: usize) -> SocketAddr {
+        self.bundles[service_idx].0.addresses[0]
+    }
+
+    /// The current bundle of a service.
+    pub(crate) fn bundle(&self, service_idx: usize) -> &Bundle {
+        &self.bundles[service_idx].0
+    }
+
+    /// Changes a service's bundle, signs it as the next version and publishes it.
+    pub(crate) fn roll(
+        &mut self,
+        service_idx: usize,
+        change: impl FnOnce(&mut Bundle),
+    ) -> Result<()> {
+        let (bundle, digest) = &mut self.bundles[service_idx];
+        change(bundle);
+        bundle.version = BundleVersion::new(bundle.version.get() + 1);
+        bundle.previous = Some(*digest);
+        self.publish(service_idx)
+    }
+
+    /// Lets the fabric spray over the balancers whose positions are given.
+    pub(crate) fn route(&self, balancers: &[usize]) {
+        for service_idx in 0..self.bundles.len() {
+            let sockets: Vec<SocketAddr> = balancers
+                .iter()
+                .map(|&idx| self.addresses.balancer_service(idx, service_idx))
+                .collect();
+            self.fabric
+                .route(self.service_address(service_idx), &sockets);
+        }
+    }
+
+    /// Lets the fabric spray over every balancer.
+    pub(crate) fn route_all(&self) {
+        let all: Vec<usize> = (0..self.balancers.len()).collect();
+        self.route(&all);
+    }
+
+    /// Starts a balancer again after it ended.
+    pub(crate) fn restart_balancer(&mut self, idx: usize) -> Result<()> {
+        self.balancers[idx].restart(&self.program)
+    }
+
+    /// Starts an agent again after it ended.
+    pub(crate) fn restart_agent(&mut self, idx: usize) -> Result<()> {
+        self.agents[idx].restart(&self.program)
+    }
+
+    /// Positions of a service's endpoints among all agents and upstreams.
+    pub(crate) fn endpoints_of(&self, service_idx: usize) -> std::ops::Range<usize> {
+        self.plan.endpoints_of(service_idx)
+    }
+
+    /// Waits until `service_idx` answers a connection through the balancers routed now.
+    pub(crate) async fn wait_until_service_answers(&self, service_idx: usize) -> Result<()> {
+        let caller = self.caller()?;
+        let deadline = Instant::now() + START_TIMEOUT;
+        loop {
+            let connecting = caller.connect(self.service_address(service_idx), SERVICE_NAME);
+            if let Ok(Ok(_connection)) = tokio::time::timeout(START_STEP * 20, connecting).await {
+                return Ok(());
+            }
+            if Instant::now() > deadline {
+                let name = &self.bundle(service_idx).name;
+                let text = format!("service `{name}` doesn't answer; see {}", self.files.dir());
+                return Err(BenchError::Broken(text));
+            }
+            tokio::time::sleep(START_STEP).await;
+        }
+    }
+
+    async fn wait_until_answering(&self) -> Result<()> {
+        for service_idx in 0..self.bundles.len() {
+            self.wait_until_service_answers(service_idx).await?;
+        }
+        Ok(())
+    }
+
+    fn publish(&mut self, service_idx: usize) -> Result<()> {
+        let (bundle, digest) = &mut self.bundles[service_idx];
+        let envelope = sign_bundle(bundle, &self.operator);
+        let keys = KeySet::new(vec![self.operator.public()]);
+        let (_, published) = verify(&keys, &envelope)
+            .map_err(|err| BenchError::setup("verifying a signed bundle", &err))?;
+        *digest = published;
+        self.platform
+            .publish(&envelope)
+            .map_err(|err| BenchError::setup("publishing a bundle", &err))?;
+        Ok(())
+    }
+
+    async fn start_upstreams(&mut self, seed: u64) -> Result<()> {
+        let mut idx = 0;
+        for service in &self.plan.services {
+            for _ in 0..service.endpoints {
+                let behavior = Behavior::new().with_seed(seed.wrapping_add(idx as u64));
+                let address = self.addresses.upstream(idx);
+                let upstream = Upstream::start_at(address, service.slots, behavior)
+                    .await
+                    .map_err(|err| BenchError::setup("starting an upstream", &err))?;
+                self.upstreams.push(upstream);
+                idx += 1;
+            }
+        }
+        Ok(())
+    }
+
+    fn start_processes(&mut self) -> Result<()> {
+        for idx in 0..self.plan.balancers {
+            let (path, json) = self.files.balancer(&self.plan, idx)?;
+            self.balancers
+                .push(Process::start(&self.program, "balancer", &path, &json)?);
+        }
+        for idx in 0..self.upstreams.len() {
+            let (path, json) = self.files.agent(&self.plan, idx)?;
+            self.agents
+                .push(Process::start(&self.program, "agent", &path, &json)?);
+        }
+        Ok(())
+    }
+}
+
+/// Digest of a bundle that was not published yet.
+const EMPTY: BundleDigest = BundleDigest::new([0; 32]);
+
+/// Path of the release build beside this program.
+fn program() -> Result<PathBuf> {
+    let own = std::env::current_exe()
+        .map_err(|err| BenchError::setup("finding the lovagehall program", &err))?;
+    let program = own.with_file_name("lovagehall");
+    if program.exists() {
+        return Ok(program);
+    }
+    let cause = "not built; run through `cargo xtask`";
+    Err(BenchError::setup("finding the lovagehall program", &cause))
+}
+
+/// A fresh folder for settings files and logs, under `target`.
+fn run_dir() -> Result<PathBuf> {
+    let own = std::env::current_exe()
+        .map_err(|err| BenchError::setup("finding the target folder", &err))?;
+    let target = own
+        .parent()
+        .and_then(|it| it.parent())
+        .map_or_else(PathBuf::new, PathBuf::from);
+    let dir = target.join("fleet").join(std::process::id().to_string());
+    fs::create_dir_all(&dir)
+        .map_err(|err| BenchError::setup("making a folder for settings files", &err))?;
+    Ok(dir)
+}
--- a/crates/bench/src/fleet/addresses.rs
+++ b/crates/bench/src/fleet/addresses.rs
@@ -11,8 +11,8 @@
 /// Port of an upstream's HTTP.
 const UPSTREAM_PORT: u16 = 8_080;
 
-/// First port a balancer binds for service addresses.
-const SERVICE_PORT: u16 = 4_430;
+/// First port of the services' addresses.
+pub(super) const SERVICE_PORT: u16 = 4_430;
 
 /// Hands out one loopback address per process of one fleet.
 ///
--- a/crates/bench/src/fleet/certificates.rs
+++ b/crates/bench/src/fleet/certificates.rs
@@ -4,6 +4,7 @@
     BasicConstraints, CertificateParams, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
     KeyUsagePurpose,
 };
+use rustls_pki_types::{CertificateDer, pem::PemObject as _};
 use settings::{CallerTls, ProcessTls};
 
 use crate::error::{BenchError, Result};
@@ -30,13 +31,23 @@
     pub(crate) fn new() -> Result<Self> {
         make().map_err(|err| BenchError::setup("making certificates", &err))
     }
+
+    /// The certificates that callers trust.
+    pub(crate) fn caller_roots(&self) -> Result<Vec<CertificateDer<'static>>> {
+        CertificateDer::pem_slice_iter(self.caller_root_pem.as_bytes())
+            .collect::<std::result::Result<_, _>>()
+            .map_err(|err| BenchError::setup("reading the callers' root", &err))
+    }
 }
 
 fn make() -> std::result::Result<Certificates, rcgen::Error> {
     let ca_key = KeyPair::generate()?;
     let mut ca_params = CertificateParams::new(Vec::new())?;
     ca_params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-    ca_params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::DigitalSignature];
+    ca_params.key_usages = vec![
+        KeyUsagePurpose::KeyCertSign,
+        KeyUsagePurpose::DigitalSignature,
+    ];
     let ca_pem = ca_params.self_signed(&ca_key)?.pem();
     let issuer = Issuer::new(ca_params, ca_key);
     let (process_pem, process_key_pem) = leaf(PROCESS_NAME, &issuer)?;
@@ -47,7 +58,10 @@
             certificate_pem: process_pem,
             key_pem: process_key_pem,
         },
-        caller: CallerTls { certificate_pem: service_pem, key_pem: service_key_pem },
+        caller: CallerTls {
+            certificate_pem: service_pem,
+            key_pem: service_key_pem,
+        },
         caller_root_pem: ca_pem,
     })
 }
@@ -58,8 +72,10 @@
 ) -> std::result::Result<(String, String), rcgen::Error> {
     let key = KeyPair::generate()?;
     let mut params = CertificateParams::new(vec![name.to_owned()])?;
-    params.extended_key_usages =
-        vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
+    params.extended_key_usages = vec![
+        ExtendedKeyUsagePurpose::ServerAuth,
+        ExtendedKeyUsagePurpose::ClientAuth,
+    ];
     let certificate = params.signed_by(&key, issuer)?;
     Ok((certificate.pem(), key.serialize_pem()))
 }
--- /dev/null
+++ b/crates/bench/src/fleet/plan.rs
@@ -0,0 +1,256 @@
+//! What a fleet consists of, and the bundles that describe it.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    ops::Range,
+};
+
+use bundle::{Bundle, Endpoint, Leaving, RequestClass, RetrySafety, RouteRule, Sharing};
+use units::{BundleVersion, ByteSize, EndpointId, Millis, ServiceId, Slots, Weight, Zone};
+
+use super::addresses::{AddressPlan, SERVICE_PORT};
+
+/// Number of zones that endpoints and balancers are spread over.
+const ZONES: usize = 3;
+
+/// What a fleet consists of.
+#[derive(Debug, Clone)]
+pub(crate) struct FleetPlan {
+    /// Number of balancers.
+    pub(crate) balancers: usize,
+    /// The services; agents and upstreams are numbered in this order.
+    pub(crate) services: Vec<ServicePlan>,
+}
+
+/// One service of a fleet.
+#[derive(Debug, Clone)]
+pub(crate) struct ServicePlan {
+    /// Name of the service.
+    pub(crate) name: &'static str,
+    /// Prefix of its zones' names.
+    pub(crate) region: &'static str,
+    /// Number of endpoints.
+    pub(crate) endpoints: usize,
+    /// Slots of each endpoint.
+    pub(crate) slots: Slots,
+    /// Its route rules.
+    pub(crate) routes: Vec<RoutePlan>,
+}
+
+/// One route rule of a service.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RoutePlan {
+    pub(crate) method: Option<&'static str>,
+    pub(crate) path_prefix: &'static str,
+    pub(crate) class: RequestClass,
+    pub(crate) retry: RetrySafety,
+    pub(crate) timeout_ms: Millis,
+}
+
+impl FleetPlan {
+    /// Both users' deployments at their sizes.
+    pub(crate) fn both_users(balancers: usize) -> Self {
+        Self {
+            balancers,
+            services: vec![token_ledger(), tariffs(), fit(), photo_intake()],
+        }
+    }
+
+    /// Hanmaeul's token ledger alone.
+    pub(crate) fn ledger(balancers: usize) -> Self {
+        Self {
+            balancers,
+            services: vec![token_ledger()],
+        }
+    }
+
+    /// Diamant's fit service alone.
+    pub(crate) fn fit(balancers: usize) -> Self {
+        Self {
+            balancers,
+            services: vec![fit()],
+        }
+    }
+
+    /// Positions of a service's endpoints among all endpoints.
+    pub(crate) fn endpoints_of(&self, service_idx: usize) -> Range<usize> {
+        let before = &self.services[..service_idx];
+        let first: usize = before.iter().map(|it| it.endpoints).sum();
+        first..first + self.services[service_idx].endpoints
+    }
+
+    /// Position of the service that an endpoint belongs to.
+    pub(crate) fn service_of(&self, endpoint_idx: usize) -> usize {
+        let all = 0..self.services.len();
+        all.into_iter()
+            .find(|&it| self.endpoints_of(it).contains(&endpoint_idx))
+            .unwrap_or_default()
+    }
+
+    /// The first bundle of each service.
+    pub(crate) fn bundles(&self, addresses: AddressPlan) -> Vec<Bundle> {
+        (0..self.services.len())
+            .map(|idx| self.bundle(addresses, idx))
+            .collect()
+    }
+
+    /// Name of the zone that the process at a position runs in.
+    pub(crate) fn zone(region: &str, idx: usize) -> Zone {
+        let letter = ["a", "b", "c"][idx % ZONES];
+        format!("{region}-{letter}").parse().unwrap_or_default()
+    }
+
+    fn bundle(&self, addresses: AddressPlan, service_idx: usize) -> Bundle {
+        let service = &self.services[service_idx];
+        let endpoints = self.endpoints_of(service_idx);
+        Bundle {
+            service: service_id(service_idx),
+            name: service.name.to_owned(),
+            version: BundleVersion::new(1),
+            previous: None,
+            addresses: vec![service_address(service_idx)],
+            endpoints: endpoints
+                .map(|idx| endpoint(addresses, service, idx))
+                .collect(),
+            routes: service.routes.iter().map(route_rule).collect(),
+            sharing: Sharing {
+                short_reserve_percent: 20,
+                retry_budget_percent: 10,
+                cold_start_ramp_ms: Millis::new(2_000),
+                body_max_bytes: ByteSize::new(64 << 20),
+            },
+            leaving: Leaving {
+                drain_timeout_ms: Millis::new(30_000),
+            },
+        }
+    }
+}
+
+/// Id of the service at a position.
+pub(crate) fn service_id(service_idx: usize) -> ServiceId {
+    ServiceId::new(u32::try_from(service_idx + 1).unwrap_or_default())
+}
+
+/// Id of the endpoint at a position.
+pub(crate) fn endpoint_id(idx: usize) -> EndpointId {
+    EndpointId::new(u32::try_from(idx + 1).unwrap_or_default())
+}
+
+fn service_address(service_idx: usize) -> SocketAddr {
+    let port = SERVICE_PORT + u16::try_from(service_idx).unwrap_or_default();
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 66, 0, 1)), port)
+}
+
+fn endpoint(addresses: AddressPlan, service: &ServicePlan, idx: usize) -> Endpoint {
+    Endpoint {
+        id: endpoint_id(idx),
+        zone: FleetPlan::zone(service.region, idx),
+        tunnel_address: addresses.agent_tunnel(idx),
+        control_address: addresses.agent_control(idx),
+        upstream_address: addresses.upstream(idx),
+        slots: service.slots,
+        weight: Weight::new(100),
+        is_leaving: false,
+    }
+}
+
+fn route_rule(route: &RoutePlan) -> RouteRule {
+    RouteRule {
+        method: route.method.map(str::to_owned),
+        path_prefix: route.path_prefix.to_owned(),
+        class: route.class,
+        retry: route.retry,
+        timeout_ms: route.timeout_ms,
+    }
+}
+
+fn token_ledger() -> ServicePlan {
+    ServicePlan {
+        name: "token-ledger",
+        region: "gyeongnam",
+        endpoints: 7,
+        slots: Slots::new(2),
+        routes: vec![
+            RoutePlan {
+                method: Some("POST"),
+                path_prefix: "/purchases",
+                class: RequestClass::Short,
+                retry: RetrySafety::AtMostOnce,
+                timeout_ms: Millis::new(5_000),
+            },
+            RoutePlan {
+                method: Some("GET"),
+                path_prefix: "/statements",
+                class: RequestClass::Long,
+                retry: RetrySafety::Idempotent,
+                timeout_ms: Millis::new(30_000),
+            },
+            any_route(RequestClass::Short, 2_000),
+        ],
+    }
+}
+
+fn tariffs() -> ServicePlan {
+    ServicePlan {
+        name: "tariffs",
+        region: "gyeongnam",
+        endpoints: 3,
+        slots: Slots::new(2),
+        routes: vec![any_route(RequestClass::Long, 30_000)],
+    }
+}
+
+fn fit() -> ServicePlan {
+    ServicePlan {
+        name: "fit",
+        region: "tunis",
+        endpoints: 7,
+        slots: Slots::new(5),
+        routes: vec![
+            RoutePlan {
+                method: Some("GET"),
+                path_prefix: "/catalogue",
+                class: RequestClass::Long,
+                retry: RetrySafety::Idempotent,
+                timeout_ms: Millis::new(30_000),
+            },
+            RoutePlan {
+                method: Some("POST"),
+                path_prefix: "/queries",
+                class: RequestClass::Short,
+                retry: RetrySafety::AtMostOnce,
+                timeout_ms: Millis::new(2_000),
+            },
+            any_route(RequestClass::Short, 2_000),
+        ],
+    }
+}
+
+fn photo_intake() -> ServicePlan {
+    ServicePlan {
+        name: "photo-intake",
+        region: "tunis",
+        endpoints: 3,
+        slots: Slots::new(5),
+        routes: vec![
+            RoutePlan {
+                method: Some("POST"),
+                path_prefix: "/photos",
+                class: RequestClass::Long,
+                retry: RetrySafety::AtMostOnce,
+                timeout_ms: Millis::new(30_000),
+            },
+            any_route(RequestClass::Short, 2_000),
+        ],
+    }
+}
+
+fn any_route(class: RequestClass, timeout_ms: u64) -> RoutePlan {
+    RoutePlan {
+        method: None,
+        path_prefix: "/",
+        class,
+        retry: RetrySafety::Idempotent,
+        timeout_ms: Millis::new(timeout_ms),
+    }
+}
--- a/crates/bench/src/fleet/process.rs
+++ b/crates/bench/src/fleet/process.rs
@@ -33,7 +33,11 @@
         fs::write(settings_path, settings_json)
             .map_err(|err| BenchError::setup("writing a settings file", &err))?;
         let child = spawn(program, role, settings_path)?;
-        Ok(Self { child, settings_path: settings_path.to_owned(), role })
+        Ok(Self {
+            child,
+            settings_path: settings_path.to_owned(),
+            role,
+        })
     }
 
     /// Starts the program again on the same settings, after it ended.
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -7,6 +7,7 @@
 mod error;
 mod figure;
 mod flags;
+mod fleet;
 
 use std::process::ExitCode;
 
