--- /dev/null
+++ b/crates/control/src/members.rs
@@ -0,0 +1,419 @@
+//! The members controller: drives `membership` with real time and datagrams.
+
+mod report;
+mod view;
+
+use std::{
+    fmt,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwap;
+use flow::{
+    table::{EndpointCell, Liveness},
+    tunnel::Load,
+};
+use membership::{
+    AgentSpec, Condition, Counters, Introduction, MemberId, Members, Output, decode, encode,
+};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use timeline::Recorder;
+use tokio::sync::watch;
+use units::{EndpointId, Incarnation, Millis};
+
+use self::report::Reporter;
+pub use self::view::{BalancerState, EndpointState, MembersView};
+use crate::peer_link::{PeerLink, PeerPacket, PeerSend, Waiting, pump, scope_of, service_of};
+
+/// Time between two ticks of the protocol.
+const TICK: Duration = Duration::from_millis(50);
+
+/// What the members controller needs to know at start.
+#[derive(Debug, Clone)]
+pub struct MembersConfig {
+    /// Name and addresses of this balancer.
+    pub introduction: Introduction,
+    /// This run of the process.
+    pub incarnation: Incarnation,
+    /// Tunnel addresses of some other balancers.
+    pub seeds: Vec<SocketAddr>,
+    /// Control addresses to name until the first balancer is known.
+    pub control_seeds: Vec<SocketAddr>,
+    /// Where events go.
+    pub recorder: Recorder,
+    /// Intervals and limits.
+    pub protocol: membership::Config,
+    /// Seed of the choice of peers and of jitter.
+    pub random_seed: u64,
+}
+
+impl MembersConfig {
+    /// Makes a configuration with the usual intervals.
+    #[must_use]
+    pub fn new(introduction: Introduction, incarnation: Incarnation, recorder: Recorder) -> Self {
+        Self {
+            introduction,
+            incarnation,
+            seeds: Vec::new(),
+            control_seeds: Vec::new(),
+            recorder,
+            protocol: membership::Config::new(),
+            random_seed: rand::random(),
+        }
+    }
+
+    /// Names some other balancers by tunnel and control addresses.
+    #[must_use]
+    pub fn with_seeds(mut self, tunnels: Vec<SocketAddr>, controls: Vec<SocketAddr>) -> Self {
+        self.seeds = tunnels;
+        self.control_seeds = controls;
+        self
+    }
+
+    /// Replaces the seed of random choices.
+    #[must_use]
+    pub const fn with_random_seed(mut self, seed: u64) -> Self {
+        self.random_seed = seed;
+        self
+    }
+}
+
+/// An agent to watch, with the cell that routing reads.
+#[derive(Debug, Clone)]
+pub struct AgentLink {
+    /// Who it is and where.
+    pub spec: AgentSpec,
+    /// Gets its liveness, and tells of its traffic.
+    pub cell: Arc<EndpointCell>,
+}
+
+/// Starts the members controller.
+///
+/// # Errors
+///
+/// The actor can't be spawned.
+pub async fn start_members<S: PeerSend>(
+    config: MembersConfig,
+    link: PeerLink<S>,
+) -> Result<MembersHandle, ractor::SpawnErr> {
+    let shared = Arc::new(Shared::new(&config));
+    let waiting = Waiting::default();
+    let args = Args {
+        config,
+        sender: link.sender,
+        shared: Arc::clone(&shared),
+        waiting: waiting.clone(),
+    };
+    let (actor, _running) = Actor::spawn(None, Controller::new(), args).await?;
+    pump(link.incoming, actor.clone(), waiting, MembersMsg::Incoming);
+    Ok(MembersHandle { actor, shared })
+}
+
+/// What other parts of the process see of the members controller; clones are the same.
+#[derive(Clone)]
+pub struct MembersHandle {
+    actor: ActorRef<MembersMsg>,
+    shared: Arc<Shared>,
+}
+
+impl MembersHandle {
+    /// Returns the latest view.
+    #[must_use]
+    pub fn view(&self) -> Arc<MembersView> {
+        self.shared.view.load_full()
+    }
+
+    /// Returns a receiver that changes with every change of the view.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.shared.generation.subscribe()
+    }
+
+    /// Returns the control addresses of the other balancers that are not dead.
+    #[must_use]
+    pub fn control_addresses(&self) -> watch::Receiver<Vec<SocketAddr>> {
+        self.shared.control_addresses.subscribe()
+    }
+
+    /// Returns what happened since the start.
+    #[must_use]
+    pub fn counters(&self) -> Counters {
+        **self.shared.counters.load()
+    }
+
+    /// Replaces the agents to watch.
+    pub fn set_agents(&self, agents: Vec<AgentLink>) {
+        self.cast(MembersMsg::SetAgents(agents));
+    }
+
+    /// Has an endpoint checked at once, since a list or a health answer says that it is gone.
+    pub fn hint_gone(&self, endpoint: EndpointId) {
+        self.cast(MembersMsg::HintGone(endpoint));
+    }
+
+    /// Tells the fleet that this balancer takes no new work from now on.
+    pub fn leave(&self) {
+        self.cast(MembersMsg::Leave);
+    }
+
+    /// Stops the controller.
+    pub fn stop(&self) {
+        self.actor.stop(None);
+    }
+
+    fn cast(&self, message: MembersMsg) {
+        // The controller ends only with the process.
+        drop(self.actor.cast(message));
+    }
+}
+
+impl fmt::Debug for MembersHandle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("MembersHandle").finish_non_exhaustive()
+    }
+}
+
+/// What the controller writes and others read.
+#[derive(Debug)]
+struct Shared {
+    view: ArcSwap<MembersView>,
+    generation: watch::Sender<u64>,
+    control_addresses: watch::Sender<Vec<SocketAddr>>,
+    counters: ArcSwap<Counters>,
+}
+
+impl Shared {
+    fn new(config: &MembersConfig) -> Self {
+        Self {
+            view: ArcSwap::default(),
+            generation: watch::Sender::new(0),
+            control_addresses: watch::Sender::new(config.control_seeds.clone()),
+            counters: ArcSwap::default(),
+        }
+    }
+}
+
+/// What the controller is told.
+#[derive(Debug)]
+pub(crate) enum MembersMsg {
+    /// A datagram arrived.
+    Incoming(PeerPacket),
+    /// Time passed.
+    Tick,
+    /// The bundles in force name these agents.
+    SetAgents(Vec<AgentLink>),
+    /// A hint says that an endpoint is gone.
+    HintGone(EndpointId),
+    /// The process is about to stop.
+    Leave,
+}
+
+/// The members controller.
+#[derive(Debug)]
+struct Controller<S>(std::marker::PhantomData<fn() -> S>);
+
+impl<S> Controller<S> {
+    const fn new() -> Self {
+        Self(std::marker::PhantomData)
+    }
+}
+
+struct Args<S> {
+    config: MembersConfig,
+    sender: S,
+    shared: Arc<Shared>,
+    waiting: Waiting,
+}
+
+struct State<S> {
+    core: Members,
+    sender: S,
+    shared: Arc<Shared>,
+    waiting: Waiting,
+    reporter: Reporter,
+    started: Instant,
+    /// Sorted by endpoint.
+    agents: Vec<Watched>,
+    control_seeds: Vec<SocketAddr>,
+    /// Reused between messages.
+    outputs: Vec<Output>,
+    is_view_stale: bool,
+}
+
+/// An agent with the traffic last seen of it.
+struct Watched {
+    link: AgentLink,
+    answered: u64,
+}
+
+impl<S: PeerSend> Actor for Controller<S> {
+    type Msg = MembersMsg;
+    type State = State<S>;
+    type Arguments = Args<S>;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<MembersMsg>,
+        args: Args<S>,
+    ) -> Result<State<S>, ActorProcessingErr> {
+        myself.send_interval(TICK, || MembersMsg::Tick);
+        Ok(State::new(args))
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<MembersMsg>,
+        message: MembersMsg,
+        state: &mut State<S>,
+    ) -> Result<(), ActorProcessingErr> {
+        let now = state.now();
+        match message {
+            MembersMsg::Incoming(packet) => state.take(now, &packet),
+            MembersMsg::Tick => state.tick(now),
+            MembersMsg::SetAgents(agents) => state.set_agents(now, agents),
+            MembersMsg::HintGone(endpoint) => {
+                state.core.hint_gone(now, MemberId::Agent(endpoint));
+            }
+            MembersMsg::Leave => state.core.leave(now),
+        }
+        state.flush(now);
+        Ok(())
+    }
+}
+
+impl<S: PeerSend> State<S> {
+    fn new(args: Args<S>) -> Self {
+        let config = args.config;
+        let core = Members::new(
+            config.protocol,
+            config.introduction,
+            config.incarnation,
+            config.random_seed,
+            Millis::new(0),
+        );
+        Self {
+            core: core.with_seeds(config.seeds),
+            sender: args.sender,
+            shared: args.shared,
+            waiting: args.waiting,
+            reporter: Reporter::new(config.recorder),
+            started: Instant::now(),
+            agents: Vec::new(),
+            control_seeds: config.control_seeds,
+            outputs: Vec::new(),
+            is_view_stale: false,
+        }
+    }
+
+    fn now(&self) -> Millis {
+        Millis::from_duration(self.started.elapsed())
+    }
+
+    fn take(&mut self, now: Millis, packet: &PeerPacket) {
+        self.waiting.taken();
+        let scope = scope_of(packet.scope);
+        match decode(scope, &packet.payload) {
+            Ok(message) => {
+                let outputs = &mut self.outputs;
+                self.core.handle(now, packet.from, scope, message, outputs);
+            }
+            Err(reject) => self.reporter.rejected(now, packet.from, reject),
+        }
+    }
+
+    fn tick(&mut self, now: Millis) {
+        self.read_traffic(now);
+        self.core.tick(now, &mut self.outputs);
+        self.shared.counters.store(Arc::new(self.core.counters()));
+        if self.is_view_stale {
+            self.publish();
+        }
+    }
+
+    /// Takes answers on the tunnels as evidence, so that busy agents need no probes.
+    fn read_traffic(&mut self, now: Millis) {
+        for it in &mut self.agents {
+            let answered = it.link.cell.traffic().answered;
+            if answered != it.answered {
+                it.answered = answered;
+                self.core.heard(now, MemberId::Agent(it.link.spec.endpoint));
+            }
+        }
+    }
+
+    fn set_agents(&mut self, now: Millis, mut agents: Vec<AgentLink>) {
+        agents.sort_by_key(|it| it.spec.endpoint);
+        let specs: Vec<_> = agents.iter().map(|it| it.spec).collect();
+        self.core.set_agents(now, &specs);
+        let watched = |link: AgentLink| Watched {
+            answered: link.cell.traffic().answered,
+            link,
+        };
+        self.agents = agents.into_iter().map(watched).collect();
+        self.is_view_stale = true;
+    }
+
+    /// Sends what is to be sent and shows what changed.
+    fn flush(&mut self, now: Millis) {
+        let mut outputs = std::mem::take(&mut self.outputs);
+        for output in outputs.drain(..) {
+            match &output {
+                Output::Send { to, scope, message } => {
+                    self.sender
+                        .send_peer(*to, service_of(*scope), &encode(message));
+                }
+                Output::Changed {
+                    id: MemberId::Agent(endpoint),
+                    condition,
+                    is_leaving,
+                    ..
+                } => {
+                    self.set_cell(*endpoint, *condition, *is_leaving);
+                    self.is_view_stale = true;
+                }
+                Output::Changed { .. } => self.is_view_stale = true,
+                Output::Paused { .. } | Output::Isolated { .. } => {}
+            }
+            self.reporter.report(now, &output);
+        }
+        self.outputs = outputs;
+    }
+
+    fn set_cell(&self, endpoint: EndpointId, condition: Condition, is_leaving: bool) {
+        let found = self
+            .agents
+            .binary_search_by_key(&endpoint, |it| it.link.spec.endpoint);
+        let Ok(idx) = found else {
+            return;
+        };
+        let cell = &self.agents[idx].link.cell;
+        cell.set_liveness(match condition {
+            Condition::Alive => Liveness::Alive,
+            Condition::Suspect => Liveness::Suspect,
+            Condition::Dead => Liveness::Dead,
+        });
+        let load = cell.load();
+        cell.set_load(Load { is_leaving, ..load });
+    }
+
+    fn publish(&mut self) {
+        self.is_view_stale = false;
+        let view = MembersView::new(&self.core);
+        let mut addresses = view.control_addresses();
+        if addresses.is_empty() {
+            addresses.clone_from(&self.control_seeds);
+        }
+        let is_changed = |held: &mut Vec<SocketAddr>| {
+            let is_changed = *held != addresses;
+            if is_changed {
+                held.clone_from(&addresses);
+            }
+            is_changed
+        };
+        self.shared.control_addresses.send_if_modified(is_changed);
+        self.shared.view.store(Arc::new(view));
+        self.shared.generation.send_modify(|it| *it += 1);
+    }
+}
