Admission: runs given up before their end

A request whose caller cancels ends early: its running time is no observation and its end says nothing about the upstream's load. The signal Cancelled frees the slot and changes neither the estimates nor the limit.

--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -385,10 +385,10 @@
     fn finish(&mut self, id: RequestId, signal: Signal) {
         let run = self.running.remove(id);
         let running_ms = self.now_ms.since(run.started_ms);
-        if signal == Signal::Answered {
-            self.record_run(run, running_ms);
-        } else {
-            self.counters.shed += 1;
+        match signal {
+            Signal::Answered => self.record_run(run, running_ms),
+            Signal::Shed => self.counters.shed += 1,
+            Signal::Cancelled => {}
         }
         self.concurrency.signal(self.now_ms, run.started_ms, signal);
     }
--- a/crates/admission/src/concurrency.rs
+++ b/crates/admission/src/concurrency.rs
@@ -24,6 +24,8 @@
     Answered,
     /// The upstream refused the request because it is overloaded.
     Shed,
+    /// The request was given up before its answer ended, which says nothing.
+    Cancelled,
 }
 
 /// The limit on running requests.
@@ -98,6 +100,7 @@
         match signal {
             Signal::Answered => self.raise(),
             Signal::Shed => self.lower(now_ms, started_ms),
+            Signal::Cancelled => {}
         }
         assert!(
             (SLOT..=self.cap_hundredths).contains(&self.limit_hundredths),
