Agent: QUIC over the tunnel, filter chain, streamed upstream

The thin path runs: a caller's HTTP/3 request through a relay to the agent and its upstream. The agent's socket speaks the tunnel and checks endpoint and incarnation before a datagram reaches quinn, since a shared reset key would let it answer any unknown connection id with a valid reset. Connection ids lead to this run; openings go through the opening table; answers rotate over balancers heard lately. Requests pass a static chain: parse, route, deadline, body start, replay, admission. Bodies stream both ways with back pressure over kept HTTP/1.1 connections, which are probed while idle. The h3 adapter for requests is our own: the ready-made one finishes a dropped stream, so a cut answer would look whole, and hides that a caller stopped reading.

Admission gets DrainEnded, for an endpoint that a later bundle calls back.

24 MiB each way arrive whole and unchanged in the test (streamed_both_ways).

--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -139,6 +139,8 @@
     Tick,
     /// The endpoint began to leave.
     DrainBegan,
+    /// The endpoint stays after all.
+    DrainEnded,
     /// A bundle changed what the endpoint offers.
     ConfigChanged(Config),
 }
@@ -279,6 +281,7 @@
             Event::DrainBegan => {
                 self.drain_began_ms.get_or_insert(self.now_ms);
             }
+            Event::DrainEnded => self.drain_began_ms = None,
             Event::ConfigChanged(config) => self.reconfigure(config),
         }
         self.start_waiting(decisions);
--- /dev/null
+++ b/crates/agent/src/config.rs
@@ -0,0 +1,61 @@
+//! What an agent is started with.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use flow::key::ServiceKeys;
+use units::{EndpointId, Incarnation, InstanceId, ServiceId};
+
+use crate::endpoint::TlsIdentity;
+
+/// What an agent is started with.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Name of the process.
+    pub instance: InstanceId,
+    /// The service it serves.
+    pub service: ServiceId,
+    /// The endpoint it stands beside.
+    pub endpoint: EndpointId,
+    /// This run of the process; higher than any earlier run of the endpoint's agent.
+    pub incarnation: Incarnation,
+    /// Where it receives tunnel datagrams.
+    pub tunnel_address: SocketAddr,
+    /// The service's keys.
+    pub keys: Arc<ServiceKeys>,
+    /// What it presents to callers.
+    pub tls: TlsIdentity,
+    /// Balancers to answer through until one is heard.
+    pub balancers: Vec<SocketAddr>,
+}
+
+impl Config {
+    /// Creates a configuration without known balancers.
+    #[must_use]
+    pub fn new(
+        instance: InstanceId,
+        service: ServiceId,
+        endpoint: EndpointId,
+        incarnation: Incarnation,
+        tunnel_address: SocketAddr,
+        keys: Arc<ServiceKeys>,
+        tls: TlsIdentity,
+    ) -> Self {
+        Self {
+            instance,
+            service,
+            endpoint,
+            incarnation,
+            tunnel_address,
+            keys,
+            tls,
+            balancers: Vec::new(),
+        }
+    }
+
+    /// Sets the balancers to answer through until one is heard.
+    #[must_use]
+    pub fn with_balancers(mut self, balancers: Vec<SocketAddr>) -> Self {
+        self.balancers = balancers;
+        self
+    }
+}
--- /dev/null
+++ b/crates/agent/src/connection.rs
@@ -0,0 +1,84 @@
+//! One caller's connection: its requests, and its graceful end.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use h3::server::RequestResolver;
+use tokio::{sync::watch, task::JoinSet};
+
+use crate::{
+    agent::Phase,
+    filter::{Filter, HEADERS_MAX_BYTES},
+    request::{self, Core},
+    streams::{Connection, Ends},
+};
+
+/// Longest time for a request's head to arrive.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time that a leaving connection stays open without requests.
+///
+/// A request that the caller sent before it heard of the leaving is rejected in this time, so the
+/// caller learns that it did not run.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Serves a connection until it is lost, or until its requests have ended once the agent leaves.
+pub(crate) async fn serve<F: Filter + 'static>(
+    core: Arc<Core<F>>,
+    quic: quinn::Connection,
+    mut phase: watch::Receiver<Phase>,
+) {
+    let ends = Ends::default();
+    let mut builder = h3::server::builder();
+    builder.max_field_section_size(HEADERS_MAX_BYTES as u64);
+    let streams = Connection::new(quic, ends.clone());
+    let Ok(mut http) = builder.build::<_, Bytes>(streams).await else {
+        return;
+    };
+    let mut requests = JoinSet::new();
+    let mut is_leaving = false;
+    loop {
+        let may_close = is_leaving && requests.is_empty();
+        tokio::select! {
+            accepted = http.accept() => match accepted {
+                Ok(Some(resolver)) => {
+                    requests.spawn(take(Arc::clone(&core), resolver, ends.clone()));
+                }
+                Ok(None) | Err(_) => break,
+            },
+            Some(_ended) = requests.join_next(), if !requests.is_empty() => (),
+            () = leaving(&mut phase), if !is_leaving => {
+                is_leaving = true;
+                if http.shutdown(0).await.is_err() {
+                    break;
+                }
+            }
+            () = tokio::time::sleep(LINGER), if may_close => break,
+        }
+    }
+    // After a loss the remaining requests end by themselves.
+    while requests.join_next().await.is_some() {}
+}
+
+/// Waits until the agent leaves or is gone.
+async fn leaving(phase: &mut watch::Receiver<Phase>) {
+    // An agent that is gone has left.
+    let _ = phase.wait_for(|it| *it != Phase::Serving).await;
+}
+
+/// Reads a request's head and serves it.
+async fn take<F: Filter>(
+    core: Arc<Core<F>>,
+    resolver: RequestResolver<Connection, Bytes>,
+    ends: Ends,
+) {
+    let resolving = tokio::time::timeout(HEAD_TIMEOUT, resolver.resolve_request()).await;
+    let Ok(Ok((head, stream))) = resolving else {
+        core.counters.requests_malformed.add_one();
+        return;
+    };
+    let Some(ended) = ends.take(stream.id()) else {
+        return;
+    };
+    request::serve(&core, head, stream, ended).await;
+}
--- /dev/null
+++ b/crates/agent/src/filter/route.rs
@@ -0,0 +1,47 @@
+//! Finds the rule of the bundle in force that applies to a request.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use bundle::{InForce, RouteRule};
+use http::StatusCode;
+
+use super::{Exchange, Filter, Rule};
+use crate::problem::Problem;
+
+/// Applies the first rule whose method and path prefix match.
+#[derive(Debug)]
+pub(crate) struct Route {
+    pub(crate) in_force: Arc<ArcSwap<InForce>>,
+}
+
+impl Filter for Route {
+    async fn admit(&self, exchange: &mut Exchange) -> Result<(), Problem> {
+        let in_force = self.in_force.load();
+        let bundle = &in_force.current.bundle;
+        let found = bundle.routes.iter().position(|it| matches(it, exchange));
+        let Some(index) = found else {
+            let detail = "the service has no such route; check method and path";
+            return Err(Problem::not_run(StatusCode::NOT_FOUND, detail));
+        };
+        let rule = &bundle.routes[index];
+        exchange.rule = Rule {
+            index: u16::try_from(index).unwrap_or(u16::MAX),
+            class: rule.class,
+            retry: rule.retry,
+            timeout_ms: rule.timeout_ms,
+            body_max_bytes: bundle.sharing.body_max_bytes.get(),
+        };
+        if exchange.announced_bytes().unwrap_or(0) > exchange.rule.body_max_bytes {
+            let detail = "the body is too large; send less";
+            return Err(Problem::not_run(StatusCode::PAYLOAD_TOO_LARGE, detail));
+        }
+        Ok(())
+    }
+}
+
+fn matches(rule: &RouteRule, exchange: &Exchange) -> bool {
+    let method = rule.method.as_deref();
+    method.is_none_or(|it| it == exchange.method.as_str())
+        && exchange.uri.path().starts_with(&rule.path_prefix)
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,1 +1,22 @@
 //! The agent beside one upstream endpoint: QUIC, HTTP/3 and the request filter chain.
+
+mod agent;
+mod config;
+mod connection;
+mod counters;
+mod endpoint;
+mod filter;
+mod gate;
+mod problem;
+mod request;
+mod streams;
+mod tunnel;
+mod upstream;
+
+pub use agent::{Agent, AgentEvent, PeerSender, Phase, Report, StartError};
+pub use config::Config;
+pub use counters::{Counter, Counters};
+pub use endpoint::TlsIdentity;
+pub use gate::{Ask, Gate, Refused, Slot};
+pub use problem::{Fate, Problem};
+pub use tunnel::{Links, LoadCell, PeerDatagram, QUIC_DATAGRAM_MAX_BYTES};
--- /dev/null
+++ b/crates/agent/src/upstream/client.rs
@@ -0,0 +1,185 @@
+//! Sends requests to the upstream over kept connections.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use http::{Request, Response};
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, task::AbortHandle};
+
+use super::CallerBody;
+use crate::counters::Counters;
+
+/// Longest time to open a connection to an upstream on the same machine.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long after its last sign of life an idle connection is trusted with a request.
+const PROVEN_FOR: Duration = Duration::from_secs(1);
+
+/// Idle connections kept; more than any endpoint has slots in use.
+const IDLE_MAX: usize = 64;
+
+/// Connections tried for one request while none of them took a byte of it.
+const TRIES_MAX: usize = 3;
+
+/// Keeps connections to one upstream.
+#[derive(Debug)]
+pub(crate) struct Client {
+    inner: Mutex<Inner>,
+    pub(super) counters: Arc<Counters>,
+}
+
+#[derive(Debug)]
+pub(super) struct Inner {
+    address: SocketAddr,
+    /// The one used last comes last.
+    pub(super) idle: Vec<Idle>,
+}
+
+/// A connection without a request.
+#[derive(Debug)]
+pub(super) struct Idle {
+    pub(super) link: Link,
+    pub(super) proven: Instant,
+}
+
+/// A connection and the task that drives it; dropped, it is closed.
+#[derive(Debug)]
+pub(super) struct Link {
+    pub(super) sender: http1::SendRequest<CallerBody>,
+    address: SocketAddr,
+    driver: AbortHandle,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// An answer under way; dropped before its end, it closes the connection and so cancels the run.
+#[derive(Debug)]
+pub(crate) struct Answered {
+    pub(crate) response: Response<Incoming>,
+    link: Link,
+}
+
+/// Why the upstream did not answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SendError {
+    /// No byte of the request reached the upstream.
+    NotSent,
+    /// The request may have reached it.
+    Unknown,
+}
+
+impl Client {
+    pub(crate) fn new(address: SocketAddr, counters: Arc<Counters>) -> Self {
+        Self {
+            inner: Mutex::new(Inner {
+                address,
+                idle: Vec::new(),
+            }),
+            counters,
+        }
+    }
+
+    /// Takes over a changed address; idle connections to the old one are closed.
+    pub(crate) fn set_address(&self, address: SocketAddr) {
+        let mut inner = self.lock();
+        if inner.address != address {
+            inner.address = address;
+            inner.idle.clear();
+        }
+    }
+
+    /// Sends a request and returns the answer's head.
+    ///
+    /// Another connection is tried only while no byte of the request was written.
+    pub(crate) async fn send(
+        &self,
+        mut request: Request<CallerBody>,
+    ) -> Result<Answered, SendError> {
+        for attempt in 0..TRIES_MAX {
+            if attempt > 0 {
+                self.counters.upstream_retries.add_one();
+            }
+            let mut link = self.link().await?;
+            match link.sender.try_send_request(request).await {
+                Ok(response) => return Ok(Answered { response, link }),
+                Err(mut err) => match err.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(SendError::Unknown),
+                },
+            }
+        }
+        Err(SendError::NotSent)
+    }
+
+    /// Keeps the connection of an answer whose body was read to its end.
+    pub(crate) async fn keep(&self, answered: Answered) {
+        let Answered { response, mut link } = answered;
+        drop(response);
+        if link.sender.ready().await.is_ok() {
+            let proven = Instant::now();
+            self.put(Idle { link, proven });
+        }
+    }
+
+    /// Returns a connection proven lately, or a fresh one.
+    async fn link(&self) -> Result<Link, SendError> {
+        let address = {
+            let mut inner = self.lock();
+            inner.idle.retain(|it| !it.link.sender.is_closed());
+            let is_proven = |it: &mut Idle| it.proven.elapsed() <= PROVEN_FOR;
+            if let Some(idle) = inner.idle.pop_if(is_proven) {
+                return Ok(idle.link);
+            }
+            inner.address
+        };
+        let connected = self.connect(address).await;
+        if connected.is_err() {
+            self.counters.upstream_connect_failed.add_one();
+        }
+        connected
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Link, SendError> {
+        let connecting = TcpStream::connect(address);
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+        let stream = connected
+            .map_err(|_elapsed| SendError::NotSent)?
+            .map_err(|_failed| SendError::NotSent)?;
+        // Without it small requests wait for acknowledgements.
+        let _ = stream.set_nodelay(true);
+        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_failed| SendError::NotSent)?;
+        self.counters.upstream_connections.add_one();
+        // Its end shows on the sender.
+        let driver = tokio::spawn(async move {
+            let _ = driver.await;
+        });
+        Ok(Link {
+            sender,
+            address,
+            driver: driver.abort_handle(),
+        })
+    }
+
+    /// Keeps an idle connection, the one used last in the last place.
+    pub(super) fn put(&self, idle: Idle) {
+        let mut inner = self.lock();
+        if idle.link.address == inner.address && inner.idle.len() < IDLE_MAX {
+            inner.idle.push(idle);
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod caller;
 pub mod pattern;
 pub mod platform;
+pub mod relay;
 pub mod upstream;
--- a/crates/stand-ins/src/upstream/serve.rs
+++ b/crates/stand-ins/src/upstream/serve.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode, header};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Either, Full};
 use hyper::{
     body::{Body, Frame, Incoming, SizeHint},
@@ -66,6 +66,9 @@
 
 async fn answer(request: Request<Incoming>, shared: Arc<Shared>) -> Result<Answer, Infallible> {
     let behavior = lock(&shared.behavior).clone();
+    if request.method() == Method::OPTIONS {
+        return Ok(plain(204, ""));
+    }
     match request.uri().path() {
         "/health" => return Ok(plain(behavior.health_status, "")),
         "/load" => return Ok(plain(200, &behavior.load_percent.to_string())),
