Control: bundles controller, platform client, spread between processes

Cause: nothing read bundles, put them in force or passed them on.

Change: actors for bundles, platform, spread and freshness behind one Handle. One waiting watch and jittered, budgeted fetches; announcements at once and comparisons of 32-byte summaries all the time over mutual TLS with a few partners; a start asks peers before the platform, and agents when no peer answers; a pause is found before facts are used. A refusal says what may cure it: a document signed again has the digest of the refused one and is read again when the index changes.

--- a/crates/bundle/src/envelope.rs
+++ b/crates/bundle/src/envelope.rs
@@ -1,10 +1,10 @@
 //! The signed envelope: the document's exact bytes, the signing key's id and the signature.
 
-use serde::{Deserialize, Serialize};
-use units::BundleDigest;
+use serde::{Deserialize, Serialize, de::IgnoredAny};
+use units::{BundleDigest, BundleVersion, ServiceId};
 
 use crate::{
-    Bundle, KeyId, Refusal, SecretKey,
+    Bundle, Held, KEY_SET_SERVICE, KeyId, Refusal, SecretKey,
     key::parse_hex,
     key_set::{KeySet, OperatorKey},
 };
@@ -30,6 +30,14 @@
     pub(crate) signature: String,
 }
 
+/// The fields that tell what a document is.
+#[derive(Debug, Deserialize)]
+struct Head {
+    service: Option<ServiceId>,
+    version: BundleVersion,
+    keys: Option<IgnoredAny>,
+}
+
 /// Signs a bundle document's exact text and returns the envelope to publish.
 #[must_use]
 pub fn sign(document: &str, key: &SecretKey) -> Vec<u8> {
@@ -56,6 +64,24 @@
     BundleDigest::new(*blake3::hash(document.as_bytes()).as_bytes())
 }
 
+/// Reads what an envelope says it holds, without any check; for reports and for telling bundles
+/// from key sets.
+#[must_use]
+pub fn peek(envelope: &[u8]) -> Option<Held> {
+    let envelope = open(envelope).ok()?;
+    let head: Head = serde_json::from_str(&envelope.document).ok()?;
+    let service = match (head.service, head.keys) {
+        (Some(service), _) => service,
+        (None, Some(_)) => KEY_SET_SERVICE,
+        (None, None) => return None,
+    };
+    Some(Held {
+        service,
+        version: head.version,
+        digest: digest(&envelope.document),
+    })
+}
+
 /// Parses an envelope, checks its signature and the document's own rules.
 ///
 /// What depends on what a process holds (chain, version, claims) is for [`crate::accept`].
--- a/crates/bundle/src/refusal.rs
+++ b/crates/bundle/src/refusal.rs
@@ -87,6 +87,17 @@
     },
 }
 
+/// What may make a refused document acceptable.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cure {
+    /// Nothing: only another document.
+    None,
+    /// Other bundles in force here.
+    OtherBundles,
+    /// The document in another envelope, signed again, or another key set.
+    OtherEnvelope,
+}
+
 impl Refusal {
     /// Returns the refusal's kind as used in counters.
     #[must_use]
@@ -114,16 +125,24 @@
         matches!(self, Self::AlreadyHeld | Self::LowerVersion { .. })
     }
 
-    /// Returns whether the answer may differ once the process holds other bundles.
+    /// Returns what may make the same document acceptable.
     #[must_use]
-    pub const fn depends_on_held(&self) -> bool {
-        matches!(
-            self,
-            Self::BrokenChain { .. }
-                | Self::Claimed { .. }
-                | Self::AllReplaced
-                | Self::UnknownKey { .. }
-        )
+    pub const fn cure(&self) -> Cure {
+        match self {
+            Self::BrokenChain { .. } | Self::Claimed { .. } | Self::AllReplaced => {
+                Cure::OtherBundles
+            }
+            Self::TooLarge { .. }
+            | Self::Schema { .. }
+            | Self::UnknownKey { .. }
+            | Self::BadSignature { .. }
+            | Self::RetiredKey { .. } => Cure::OtherEnvelope,
+            Self::Invalid { .. }
+            | Self::NoUpstreams
+            | Self::AlreadyHeld
+            | Self::LowerVersion { .. }
+            | Self::Forked { .. } => Cure::None,
+        }
     }
 }
 
--- a/crates/bundle/src/store.rs
+++ b/crates/bundle/src/store.rs
@@ -156,12 +156,17 @@
     /// Returns whether a peer's offer of this would be put in force here.
     #[must_use]
     pub fn wants(&self, offered: Held) -> bool {
-        let mine = if offered.service == KEY_SET_SERVICE {
-            self.held_keys()
-        } else {
-            self.find(offered.service).map(InForce::held)
-        };
-        mine.is_none_or(|mine| supersedes(mine, offered))
+        self.held(offered.service)
+            .is_none_or(|mine| supersedes(mine, offered))
+    }
+
+    /// Returns the entry of a service, or of the key set, in the version vector.
+    #[must_use]
+    pub fn held(&self, service: ServiceId) -> Option<Held> {
+        if service == KEY_SET_SERVICE {
+            return self.held_keys();
+        }
+        self.find(service).map(InForce::held)
     }
 
     /// Returns the service and envelope of everything that supersedes `theirs`, sorted by service.
--- /dev/null
+++ b/crates/control/src/handle.rs
@@ -0,0 +1,233 @@
+//! Starting the controllers, and what the other parts of the process see of them.
+
+use std::{fmt, net::SocketAddr, sync::Arc};
+
+use bundle::{Held, InForce, Refusal, index::InstanceList};
+use bytes::Bytes;
+use ractor::{Actor, ActorRef};
+use timeline::BundleSource;
+use tokio::sync::{oneshot, watch};
+use units::{BundleVersion, Millis, ServiceId};
+use wire::bundles::bundles_server::BundlesServer;
+
+use crate::{
+    Config, Counters, Role,
+    bundles::{self, Bundles, BundlesMsg},
+    freshness::{Freshness, FreshnessState},
+    platform::{Platform, PlatformArgs, PlatformMsg},
+    shared::Shared,
+    spread::{BundleCalls, Spread, SpreadArgs, SpreadMsg, TlsError, client_tls},
+};
+
+/// What the other parts of the process see of the controllers; clones are the same.
+#[derive(Debug, Clone)]
+pub struct Handle {
+    shared: Arc<Shared>,
+    bundles: ActorRef<BundlesMsg>,
+    spread: ActorRef<SpreadMsg>,
+    platform: Option<ActorRef<PlatformMsg>>,
+    is_ended: watch::Receiver<bool>,
+}
+
+/// Why the controllers could not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// The certificates can't be used.
+    Tls(TlsError),
+    /// An actor could not be spawned.
+    Spawn(ractor::SpawnErr),
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Tls(err) => err.fmt(f),
+            Self::Spawn(err) => write!(f, "starting a controller: {err}; start the process again"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// Starts the controllers.
+///
+/// Peers are asked first, then the platform; [`Handle::ready`] tells when to serve.
+///
+/// # Errors
+///
+/// The certificates can't be used.
+pub async fn start(config: Config) -> Result<Handle, StartError> {
+    let tls = client_tls(&config.tls).map_err(StartError::Tls)?;
+    let shared = Arc::new(Shared::new(&config));
+    let ended = watch::Sender::new(false);
+    let bundles = spawn(Bundles, Arc::clone(&shared), &ended).await?;
+    let spread_args = SpreadArgs {
+        shared: Arc::clone(&shared),
+        bundles: bundles.clone(),
+        tls,
+        seed: config.seed,
+    };
+    let spread = spawn(Spread, spread_args, &ended).await?;
+    let freshness = FreshnessState::new(Arc::clone(&shared), spread.clone());
+    spawn(Freshness, freshness, &ended).await?;
+    let platform = match config.role {
+        Role::Agent { .. } => None,
+        Role::Balancer { platform: address } => {
+            let args = PlatformArgs {
+                shared: Arc::clone(&shared),
+                address,
+                bundles: bundles.clone(),
+                seed: config.seed.wrapping_add(1),
+            };
+            Some(spawn(Platform, args, &ended).await?)
+        }
+    };
+    let handle = Handle {
+        shared,
+        bundles,
+        spread,
+        platform,
+        is_ended: ended.subscribe(),
+    };
+    tokio::spawn(first_pass(handle.clone()));
+    Ok(handle)
+}
+
+impl Handle {
+    /// Returns the bundles to route by, sorted by service.
+    #[must_use]
+    pub fn snapshot(&self) -> Arc<Vec<InForce>> {
+        self.shared.view.load_full()
+    }
+
+    /// Returns a receiver that changes with every change of [`Self::snapshot`].
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.shared.generation.subscribe()
+    }
+
+    /// Returns what is held, as a version vector.
+    #[must_use]
+    pub fn held(&self) -> Vec<Held> {
+        self.shared.store.load().version_vector()
+    }
+
+    /// Returns what the platform last listed; it lags.
+    #[must_use]
+    pub fn instances(&self) -> Arc<InstanceList> {
+        self.shared.instances.load_full()
+    }
+
+    /// Says that a newer version was seen in a tunnel header, to be pulled now.
+    pub fn cue(&self, service: ServiceId, version: BundleVersion) {
+        // The spread controller ends only with the process.
+        drop(self.spread.cast(SpreadMsg::Cue(service, version)));
+    }
+
+    /// Offers an envelope from a file of the settings, as a publication.
+    ///
+    /// # Errors
+    ///
+    /// The rule broken; what is in force stays.
+    pub async fn offer(&self, envelope: &[u8]) -> Result<(), Refusal> {
+        let envelope = Bytes::copy_from_slice(envelope);
+        bundles::offer(&self.bundles, envelope, BundleSource::File)
+            .await
+            .unwrap_or(Ok(()))
+    }
+
+    /// Waits until the process may serve: it has asked peers and the platform, or waited in vain.
+    pub async fn ready(&self) {
+        let mut is_ready = self.shared.is_ready.subscribe();
+        // The sender lives as long as this handle.
+        drop(is_ready.wait_for(|it| *it).await);
+    }
+
+    /// Returns whether time-bound facts may be acted on; not so just after a pause.
+    #[must_use]
+    pub fn is_fresh(&self) -> bool {
+        self.shared.pauses.is_fresh(self.shared.now())
+    }
+
+    /// Returns the calls that other processes make, to be served at the control address.
+    #[must_use]
+    pub fn calls(&self) -> BundlesServer<BundleCalls> {
+        BundlesServer::new(BundleCalls::new(
+            Arc::clone(&self.shared),
+            self.bundles.clone(),
+        ))
+    }
+
+    /// Returns the counters.
+    #[must_use]
+    pub fn counters(&self) -> &Counters {
+        &self.shared.counters
+    }
+
+    /// Returns the control addresses of the other balancers known.
+    #[must_use]
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.shared.other_peers()
+    }
+
+    /// Waits until a controller has ended: a bug; the process should end too.
+    pub async fn ended(&self) {
+        let mut is_ended = self.is_ended.clone();
+        drop(is_ended.wait_for(|it| *it).await);
+    }
+
+    /// Stops the controllers.
+    pub fn stop(&self) {
+        self.bundles.stop(None);
+        self.spread.stop(None);
+        if let Some(platform) = &self.platform {
+            platform.stop(None);
+        }
+    }
+}
+
+/// Asks peers, then the platform, then agents if no peer knew anything; then the start is over.
+async fn first_pass(handle: Handle) {
+    let timing = handle.shared.timing;
+    let peers_answered = ask(&handle, SpreadMsg::AskPeers, timing.peers_start_ms).await;
+    let (reply, first_pass) = oneshot::channel();
+    if let Some(platform) = &handle.platform {
+        drop(platform.cast(PlatformMsg::Begin(reply)));
+        if handle.shared.view.load().is_empty() {
+            let bound = timing.platform_start_ms.to_duration();
+            drop(tokio::time::timeout(bound, first_pass).await);
+        }
+    }
+    if !peers_answered {
+        ask(&handle, SpreadMsg::AskAgents, timing.peers_start_ms).await;
+    }
+    handle.shared.is_ready.send_replace(true);
+}
+
+async fn ask(
+    handle: &Handle,
+    message: impl FnOnce(oneshot::Sender<bool>) -> SpreadMsg,
+    bound: Millis,
+) -> bool {
+    let (reply, answer) = oneshot::channel();
+    drop(handle.spread.cast(message(reply)));
+    let res = tokio::time::timeout(bound.to_duration(), answer).await;
+    matches!(res, Ok(Ok(true)))
+}
+
+async fn spawn<A: Actor>(
+    actor: A,
+    args: A::Arguments,
+    ended: &watch::Sender<bool>,
+) -> Result<ActorRef<A::Msg>, StartError> {
+    let (actor, running) = Actor::spawn(None, actor, args)
+        .await
+        .map_err(StartError::Spawn)?;
+    let ended = ended.clone();
+    tokio::spawn(async move {
+        // Its panic, if any, was printed when it happened.
+        drop(running.await);
+        ended.send_replace(true);
+    });
+    Ok(actor)
+}
--- /dev/null
+++ b/crates/control/src/spread/tls.rs
@@ -0,0 +1,60 @@
+//! Mutual TLS between processes.
+
+use std::fmt;
+
+use tonic::transport::{Certificate, ClientTlsConfig, Endpoint, Identity, Server, ServerTlsConfig};
+
+use crate::PeerTls;
+
+/// The certificates for calls between processes can't be used.
+#[derive(Debug)]
+pub struct TlsError(tonic::transport::Error);
+
+impl fmt::Display for TlsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "the certificates for calls between processes can't be used ({:?}); check the PEM texts \
+             in `tls`",
+            self.0
+        )
+    }
+}
+
+impl std::error::Error for TlsError {}
+
+/// Returns how this process proves itself to those it calls, and they to it.
+///
+/// # Errors
+///
+/// The PEM texts can't be used.
+pub fn client_tls(tls: &PeerTls) -> Result<ClientTlsConfig, TlsError> {
+    let config = ClientTlsConfig::new()
+        .ca_certificate(Certificate::from_pem(&tls.ca_pem))
+        .identity(identity(tls))
+        .domain_name(&tls.server_name);
+    Endpoint::from_static("https://127.0.0.1:1")
+        .tls_config(config.clone())
+        .map_err(TlsError)?;
+    Ok(config)
+}
+
+/// Returns how this process proves itself to its callers; callers without a certificate of the
+/// authority are turned away.
+///
+/// # Errors
+///
+/// The PEM texts can't be used.
+pub fn server_tls(tls: &PeerTls) -> Result<ServerTlsConfig, TlsError> {
+    let config = ServerTlsConfig::new()
+        .identity(identity(tls))
+        .client_ca_root(Certificate::from_pem(&tls.ca_pem));
+    Server::builder()
+        .tls_config(config.clone())
+        .map_err(TlsError)?;
+    Ok(config)
+}
+
+fn identity(tls: &PeerTls) -> Identity {
+    Identity::from_pem(&tls.certificate_pem, &tls.key_pem)
+}
--- /dev/null
+++ b/crates/control/tests/peer_spread.rs
@@ -0,0 +1,185 @@
+//! Bundles reach processes whose reads are down, stale or never made.
+
+#[path = "support/node.rs"]
+mod node;
+#[path = "../../bundle/tests/support/sample.rs"]
+mod sample;
+
+use bundle::{Bundle, KeySet, KeySetDocument, LastVersion, OperatorKey, sign_bundle};
+use control::Role;
+use node::{Fleet, Node};
+use sample::{first, key, next};
+use stand_ins::platform::{Fault, Platform};
+use units::{BundleVersion, ServiceId};
+
+const ROOT: u8 = 9;
+
+fn fleet() -> Fleet {
+    Fleet::new(KeySet::new(vec![key(1).public()]).with_roots(vec![key(ROOT).public()]))
+}
+
+async fn platform() -> Platform {
+    Platform::start("127.0.0.1:0".parse().unwrap())
+        .await
+        .unwrap()
+}
+
+async fn balancers(fleet: &Fleet, platform: &Platform, count: usize) -> Vec<Node> {
+    let role = Role::Balancer {
+        platform: platform.address(),
+    };
+    let mut nodes = Vec::new();
+    for idx in 0..count {
+        nodes.push(fleet.start(&format!("b{idx}"), role).await);
+    }
+    nodes
+}
+
+/// Ends a process as a kill does and takes it off the peers.
+fn kill(fleet: &Fleet, node: Node) {
+    fleet
+        .peers
+        .send_modify(|it| it.retain(|peer| *peer != node.address));
+    drop(node);
+}
+
+fn publish(platform: &Platform, bundle: &Bundle) {
+    platform.publish(&sign_bundle(bundle, &key(1))).unwrap();
+}
+
+#[tokio::test]
+async fn one_reader() {
+    let (fleet, platform) = (fleet(), platform().await);
+    platform.set_fault(Fault::Down);
+    platform.set_reader_fault("lovagehall/b3", Fault::None);
+    let nodes = balancers(&fleet, &platform, 6).await;
+    let mut bundle = first(1);
+    for version in 1..=5 {
+        publish(&platform, &bundle);
+        for node in &nodes {
+            node.holds(1, version).await;
+        }
+        bundle = next(&bundle);
+    }
+}
+
+#[tokio::test]
+async fn restart_against_stale() {
+    let (fleet, platform) = (fleet(), platform().await);
+    let mut bundle = first(1);
+    for _ in 1..=11 {
+        publish(&platform, &bundle);
+        bundle = next(&bundle);
+    }
+    let mut nodes = balancers(&fleet, &platform, 3).await;
+    for node in &nodes {
+        node.holds(1, 11).await;
+    }
+    platform.set_fault(Fault::StaleBy(10));
+    for idx in 0..3 {
+        kill(&fleet, nodes.remove(0));
+        let role = Role::Balancer {
+            platform: platform.address(),
+        };
+        let node = fleet.start(&format!("again{idx}"), role).await;
+        node.handle.ready().await;
+        let held = node.handle.held();
+        assert_eq!(
+            held[0].version,
+            BundleVersion::new(11),
+            "served from the newest"
+        );
+        node.counts("platform.stale", 1).await;
+        nodes.push(node);
+    }
+}
+
+#[tokio::test]
+async fn agent_cue() {
+    let (fleet, platform) = (fleet(), platform().await);
+    publish(&platform, &first(1));
+    publish(&platform, &first(2));
+    let nodes = balancers(&fleet, &platform, 2).await;
+    for node in &nodes {
+        node.holds(2, 1).await;
+        node.holds(1, 1).await;
+    }
+    let service = ServiceId::new(2);
+    let agent = fleet.start("a1", Role::Agent { service }).await;
+    agent.handle.ready().await;
+    agent.holds(2, 1).await;
+    assert_eq!(
+        agent.handle.held().len(),
+        1,
+        "an agent holds its own service alone"
+    );
+    publish(&platform, &next(&first(2)));
+    for node in &nodes {
+        node.holds(2, 2).await;
+    }
+    agent.handle.cue(service, BundleVersion::new(2));
+    agent.holds(2, 2).await;
+    agent.handle.cue(service, BundleVersion::new(2));
+    assert_eq!(agent.handle.counters().get("spread.cues"), 1);
+}
+
+#[tokio::test]
+async fn agents_remember() {
+    let (fleet, platform) = (fleet(), platform().await);
+    let service = ServiceId::new(1);
+    let agent = fleet.start("a1", Role::Agent { service }).await;
+    let mut old = first(1);
+    old.endpoints[0].control_address = agent.address;
+    let new = next(&old);
+    let newest = sign_bundle(&new, &key(1));
+    agent.handle.offer(&newest).await.unwrap();
+    publish(&platform, &old);
+    let nodes = balancers(&fleet, &platform, 1).await;
+    nodes[0].holds(1, 2).await;
+}
+
+#[tokio::test]
+async fn key_set() {
+    let (fleet, platform) = (fleet(), platform().await);
+    let nodes = balancers(&fleet, &platform, 3).await;
+    let last = LastVersion {
+        service: ServiceId::new(1),
+        version: BundleVersion::new(1),
+    };
+    let set = KeySetDocument {
+        version: BundleVersion::new(1),
+        keys: vec![
+            OperatorKey::new(key(1).public()).with_retired_after(vec![last]),
+            OperatorKey::new(key(2).public()),
+        ],
+    };
+    publish(&platform, &first(1));
+    platform.publish_key_set(&set.sign(&key(ROOT))).unwrap();
+    for node in &nodes {
+        node.holds(0, 1).await;
+        node.holds(1, 1).await;
+    }
+    let second = next(&first(1));
+    publish(&platform, &second);
+    nodes[0].counts("bundles.refused.retired_key", 1).await;
+    platform.publish(&sign_bundle(&second, &key(2))).unwrap();
+    for node in &nodes {
+        node.holds(1, 2).await;
+    }
+}
+
+#[tokio::test]
+async fn strangers() {
+    let (fleet, platform) = (fleet(), platform().await);
+    publish(&platform, &first(1));
+    let nodes = balancers(&fleet, &platform, 1).await;
+    nodes[0].holds(1, 1).await;
+    let other = Fleet::new(KeySet::new(vec![key(1).public()]));
+    other.peers.send_replace(vec![nodes[0].address]);
+    let service = ServiceId::new(1);
+    let stranger = other.start("x", Role::Agent { service }).await;
+    stranger.handle.ready().await;
+    stranger.handle.cue(service, BundleVersion::new(1));
+    stranger.counts("spread.failed", 1).await;
+    assert!(stranger.handle.held().is_empty(), "no key, no bundle");
+}
--- a/crates/units/src/quantities.rs
+++ b/crates/units/src/quantities.rs
@@ -83,6 +83,12 @@
         Self(self.0.saturating_sub(earlier.0))
     }
 
+    /// Returns half the duration, rounded down.
+    #[must_use]
+    pub const fn half(self) -> Self {
+        Self(self.0 / 2)
+    }
+
     /// Converts to the standard library's duration.
     #[must_use]
     pub const fn to_duration(self) -> Duration {
