--- /dev/null
+++ b/crates/flow/tests/quic_header.rs
@@ -0,0 +1,62 @@
+//! The version-independent header is read within bounds.
+
+use flow::quic::{LongKind, Packet};
+
+fn long(first: u8, version: u32) -> Vec<u8> {
+    let mut datagram = vec![first];
+    datagram.extend(version.to_be_bytes());
+    datagram.extend([2, 0xaa, 0xbb, 1, 0xcc, 0]);
+    datagram
+}
+
+#[test]
+fn long_kinds() {
+    let check = |first, version, expect| {
+        let datagram = long(first, version);
+        let expect = Packet::Long {
+            version,
+            kind: expect,
+            dcid: &[0xaa, 0xbb],
+            scid: &[0xcc],
+        };
+        assert_eq!(Packet::parse(&datagram), Some(expect));
+    };
+    check(0xc3, 1, LongKind::Initial);
+    check(0xd0, 1, LongKind::ZeroRtt);
+    check(0xe0, 1, LongKind::Handshake);
+    check(0xf0, 1, LongKind::Retry);
+    check(0xd0, 0x6b33_43cf, LongKind::Initial);
+    check(0xc0, 0x6b33_43cf, LongKind::Retry);
+    check(0xc0, 0, LongKind::VersionNegotiation);
+    check(0xc0, 0x1a2a_3a4a, LongKind::Unknown);
+}
+
+#[test]
+fn cut_short() {
+    let whole = long(0xc0, 1);
+    for len in 0..whole.len() - 1 {
+        assert_eq!(Packet::parse(&whole[..len]), None, "{len} bytes");
+    }
+    let short = [0x40; 18];
+    assert_eq!(Packet::parse(&short[..17]), None);
+    assert_eq!(Packet::parse(&short).expect("whole").dcid(), &[0x40; 17]);
+}
+
+#[test]
+fn long_cid() {
+    let mut datagram = long(0xc0, 1);
+    datagram[5] = 21;
+    datagram.resize(100, 0);
+    assert_eq!(Packet::parse(&datagram), None);
+}
+
+#[test]
+fn any_bytes() {
+    bolero::check!()
+        .with_iterations(20_000)
+        .for_each(|bytes: &[u8]| {
+            if let Some(packet) = Packet::parse(bytes) {
+                assert!(packet.dcid().len() <= 20);
+            }
+        });
+}
--- /dev/null
+++ b/crates/flow/tests/rendezvous_share.rs
@@ -0,0 +1,52 @@
+//! Rendezvous hashing shares keys by weight and moves few of them on a change.
+
+use flow::rendezvous::{FlowKey, Top, draw};
+use units::{EndpointId, Weight};
+
+const KEYS: u32 = 20_000;
+
+fn key(number: u32) -> FlowKey {
+    let caller = std::net::SocketAddr::from(([192, 0, 2, 1], 5_000));
+    FlowKey::new(caller, &number.to_be_bytes())
+}
+
+fn winners(number: u32, weights: &[u16]) -> [Option<usize>; 2] {
+    let mut top = Top::new();
+    for (idx, &weight) in weights.iter().enumerate() {
+        let endpoint = EndpointId::new(u32::try_from(idx).expect("few") + 1);
+        top.offer(idx, Weight::new(weight), draw(key(number), endpoint));
+    }
+    top.winners()
+}
+
+#[test]
+fn weighted_shares() {
+    let weights = [100, 200, 0, 100];
+    let mut counts = [0_u32; 4];
+    for number in 0..KEYS {
+        counts[winners(number, &weights)[0].expect("some weigh")] += 1;
+    }
+    for (count, expect) in counts.into_iter().zip([5_000, 10_000, 0, 5_000]) {
+        assert!(count.abs_diff(expect) <= 250, "{counts:?}");
+    }
+}
+
+#[test]
+fn removed_endpoint() {
+    for number in 0..KEYS {
+        let before = winners(number, &[100; 7]);
+        let after = winners(number, &[100, 100, 100, 0, 100, 100, 100]);
+        let expect = if before[0] == Some(3) {
+            before[1]
+        } else {
+            before[0]
+        };
+        assert_eq!(after[0], expect);
+    }
+}
+
+#[test]
+fn nothing_offered() {
+    assert_eq!(winners(1, &[]), [None, None]);
+    assert_eq!(winners(1, &[0, 100]), [Some(1), None]);
+}
--- /dev/null
+++ b/crates/flow/tests/stateless_reset.rs
@@ -0,0 +1,54 @@
+//! Only a later run of the same endpoint resets an earlier run's flows.
+
+#[path = "fixtures/datagrams.rs"]
+mod datagrams;
+
+use flow::{
+    cid::CID_BYTES,
+    reset::{Arrival, RESET_BYTES, RESET_MIN_BYTES, classify, encode_reset, reset_token},
+};
+use units::{EndpointId, Incarnation};
+
+use self::datagrams::{established, initial, keys};
+
+#[test]
+fn whose_flow() {
+    let check = |datagram: &[u8], expect| {
+        let me = (EndpointId::new(1), Incarnation::new(77));
+        assert_eq!(classify(&keys(1), me.0, me.1, datagram), expect);
+    };
+    let earlier = established(1, 1, 76);
+    let cid = *earlier[1..]
+        .first_chunk::<CID_BYTES>()
+        .expect("long enough");
+    check(&established(1, 1, 77), Arrival::Mine);
+    check(&earlier, Arrival::Predecessor(cid));
+    check(&established(1, 1, 78), Arrival::Foreign);
+    check(&established(1, 2, 77), Arrival::Foreign);
+    check(&established(1, 2, 76), Arrival::Foreign);
+    check(&established(2, 1, 76), Arrival::Unknown);
+    check(&initial(1), Arrival::Unknown);
+    check(&[], Arrival::Unknown);
+}
+
+#[test]
+fn reset_form() {
+    let datagram = established(1, 1, 76);
+    let cid = datagram[1..]
+        .first_chunk::<CID_BYTES>()
+        .expect("long enough");
+    let token = reset_token(&keys(1), cid).expect("key is held");
+    let mut out = [0; RESET_BYTES];
+    for received in RESET_MIN_BYTES + 1..100 {
+        let len = encode_reset(&keys(1), cid, received, [0xff; 27], &mut out);
+        let len = len.expect("long enough");
+        assert!(len < received && len >= RESET_MIN_BYTES);
+        assert_eq!(out[0] & 0xc0, 0x40);
+        assert_eq!(out[len - 16..len], token);
+    }
+    for received in 0..=RESET_MIN_BYTES {
+        let res = encode_reset(&keys(1), cid, received, [0; 27], &mut out);
+        assert_eq!(res, None);
+    }
+    assert_ne!(reset_token(&keys(2), cid), Some(token));
+}
