--- a/crates/flow/src/cid.rs
+++ b/crates/flow/src/cid.rs
@@ -22,7 +22,7 @@
 pub type Cid = [u8; CID_BYTES];
 
 /// What a connection id says about its flow.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CidOwner {
     /// The endpoint whose agent minted the id.
     pub endpoint: EndpointId,
--- a/crates/flow/src/opening.rs
+++ b/crates/flow/src/opening.rs
@@ -6,7 +6,7 @@
 //! homes, and the older generation's comes first. An agent that started lately may have forgotten
 //! a decision; it asks the other candidates before it decides.
 
-use std::{collections::VecDeque, net::SocketAddr};
+use std::{collections::VecDeque, hash::Hash, net::SocketAddr};
 
 use siphasher::sip128::SipHasher24;
 use units::{EndpointId, Millis};
@@ -91,7 +91,7 @@
     expiry: VecDeque<(Millis, OpeningKey)>,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct Entry {
     key: OpeningKey,
     fate: Fate,
@@ -100,11 +100,12 @@
 /// What became of an opening at this agent.
 ///
 /// `Opened` is final. `Passed` at `Stage::Decide` leaves the decision to a later decider, which may
-/// come back with `Stage::Decided`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// come back with `Stage::Decided`. Later packets travel with the first one's list, so that all see
+/// the same candidates whoever routed them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Fate {
     Opened,
-    Passed { to: Candidate, stage: Stage },
+    Passed { to: Candidate, opening: Opening },
 }
 
 impl OpeningTable {
@@ -159,23 +160,23 @@
         self.entries.is_empty()
     }
 
+    /// Returns everything that later decisions depend on, for searches over states.
+    #[must_use]
+    pub fn state(&self) -> impl Hash + Eq + '_ {
+        (self.me, self.started, &self.entries)
+    }
+
     fn follow(&mut self, now: Millis, key: OpeningKey, fate: Fate, opening: &Opening) -> Verdict {
-        match (fate, opening.stage) {
-            (Fate::Opened, _) => Verdict::Deliver,
-            (Fate::Passed { to, .. }, Stage::Ask { from, .. })
-                if opening.candidates()[usize::from(from)].endpoint == to.endpoint =>
-            {
+        let Fate::Passed { to, opening: first } = fate else {
+            return Verdict::Deliver;
+        };
+        match (first.stage, opening.stage) {
+            (Stage::Decide, Stage::Decided) => self.open(now, key),
+            (_, Stage::Ask { from, .. }) if is_at(opening, from, to) => {
                 // The asker was to decide and has forgotten: this record says nothing more.
                 self.answer(now, key, opening)
             }
-            (
-                Fate::Passed {
-                    stage: Stage::Decide,
-                    ..
-                },
-                Stage::Decided,
-            ) => self.open(now, key),
-            (Fate::Passed { to, stage }, _) => pass(to, stage, opening),
+            _ => pass(to, &first, first.stage, opening.hops()),
         }
     }
 
@@ -207,8 +208,7 @@
             return self.settle(now, key, opening);
         };
         let from = u8::try_from(from).expect("lists are short");
-        let mut opening = *opening;
-        opening.stage = Stage::Ask { from, asked: 0 };
+        let opening = opening.at_stage(Stage::Ask { from, asked: 0 });
         self.answer(now, key, &opening)
     }
 
@@ -223,9 +223,12 @@
         let next = (0..opening.candidates().len()).find(|&it| asked & mark(it) == 0);
         let stage = Stage::Ask { from, asked };
         match next {
-            Some(idx) => pass(opening.candidates()[idx], stage, opening),
+            Some(idx) => pass(opening.candidates()[idx], opening, stage, opening.hops()),
             None if me == Some(usize::from(from)) => self.settle(now, key, opening),
-            None => pass(opening.candidates()[usize::from(from)], stage, opening),
+            None => {
+                let back = opening.candidates()[usize::from(from)];
+                pass(back, opening, stage, opening.hops())
+            }
         }
     }
 
@@ -244,8 +247,9 @@
         stage: Stage,
         opening: &Opening,
     ) -> Verdict {
-        match self.record(now, key, Fate::Passed { to, stage }) {
-            Ok(()) => pass(to, stage, opening),
+        let first = opening.at_stage(stage);
+        match self.record(now, key, Fate::Passed { to, opening: first }) {
+            Ok(()) => pass(to, opening, stage, opening.hops()),
             Err(refusal) => Verdict::Refuse(refusal),
         }
     }
@@ -293,9 +297,14 @@
     }
 }
 
-fn pass(to: Candidate, stage: Stage, opening: &Opening) -> Verdict {
-    match opening.passed_on(stage) {
-        Some(opening) => Verdict::PassTo { to, opening },
-        None => Verdict::Refuse(Refusal::Hops),
+/// Passes an opening on that was passed on `hops` times before.
+fn pass(to: Candidate, opening: &Opening, stage: Stage, hops: u8) -> Verdict {
+    match opening.under_way(stage, hops + 1) {
+        Ok(opening) => Verdict::PassTo { to, opening },
+        Err(_often) => Verdict::Refuse(Refusal::Hops),
     }
 }
+
+fn is_at(opening: &Opening, position: u8, candidate: Candidate) -> bool {
+    opening.candidates()[usize::from(position)].endpoint == candidate.endpoint
+}
--- a/crates/flow/src/table.rs
+++ b/crates/flow/src/table.rs
@@ -10,7 +10,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use bundle::{Endpoint, InForce};
-use units::{EndpointId, Incarnation, ServiceId};
+use units::{EndpointId, Incarnation, Millis, ServiceId};
 
 pub use self::{
     board::{Board, EndpointCell, Liveness, Traffic},
@@ -28,24 +28,47 @@
     pub in_force: &'a InForce,
     /// The service's keys.
     pub keys: Arc<ServiceKeys>,
-    /// Whether the previous bundle's endpoints still take part in opening flows.
+    /// How far the change from the previous bundle has come.
     pub generations: Generations,
     /// Endpoints that neither bundle names but whose agents may still hold flows.
     pub retired: &'a [Endpoint],
 }
 
-/// Which bundles' endpoints take part in opening flows.
+/// Which bundles' endpoints take part in opening flows, by how far a change has come.
+///
+/// Balancers don't ask each other: time tells.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Generations {
-    /// The change is recent: processes may still use the previous bundle.
+    /// Some processes may lack the new bundle: endpoints that only it names open no flows, since
+    /// other balancers could not route to them. The old bundle's homes decide first.
+    Spreading,
+    /// Every process has the new bundle; flows that began under the old one may still be opening,
+    /// so its homes still decide first.
     Both,
-    /// Every process has the current bundle.
+    /// The previous bundle no longer matters to flows being opened.
     Current,
 }
 
-/// How long after a change `Generations::Both` applies: the spread of a bundle to every process,
-/// then the lifetime of an opening.
-pub const GENERATIONS_OVERLAP_MS: units::Millis = units::Millis::new(45_000);
+/// How long after a change `Generations::Spreading` applies: every process has the bundle then.
+pub const GENERATIONS_SPREAD_MS: Millis = Millis::new(15_000);
+
+/// How long after a change the previous bundle matters: its spread, then the lifetime of the
+/// openings that began under it.
+pub const GENERATIONS_OVERLAP_MS: Millis = Millis::new(60_000);
+
+impl Generations {
+    /// Returns what applies to a change that took effect here `since_ms` ago.
+    #[must_use]
+    pub fn after(since_ms: Millis) -> Self {
+        if since_ms < GENERATIONS_SPREAD_MS {
+            Self::Spreading
+        } else if since_ms < GENERATIONS_OVERLAP_MS {
+            Self::Both
+        } else {
+            Self::Current
+        }
+    }
+}
 
 /// Where a caller's datagram goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/flow/src/table/routes.rs
+++ b/crates/flow/src/table/routes.rs
@@ -44,9 +44,19 @@
     candidate: Candidate,
     /// Share of new flows by the bundle alone, above zero.
     weight: Weight,
+    reach: Reach,
     cell: Arc<EndpointCell>,
 }
 
+/// Who can route to an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reach {
+    /// Every balancer.
+    All,
+    /// Only balancers that have the new bundle.
+    Some,
+}
+
 impl ServiceRoutes {
     pub(super) fn new(input: &ServiceInput<'_>, board: &mut Board) -> Self {
         let bundle = &input.in_force.current.bundle;
@@ -59,11 +69,16 @@
         // The sort is stable, so the newest entry of each endpoint stays.
         holders.sort_by_key(|it| it.endpoint);
         holders.dedup_by_key(|it| it.endpoint);
-        let current = openers(bundle, board);
-        let mut previous = match (input.generations, before) {
-            (Generations::Both, Some(before)) => openers(before, board),
-            _ => Vec::new(),
-        };
+        let mut current = openers(bundle, board);
+        let mut previous = Vec::new();
+        if let (Generations::Spreading | Generations::Both, Some(before)) =
+            (input.generations, before)
+        {
+            previous = openers(before, board);
+        }
+        if let (Generations::Spreading, Some(before)) = (input.generations, before) {
+            mark_unspread(&mut current, before);
+        }
         if same_shares(&previous, &current) {
             previous.clear();
         }
@@ -211,26 +226,22 @@
         }
     }
 
-    /// Lists who decides on the opening and who should open the flow.
+    /// Lists who decides on the opening, who should open the flow and who else may have.
     fn route_opening(&self, key: FlowKey) -> Decision {
+        let before = homes(&self.previous, key);
+        let now = homes(&self.current, key);
         let mut list = CandidateList::new();
-        if !self.previous.is_empty() {
-            list.add(home(&self.previous, key));
-        }
-        let Choice { home, best, second } = choose(&self.current, key);
-        list.add(home);
+        list.add(before[0]);
+        list.add(now[0]);
         let deciders = list.len;
-        let target = match (best, second) {
-            (Some(best), Some(second)) => Some(less_loaded(best, second)),
-            (best, _) => best.or(home),
-        };
-        let Some(target) = target else {
+        let Some(target) = target(&self.current, key).or(now[0]) else {
             return Decision::Drop(DropReason::NoEndpoint);
         };
         let target = list.add(Some(target));
-        list.add(best);
-        list.add(second);
-        match Opening::new(list.get(), deciders.max(1), target) {
+        for other in now.iter().chain(&before) {
+            list.add(*other);
+        }
+        match Opening::new(list.get(), deciders, target) {
             Ok(opening) => Decision::Opening(opening),
             Err(err) => unreachable!("the list holds its target: {err}"),
         }
@@ -266,7 +277,8 @@
 
     /// Returns the weight for opening flows now.
     fn weight_now(&self) -> Weight {
-        if self.cell.liveness() != Liveness::Alive || self.cell.is_leaving() {
+        let is_ready = self.reach == Reach::All && self.cell.liveness() == Liveness::Alive;
+        if !is_ready || self.cell.is_leaving() {
             return Weight::new(0);
         }
         let ramped = u32::from(self.weight.get()) * u32::from(self.cell.ramp_percent());
@@ -275,13 +287,6 @@
     }
 }
 
-/// Who decides on an opening, and the two best endpoints to open the flow.
-struct Choice<'a> {
-    home: Option<&'a Opener>,
-    best: Option<&'a Opener>,
-    second: Option<&'a Opener>,
-}
-
 fn openers(bundle: &Bundle, board: &mut Board) -> Vec<Opener> {
     let open = |it: &&Endpoint| !it.is_leaving && it.weight.get() > 0;
     let endpoints = bundle.endpoints.iter().filter(open);
@@ -292,47 +297,66 @@
                 address: it.tunnel_address,
             },
             weight: it.weight,
+            reach: Reach::All,
             cell: board.cell(it.id),
         })
         .collect()
 }
 
+/// Keeps endpoints that only the new bundle names from opening flows, unless all are new.
+fn mark_unspread(openers: &mut [Opener], before: &Bundle) {
+    let is_known = |it: &Opener| {
+        let known = |old: &Endpoint| {
+            (old.id, old.tunnel_address) == (it.candidate.endpoint, it.candidate.address)
+        };
+        before.endpoints.iter().any(known)
+    };
+    if !openers.iter().any(is_known) {
+        return;
+    }
+    for opener in openers {
+        if !is_known(opener) {
+            opener.reach = Reach::Some;
+        }
+    }
+}
+
 fn same_shares(left: &[Opener], right: &[Opener]) -> bool {
     let share = |it: &Opener| (it.candidate, it.weight);
     left.iter().map(share).eq(right.iter().map(share))
 }
 
-/// Finds who decides by one bundle; if all are thought dead, as though none were.
-fn home(openers: &[Opener], key: FlowKey) -> Option<&Opener> {
-    let mut alive = Top::<1>::new();
-    let mut all = Top::<1>::new();
+/// Ranks who decides by one bundle; if all are thought dead, as though none were.
+fn homes(openers: &[Opener], key: FlowKey) -> [Option<&Opener>; CANDIDATES_MAX] {
+    let mut alive = Top::<CANDIDATES_MAX>::new();
     for (idx, opener) in openers.iter().enumerate() {
-        let draw = draw(key, opener.candidate.endpoint);
-        alive.offer(idx, opener.home_weight(), draw);
-        all.offer(idx, opener.weight, draw);
+        alive.offer(
+            idx,
+            opener.home_weight(),
+            draw(key, opener.candidate.endpoint),
+        );
+    }
+    if alive.winners()[0].is_none() {
+        for (idx, opener) in openers.iter().enumerate() {
+            alive.offer(idx, opener.weight, draw(key, opener.candidate.endpoint));
+        }
     }
-    let [idx] = alive.winners();
-    let [fallback] = all.winners();
-    idx.or(fallback).map(|it| &openers[it])
+    alive.winners().map(|it| it.map(|idx| &openers[idx]))
 }
 
-fn choose(openers: &[Opener], key: FlowKey) -> Choice<'_> {
-    let mut alive = Top::<1>::new();
-    let mut all = Top::<1>::new();
+/// Picks who should open the flow: the less loaded of the two that win it now.
+fn target(openers: &[Opener], key: FlowKey) -> Option<&Opener> {
     let mut ready = Top::<2>::new();
     for (idx, opener) in openers.iter().enumerate() {
-        let draw = draw(key, opener.candidate.endpoint);
-        alive.offer(idx, opener.home_weight(), draw);
-        all.offer(idx, opener.weight, draw);
-        ready.offer(idx, opener.weight_now(), draw);
+        ready.offer(
+            idx,
+            opener.weight_now(),
+            draw(key, opener.candidate.endpoint),
+        );
     }
-    let [home] = alive.winners();
-    let [fallback] = all.winners();
-    let [best, second] = ready.winners();
-    Choice {
-        home: home.or(fallback).map(|it| &openers[it]),
-        best: best.map(|it| &openers[it]),
-        second: second.map(|it| &openers[it]),
+    match ready.winners().map(|it| it.map(|idx| &openers[idx])) {
+        [Some(best), Some(second)] => Some(less_loaded(best, second)),
+        [best, _] => best,
     }
 }
 
@@ -347,7 +371,7 @@
     if right < left { second } else { first }
 }
 
-/// Candidates without duplicates, at most the two homes and the two best.
+/// Candidates without duplicates; the first come in, as many as there is room for.
 struct CandidateList {
     /// Only the first `len` are meaningful.
     candidates: [Candidate; CANDIDATES_MAX],
@@ -366,7 +390,7 @@
         &self.candidates[..self.len]
     }
 
-    /// Adds an endpoint unless it is there or nothing is given, and returns its position.
+    /// Adds an endpoint if one is given, it is not there and there is room; returns its position.
     fn add(&mut self, opener: Option<&Opener>) -> usize {
         let Some(opener) = opener else {
             return self.len;
@@ -375,6 +399,9 @@
         if let Some(idx) = self.get().iter().position(same) {
             return idx;
         }
+        if self.len == CANDIDATES_MAX {
+            return self.len;
+        }
         self.candidates[self.len] = opener.candidate;
         self.len += 1;
         self.len - 1
--- a/crates/flow/src/tunnel/header.rs
+++ b/crates/flow/src/tunnel/header.rs
@@ -14,7 +14,7 @@
 pub const HOPS_MAX: u8 = 12;
 
 /// The header of a tunnelled datagram.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Header {
     /// Where the datagram is on its way.
     pub kind: Kind,
@@ -39,7 +39,7 @@
 }
 
 /// Where a datagram is on its way.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Kind {
     /// From a balancer to the agent that holds the flow.
     ToAgent,
@@ -52,7 +52,7 @@
 }
 
 /// Explicit congestion notification bits, 0 to 3.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ecn(u8);
 
 impl Ecn {
@@ -70,7 +70,7 @@
 }
 
 /// How busy an endpoint is, as its agent says.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Load {
     /// Slots taken by running requests.
     pub busy: Slots,
@@ -81,7 +81,7 @@
 }
 
 /// An endpoint that may open a flow.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Candidate {
     /// The endpoint.
     pub endpoint: EndpointId,
@@ -98,7 +98,7 @@
 }
 
 /// How far the decision about an opening has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Stage {
     /// The receiver decides or passes on to the next decider.
     Decide,
@@ -114,7 +114,7 @@
 }
 
 /// Who may open a flow, and who the balancer would have open it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Opening {
     /// The first `count` are meaningful; the first `deciders` of them decide in turn.
     candidates: [Candidate; CANDIDATES_MAX],
@@ -199,15 +199,14 @@
         self.hops
     }
 
-    /// Returns the opening as passed on once more, `None` if that was done too often.
+    /// Returns the same opening at another stage.
     #[must_use]
-    pub fn passed_on(mut self, stage: Stage) -> Option<Self> {
+    pub const fn at_stage(mut self, stage: Stage) -> Self {
         self.stage = stage;
-        self.hops += 1;
-        (self.hops <= HOPS_MAX).then_some(self)
+        self
     }
 
-    /// Restores what a header says of an opening under way.
+    /// Returns the same opening at another stage and passed on `hops` times.
     ///
     /// # Errors
     ///
@@ -227,7 +226,7 @@
 }
 
 /// Why a list of candidates is not valid.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum OpeningError {
     /// The list has this many candidates.
     Count(usize),
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -1,1 +1,3 @@
 //! Specifications of the core protocols and their exhaustive search.
+
+pub mod ownership;
--- /dev/null
+++ b/crates/spec/src/ownership.rs
@@ -0,0 +1,82 @@
+//! Specification: who owns a flow, while bundles land unevenly, addresses are reused, agents
+//! restart and datagrams stray.
+//!
+//! One flow of service 1 is opened and used through two balancers. The bundle changes from
+//! endpoints A, B to B, C; A drains, stops, and an agent of service 2 takes its address. Every
+//! datagram in flight may arrive in any order or never. Routing, the tunnel's bytes, the agent's
+//! checks and its opening table are the real code of `flow`.
+//!
+//! Assumptions, which the steps encode:
+//! - A balancer opens flows at endpoints that only the newer bundle names when every balancer has
+//!   it and no datagram is in flight that the older one routed.
+//! - While a bundle spreads, some endpoint of both bundles takes flows.
+//! - A balancer ends the overlap of two bundles only when every balancer has the newer one and no
+//!   opening routed by the older one alone is still under way.
+//! - A run of an agent starts only when every opening that agents pass on has arrived or is lost:
+//!   a process takes longer to start than a datagram to travel.
+//! - An opening is over before the tables forget it and before a restarted agent stops asking.
+
+mod agent;
+mod fleet;
+mod steps;
+
+use std::cell::Cell;
+
+use pathfinding::prelude::bfs;
+
+use self::fleet::Fleet;
+pub use self::{
+    fleet::{HomeClass, flow_classes},
+    steps::{Size, Violation},
+};
+
+/// Which rule the specification runs with: the sound one, or one broken on purpose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rule {
+    /// What the program does.
+    Sound,
+    /// Balancers send openings straight to the endpoint they prefer.
+    WithoutHome,
+    /// Balancers open flows at endpoints that other balancers don't know yet.
+    WithoutSpread,
+    /// Balancers forget the previous bundle's homes as soon as they have the next.
+    WithoutOverlap,
+    /// Restarted agents decide at once instead of asking.
+    WithoutAsking,
+    /// Agents drop openings that another should decide on or open.
+    WithoutPassing,
+    /// Agents give every datagram of an established flow to the QUIC library.
+    WithoutCheck,
+    /// Agents answer every connection id that is not theirs with a reset.
+    ResetUnknown,
+}
+
+/// What a search found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outcome {
+    /// Distinct states whose steps were all taken.
+    pub states: usize,
+    /// The violation that the fewest steps lead to.
+    pub violation: Option<Violation>,
+    /// The states on the way to it, one line each.
+    pub trail: Vec<String>,
+}
+
+/// Searches every state reachable within `size` for a flow of the given class.
+#[must_use]
+pub fn search(rule: Rule, class: HomeClass, size: Size) -> Outcome {
+    let fleet = Fleet::new(rule, class);
+    let states = Cell::new(0);
+    let successors = |state: &steps::State| {
+        states.set(states.get() + 1);
+        state.successors(&fleet)
+    };
+    let start = steps::State::new(&fleet, size);
+    let path = bfs(&start, successors, |it| it.violation().is_some());
+    let path = path.unwrap_or_default();
+    Outcome {
+        states: states.get(),
+        violation: path.last().and_then(steps::State::violation),
+        trail: path.iter().map(|it| it.summary(&fleet)).collect(),
+    }
+}
--- /dev/null
+++ b/crates/spec/src/ownership/fleet.rs
@@ -0,0 +1,286 @@
+//! What doesn't change during a search: bundles, tables, keys and addresses.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use bundle::{Accepted, Bundle, Endpoint, InForce, Leaving, Sharing};
+use flow::{
+    key::{FleetKey, Secret, ServiceKeys},
+    table::{Board, Decision, Generations, RoutingTable, ServiceInput},
+    tunnel::{Load, Opening},
+};
+use units::{
+    BundleDigest, BundleVersion, ByteSize, EndpointId, KeyIndex, Millis, ServiceId, Slots, Weight,
+};
+
+use super::Rule;
+
+pub(super) const SERVICE: ServiceId = ServiceId::new(1);
+pub(super) const OTHER_SERVICE: ServiceId = ServiceId::new(2);
+
+/// Endpoints by position: A, B and C of service 1, D of service 2 at A's address.
+pub(super) const ENDPOINTS: [EndpointId; 4] = [
+    EndpointId::new(1),
+    EndpointId::new(2),
+    EndpointId::new(3),
+    EndpointId::new(4),
+];
+
+const OLD: [usize; 2] = [0, 1];
+const NEW: [usize; 2] = [1, 2];
+
+/// Which bundle a balancer has in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) enum View {
+    Old,
+    /// The new one, which others may lack.
+    Spreading,
+    /// The new one, which all have, with the old one's homes.
+    Overlap,
+    New,
+}
+
+/// The homes of a flow by the old and the new bundle, as positions of endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HomeClass {
+    /// Home among A and B.
+    pub old: usize,
+    /// Home among B and C.
+    pub new: usize,
+}
+
+/// Returns every class of flows.
+#[must_use]
+pub fn flow_classes() -> Vec<HomeClass> {
+    let pairs = OLD
+        .iter()
+        .flat_map(|&old| NEW.iter().map(move |&new| HomeClass { old, new }));
+    pairs.collect()
+}
+
+/// What doesn't change during a search.
+#[derive(Debug)]
+pub(super) struct Fleet {
+    pub(super) rule: Rule,
+    pub(super) caller: SocketAddr,
+    pub(super) local: SocketAddr,
+    pub(super) keys: Arc<ServiceKeys>,
+    pub(super) other_keys: Arc<ServiceKeys>,
+    /// The first datagram of the flow.
+    pub(super) initial: Vec<u8>,
+    /// By view.
+    tables: [RoutingTable; 4],
+    /// By view: every list that some load or leaving endpoint makes a balancer choose.
+    openings: [Vec<Opening>; 4],
+}
+
+impl Fleet {
+    pub(super) fn new(rule: Rule, class: HomeClass) -> Self {
+        let keys = keys(SERVICE);
+        let local = address(100);
+        let caller = address(200);
+        let views = [View::Old, View::Spreading, View::Overlap, View::New];
+        let tables = views.map(|it| table(rule, it, &keys, &mut Board::new()));
+        let initial = (0..u16::MAX)
+            .map(initial)
+            .find(|it| class_of(&tables, caller, local, it) == class)
+            .expect("some flow is of every class");
+        let openings = views.map(|it| {
+            let mut list: Vec<_> = Pressure::ALL
+                .iter()
+                .filter(|pressure| pressure.is_possible(it))
+                .filter_map(|&pressure| {
+                    let mut board = Board::new();
+                    let table = table(rule, it, &keys, &mut board);
+                    pressure.apply(&board);
+                    opening(&table, caller, local, &initial)
+                })
+                .collect();
+            list.sort_unstable();
+            list.dedup();
+            list
+        });
+        Self {
+            rule,
+            caller,
+            local,
+            keys,
+            other_keys: self::keys(OTHER_SERVICE),
+            initial,
+            tables,
+            openings,
+        }
+    }
+
+    pub(super) fn table(&self, view: View) -> &RoutingTable {
+        &self.tables[view as usize]
+    }
+
+    pub(super) fn openings(&self, view: View) -> &[Opening] {
+        &self.openings[view as usize]
+    }
+}
+
+/// Returns where the agent of the endpoint at a position receives tunnel datagrams.
+pub(super) fn agent_address(idx: usize) -> SocketAddr {
+    match idx {
+        3 => agent_address(0),
+        _ => address(u8::try_from(idx).expect("four endpoints")),
+    }
+}
+
+/// What makes one balancer choose another endpoint than the next.
+#[derive(Debug, Clone, Copy)]
+enum Pressure {
+    /// Only this endpoint is idle.
+    Idle(usize),
+    /// Only this endpoint is listed as leaving.
+    Leaving(usize),
+    /// Only this endpoint starts cold.
+    Cold(usize),
+}
+
+impl Pressure {
+    const ALL: [Self; 9] = [
+        Self::Idle(0),
+        Self::Idle(1),
+        Self::Idle(2),
+        Self::Leaving(0),
+        Self::Leaving(1),
+        Self::Leaving(2),
+        Self::Cold(0),
+        Self::Cold(1),
+        Self::Cold(2),
+    ];
+
+    /// While a bundle spreads, the one endpoint of both bundles is not leaving.
+    fn is_possible(self, view: View) -> bool {
+        !(view == View::Spreading && matches!(self, Self::Leaving(1)))
+    }
+
+    fn apply(self, board: &Board) {
+        for (idx, &endpoint) in ENDPOINTS.iter().enumerate() {
+            let Some(cell) = board.find(endpoint) else {
+                continue;
+            };
+            match self {
+                Self::Idle(idle) => cell.set_load(Load {
+                    busy: Slots::new(if idx == idle { 0 } else { 2 }),
+                    total: Slots::new(2),
+                    is_leaving: false,
+                }),
+                Self::Leaving(leaving) => cell.set_leaving_listed(idx == leaving),
+                Self::Cold(cold) if idx == cold => cell.set_ramp_percent(1),
+                Self::Cold(_) => {}
+            }
+        }
+    }
+}
+
+fn class_of(
+    tables: &[RoutingTable; 4],
+    caller: SocketAddr,
+    local: SocketAddr,
+    initial: &[u8],
+) -> HomeClass {
+    let home = |view: View| {
+        let opening = opening(&tables[view as usize], caller, local, initial);
+        let endpoint = opening.expect("endpoints are there").first().endpoint;
+        let idx = ENDPOINTS.iter().position(|&it| it == endpoint);
+        idx.expect("endpoint of the fleet")
+    };
+    HomeClass {
+        old: home(View::Old),
+        new: home(View::New),
+    }
+}
+
+fn opening(
+    table: &RoutingTable,
+    caller: SocketAddr,
+    local: SocketAddr,
+    initial: &[u8],
+) -> Option<Opening> {
+    match table.route(local, caller, initial) {
+        Decision::Opening(opening) => Some(opening),
+        Decision::Established { .. } | Decision::Drop(_) => None,
+    }
+}
+
+fn initial(number: u16) -> Vec<u8> {
+    let mut datagram = vec![0; 1_200];
+    datagram[..6].copy_from_slice(&[0xc0, 0, 0, 0, 1, 8]);
+    datagram[6..8].copy_from_slice(&number.to_be_bytes());
+    datagram
+}
+
+fn table(rule: Rule, view: View, keys: &Arc<ServiceKeys>, board: &mut Board) -> RoutingTable {
+    let old = accepted(1, OLD);
+    let (current, previous, generations) = match view {
+        View::Old => (old, None, Generations::Current),
+        View::Spreading => (accepted(2, NEW), Some(old), Generations::Spreading),
+        View::Overlap => (accepted(2, NEW), Some(old), Generations::Both),
+        View::New => (accepted(2, NEW), Some(old), Generations::Current),
+    };
+    let generations = match (rule, generations) {
+        (Rule::WithoutSpread, Generations::Spreading) => Generations::Both,
+        (Rule::WithoutOverlap, _) => Generations::Current,
+        _ => generations,
+    };
+    let in_force = InForce { current, previous };
+    let input = ServiceInput {
+        in_force: &in_force,
+        keys: Arc::clone(keys),
+        generations,
+        retired: &[],
+    };
+    RoutingTable::new(&[input], board)
+}
+
+fn accepted(version: u64, members: [usize; 2]) -> Arc<Accepted> {
+    let bundle = Bundle {
+        service: SERVICE,
+        name: "searched".to_owned(),
+        version: BundleVersion::new(version),
+        previous: None,
+        addresses: vec![address(100)],
+        endpoints: members.map(endpoint).into(),
+        routes: Vec::new(),
+        sharing: Sharing {
+            short_reserve_percent: 0,
+            retry_budget_percent: 0,
+            cold_start_ramp_ms: Millis::new(0),
+            body_max_bytes: ByteSize::new(0),
+        },
+        leaving: Leaving {
+            drain_timeout_ms: Millis::new(0),
+        },
+    };
+    Arc::new(Accepted {
+        bundle,
+        digest: BundleDigest::default(),
+        envelope: Arc::from([]),
+    })
+}
+
+fn endpoint(idx: usize) -> Endpoint {
+    let address = agent_address(idx);
+    Endpoint {
+        id: ENDPOINTS[idx],
+        zone: "a".parse().expect("name"),
+        tunnel_address: address,
+        control_address: address,
+        upstream_address: address,
+        slots: Slots::new(2),
+        weight: Weight::new(100),
+        is_leaving: false,
+    }
+}
+
+fn keys(service: ServiceId) -> Arc<ServiceKeys> {
+    let fleet = FleetKey::new(KeyIndex::new(0), Secret::new([1; 32])).expect("index fits");
+    Arc::new(ServiceKeys::derive(&fleet, &[], service).expect("one key"))
+}
+
+fn address(last: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, last], 4_433))
+}
