At most once: owners, fences and hand-off, with an exhaustive search

A purchase must run once at most over retries by the caller, hand-offs, deaths and late messages. Adds the core that decides this without I/O: the owner of a key grants a first attempt and settles repeats by fencing every agent that may have started an earlier one; runners keep fences and promises; both tables are bounded and know how far back they reach. Adds hand-off with offers decided once, peer choice and the retry budget.

The specification drives this same code with lost, duplicated and late messages, restarts, forgotten keys and a bundle change.

--- /dev/null
+++ b/crates/admission/src/handoff.rs
@@ -0,0 +1,226 @@
+//! Fenced hand-off of requests not yet started to another agent of the service.
+//!
+//! One side at most ever starts a request: the origin gives it up before it offers it, and takes
+//! it back only after the callee said that it never starts it. The callee decides on an offer
+//! once; a duplicate changes nothing.
+
+use bundle::RetrySafety;
+use units::{EndpointId, Incarnation, Millis};
+
+use crate::{Load, once::Agent};
+
+/// Offers from one origin that the callee tells apart; older ones are refused.
+const WINDOW: u64 = 64;
+
+/// Origins remembered, a bound on memory; offers of more are refused.
+const ORIGINS_MAX: usize = 1024;
+
+/// Age from which a peer's load says nothing any more.
+const LOAD_AGE_MAX_MS: Millis = Millis::new(1000);
+
+/// Number of an offer, higher for each later one of the same run of an agent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OfferId(u64);
+
+impl OfferId {
+    /// Wraps a raw number.
+    #[must_use]
+    pub const fn new(raw: u64) -> Self {
+        Self(raw)
+    }
+
+    /// Returns the raw number.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+/// What came of an offer, as the origin sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum OfferReply {
+    /// The callee took it and answers it.
+    Taken,
+    /// The callee never starts it.
+    Refused,
+    /// No reply, or a broken one: the callee may or may not have started it.
+    Unclear,
+}
+
+/// What the origin does next with a request that it offered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum AfterOffer {
+    /// Forget it and pass on the callee's answer.
+    Forget,
+    /// Take it back: it arrives anew.
+    TakeBack,
+    /// Answer that the outcome is unknown, and never start it.
+    OutcomeUnknown,
+}
+
+/// Decides what the origin does after an offer.
+#[must_use]
+pub const fn after_offer(reply: OfferReply, retry: RetrySafety) -> AfterOffer {
+    match (reply, retry) {
+        (OfferReply::Taken, _) => AfterOffer::Forget,
+        (OfferReply::Refused, _) | (OfferReply::Unclear, RetrySafety::Idempotent) => {
+            AfterOffer::TakeBack
+        }
+        (OfferReply::Unclear, RetrySafety::AtMostOnce) => AfterOffer::OutcomeUnknown,
+    }
+}
+
+/// Offers decided on by the callee.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct Decided {
+    /// Sorted by origin, at most [`ORIGINS_MAX`], one of each endpoint.
+    origins: Vec<(Agent, Window)>,
+}
+
+impl Decided {
+    /// Returns whether the offer is new and the callee may take it; any later one with the same
+    /// id is not. An offer that is not new is refused.
+    ///
+    /// An offer made to an earlier run of this agent must be refused before.
+    pub fn is_new(&mut self, origin: Agent, offer: OfferId) -> bool {
+        match self
+            .origins
+            .binary_search_by_key(&origin.endpoint, |(it, _)| it.endpoint)
+        {
+            Ok(idx) => self.is_new_from(idx, origin, offer),
+            Err(_) if self.origins.len() >= ORIGINS_MAX => false,
+            Err(idx) => {
+                self.origins
+                    .insert(idx, (origin, Window::starting_at(offer)));
+                true
+            }
+        }
+    }
+
+    fn is_new_from(&mut self, idx: usize, origin: Agent, offer: OfferId) -> bool {
+        let (known, window) = &mut self.origins[idx];
+        if origin.incarnation < known.incarnation {
+            return false;
+        }
+        if origin.incarnation > known.incarnation {
+            *known = origin;
+            *window = Window::starting_at(offer);
+            return true;
+        }
+        window.insert(offer)
+    }
+}
+
+/// Offers of one origin seen: the newest and which of those shortly before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Window {
+    newest: OfferId,
+    /// Bit `n` is set if offer `newest - n` was seen; bit 0 always is.
+    seen: u64,
+}
+
+impl Window {
+    const fn starting_at(offer: OfferId) -> Self {
+        Self {
+            newest: offer,
+            seen: 1,
+        }
+    }
+
+    fn insert(&mut self, offer: OfferId) -> bool {
+        if offer > self.newest {
+            let ahead = offer.get() - self.newest.get();
+            self.seen = if ahead < WINDOW {
+                self.seen << ahead
+            } else {
+                0
+            } | 1;
+            self.newest = offer;
+            return true;
+        }
+        let behind = self.newest.get() - offer.get();
+        if behind >= WINDOW || self.seen & (1 << behind) != 0 {
+            return false;
+        }
+        self.seen |= 1 << behind;
+        true
+    }
+}
+
+/// Loads of peers from recent exchanges.
+#[derive(Debug, Clone, Default)]
+pub struct PeerLoads {
+    /// Sorted by endpoint.
+    peers: Vec<Peer>,
+}
+
+/// A peer and its load when last heard of.
+#[derive(Debug, Clone, Copy)]
+struct Peer {
+    endpoint: EndpointId,
+    incarnation: Incarnation,
+    free: u32,
+    heard_ms: Millis,
+}
+
+impl PeerLoads {
+    /// Takes in a load that a peer told.
+    pub fn hear(&mut self, now_ms: Millis, agent: Agent, load: Load) {
+        let peer = Peer {
+            endpoint: agent.endpoint,
+            incarnation: agent.incarnation,
+            free: load.free_short.saturating_sub(load.waiting),
+            heard_ms: now_ms,
+        };
+        match self
+            .peers
+            .binary_search_by_key(&agent.endpoint, |it| it.endpoint)
+        {
+            Ok(idx) => self.peers[idx] = peer,
+            Err(idx) => self.peers.insert(idx, peer),
+        }
+    }
+
+    /// Notes that a peer refused an offer or gave no answer.
+    pub fn lower(&mut self, now_ms: Millis, endpoint: EndpointId) {
+        if let Ok(idx) = self.peers.binary_search_by_key(&endpoint, |it| it.endpoint) {
+            self.peers[idx].free = 0;
+            self.peers[idx].heard_ms = now_ms;
+        }
+    }
+
+    /// Keeps only the peers that the bundle in force names; `endpoints` is sorted.
+    pub fn retain(&mut self, endpoints: &[EndpointId]) {
+        self.peers
+            .retain(|it| endpoints.binary_search(&it.endpoint).is_ok());
+    }
+
+    /// Chooses the peer with more free slots of two sampled ones, and counts one slot of it as
+    /// taken. `random` are two independent uniform numbers.
+    ///
+    /// Peers whose load was not heard lately aren't chosen. A peer that claims more than it has
+    /// draws one request for each exchange, until its refusal counts it as full.
+    pub fn choose(&mut self, now_ms: Millis, random: [u64; 2]) -> Option<Agent> {
+        let is_fresh = |it: &Peer| now_ms.since(it.heard_ms) <= LOAD_AGE_MAX_MS;
+        let free: Vec<_> = (0..self.peers.len())
+            .filter(|idx| is_fresh(&self.peers[*idx]) && self.peers[*idx].free > 0)
+            .collect();
+        let sampled = random.map(|it| pick(&free, it));
+        let idx = sampled
+            .into_iter()
+            .flatten()
+            .max_by_key(|idx| self.peers[*idx].free)?;
+        let peer = &mut self.peers[idx];
+        peer.free -= 1;
+        Some(Agent {
+            endpoint: peer.endpoint,
+            incarnation: peer.incarnation,
+        })
+    }
+}
+
+fn pick(among: &[usize], random: u64) -> Option<usize> {
+    let len = u64::try_from(among.len()).ok().filter(|it| *it > 0)?;
+    let idx = usize::try_from(random % len).ok()?;
+    among.get(idx).copied()
+}
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -6,6 +6,9 @@
 mod admission;
 mod class;
 mod concurrency;
+pub mod handoff;
+pub mod once;
+pub mod retry;
 mod running_time;
 mod waiting;
 
--- /dev/null
+++ b/crates/admission/tests/handoff.rs
@@ -0,0 +1,77 @@
+//! One side at most starts a request that is handed off.
+
+use admission::{
+    Load,
+    handoff::{AfterOffer, Decided, OfferId, OfferReply, PeerLoads, after_offer},
+    once::Agent,
+};
+use bundle::RetrySafety::{AtMostOnce, Idempotent};
+use units::{EndpointId, Incarnation, Millis};
+
+fn agent(endpoint: u32, incarnation: u32) -> Agent {
+    Agent {
+        endpoint: EndpointId::new(endpoint),
+        incarnation: Incarnation::new(incarnation),
+    }
+}
+
+#[test]
+fn unclear_offer() {
+    assert_eq!(
+        after_offer(OfferReply::Unclear, AtMostOnce),
+        AfterOffer::OutcomeUnknown
+    );
+    assert_eq!(
+        after_offer(OfferReply::Unclear, Idempotent),
+        AfterOffer::TakeBack
+    );
+    assert_eq!(
+        after_offer(OfferReply::Refused, AtMostOnce),
+        AfterOffer::TakeBack
+    );
+}
+
+#[test]
+fn duplicate_offer() {
+    let mut decided = Decided::default();
+    let mut check = |origin, offer, expect| {
+        assert_eq!(
+            decided.is_new(origin, OfferId::new(offer)),
+            expect,
+            "{origin:?} {offer}"
+        );
+    };
+    check(agent(1, 1), 5, true);
+    check(agent(1, 1), 5, false);
+    check(agent(1, 1), 3, true);
+    check(agent(1, 1), 3, false);
+    check(agent(1, 1), 100, true);
+    check(agent(1, 1), 37, true);
+    check(agent(1, 1), 36, false);
+    check(agent(2, 1), 5, true);
+    check(agent(1, 2), 5, true);
+    check(agent(1, 1), 101, false);
+}
+
+#[test]
+fn choose_peer() {
+    let mut peers = PeerLoads::default();
+    let load = |free_short| Load {
+        free_short,
+        ..Load::default()
+    };
+    let at = Millis::new;
+    assert_eq!(peers.choose(at(0), [0, 1]), None);
+    peers.hear(at(0), agent(1, 1), load(1));
+    peers.hear(at(0), agent(2, 1), load(3));
+    assert_eq!(
+        peers.choose(at(10), [0, 1]),
+        Some(agent(2, 1)),
+        "more free slots"
+    );
+    peers.lower(at(10), EndpointId::new(2));
+    assert_eq!(peers.choose(at(20), [0, 1]), Some(agent(1, 1)));
+    assert_eq!(peers.choose(at(20), [0, 1]), None, "its slot is taken");
+    peers.hear(at(30), agent(1, 1), load(1));
+    assert_eq!(peers.choose(at(2_000), [0, 1]), None, "the load is old");
+}
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -1,3 +1,4 @@
 //! Specifications of the core protocols and their exhaustive search.
 
+pub mod once;
 pub mod ownership;
