--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 mod freshness;
 mod handle;
 mod http_get;
+pub mod inspect;
 pub mod members;
 mod peer_link;
 mod platform;
