--- /dev/null
+++ b/crates/lovagectl/src/files.rs
@@ -0,0 +1,58 @@
+//! Reading and writing files.
+
+use std::{
+    fs::{self, OpenOptions},
+    io::Write as _,
+    os::unix::fs::OpenOptionsExt as _,
+    path::Path,
+};
+
+use serde::de::DeserializeOwned;
+use settings::Checked;
+
+use crate::error::{CtlError, Result};
+
+/// Permissions of files with secrets: the owner's alone.
+const SECRET_MODE: u32 = 0o600;
+
+/// Permissions of other files.
+const PUBLIC_MODE: u32 = 0o644;
+
+/// Reads a text file.
+pub(crate) fn read_text(path: &Path) -> Result<String> {
+    fs::read_to_string(path).map_err(|source| CtlError::Read {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+/// Reads and checks a settings file.
+pub(crate) fn read_settings<S: DeserializeOwned + Checked>(path: &Path) -> Result<S> {
+    settings::parse(&read_text(path)?).map_err(|source| CtlError::Settings {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+/// Writes a file with a secret; the file must not exist.
+pub(crate) fn write_new_secret(path: &Path, text: &str) -> Result<()> {
+    write_new(path, text.as_bytes(), SECRET_MODE)
+}
+
+/// Writes a file; the file must not exist.
+pub(crate) fn write_new_public(path: &Path, content: &[u8]) -> Result<()> {
+    write_new(path, content, PUBLIC_MODE)
+}
+
+fn write_new(path: &Path, content: &[u8], mode: u32) -> Result<()> {
+    let file = OpenOptions::new()
+        .write(true)
+        .create_new(true)
+        .mode(mode)
+        .open(path);
+    file.and_then(|mut it| it.write_all(content))
+        .map_err(|source| CtlError::Write {
+            path: path.to_owned(),
+            source,
+        })
+}
--- /dev/null
+++ b/crates/lovagectl/src/keys.rs
@@ -0,0 +1,70 @@
+//! `key new operator`, `key new fleet` and `key new service`.
+
+use bundle::SecretKey;
+use flow::key::{FleetKey, Secret};
+use settings::SharedKey;
+use units::KeyIndex;
+
+use crate::{
+    error::{CtlError, Result},
+    files,
+    flags::{Fleet, Operator, Service},
+};
+
+/// Highest index that a key may have; 7 is reserved.
+const INDEX_MAX: u8 = 6;
+
+/// Makes an operator's key pair.
+pub(crate) fn new_operator(command: &Operator) -> Result<()> {
+    let key = SecretKey::new(rand::random());
+    files::write_new_secret(&command.out, &format!("{}\n", key.to_secret_text()))?;
+    println!("id          {}", key.public().id());
+    println!("public key  {}", key.public());
+    Ok(())
+}
+
+/// Prints a new root key of the fleet.
+pub(crate) fn new_fleet(command: &Fleet) -> Result<()> {
+    let index = command.index.unwrap_or_default();
+    if index > INDEX_MAX {
+        let text = format!("--index {index} is out of range; use 0 to {INDEX_MAX}");
+        return Err(CtlError::Usage(text));
+    }
+    let key = SharedKey {
+        index: KeyIndex::new(index),
+        key: settings::SecretKey::new(rand::random()),
+    };
+    print_json(&key);
+    Ok(())
+}
+
+/// Prints the key of a service.
+pub(crate) fn derive_service(command: &Service) -> Result<()> {
+    if command.service == flow::key::FLEET_SCOPE {
+        let text = "service 0 is reserved for balancers; give the service's id".to_owned();
+        return Err(CtlError::Usage(text));
+    }
+    let content = |cause: String| CtlError::Content {
+        path: command.fleet_key.clone(),
+        cause,
+        remedy: "give a file with the output of `lovagectl key new fleet`",
+    };
+    let text = files::read_text(&command.fleet_key)?;
+    let root: SharedKey = serde_json::from_str(&text).map_err(|err| content(err.to_string()))?;
+    let root = FleetKey::new(root.index, Secret::new(*root.key.expose()))
+        .map_err(|err| content(err.to_string()))?;
+    let secret = root.service_secret(command.service).expose_hex();
+    let key = SharedKey {
+        index: root.index(),
+        key: secret
+            .parse()
+            .map_err(|err: settings::SettingsError| content(err.to_string()))?,
+    };
+    print_json(&key);
+    Ok(())
+}
+
+fn print_json(key: &SharedKey) {
+    let text = serde_json::to_string(key).expect("a key has a JSON form");
+    println!("{text}");
+}
--- /dev/null
+++ b/crates/lovagectl/src/status.rs
@@ -0,0 +1,114 @@
+//! `status`: what each process holds.
+
+use settings::OperatorSettings;
+use wire::inspect::StatusReply;
+
+use crate::{
+    Outcome, collect,
+    error::{CtlError, Result},
+    files,
+    flags::Status,
+};
+
+/// Asks every process and prints what it holds.
+pub(crate) fn run(command: &Status) -> Result<Outcome> {
+    let settings: OperatorSettings = files::read_settings(&command.settings)?;
+    let runtime = tokio::runtime::Runtime::new().map_err(CtlError::Runtime)?;
+    let answers = runtime.block_on(collect::statuses(&settings));
+    let mut outcome = Outcome::Whole;
+    let mut replies = Vec::new();
+    let mut missing = Vec::new();
+    for answer in answers {
+        match answer {
+            Ok(reply) => replies.push(reply),
+            Err(it) => missing.push(format!("{}: {}", it.address, it.cause)),
+        }
+    }
+    if replies.is_empty() {
+        return Err(CtlError::Nobody { causes: missing });
+    }
+    if command.json {
+        println!("{}", json(&replies, &missing));
+    } else {
+        replies.iter().for_each(print);
+        for it in &missing {
+            println!("unreachable: {it}");
+        }
+    }
+    if !missing.is_empty() {
+        outcome = Outcome::Partial;
+    }
+    Ok(outcome)
+}
+
+fn print(reply: &StatusReply) {
+    println!(
+        "{} ({}, zone {}, incarnation {}, up {} s)",
+        reply.instance,
+        reply.role,
+        reply.zone,
+        reply.incarnation,
+        reply.uptime_ms / 1_000
+    );
+    for it in &reply.services {
+        println!(
+            "  service {} ({}): version {}, digest {}",
+            it.service, it.name, it.version, it.digest
+        );
+    }
+    let (mut alive, mut leaving) = (0, 0);
+    for it in &reply.members {
+        if it.condition == "alive" {
+            alive += 1;
+        } else {
+            println!("  member {}: {}", it.name, it.condition);
+        }
+        leaving += usize::from(it.is_leaving);
+    }
+    if !reply.members.is_empty() {
+        println!(
+            "  members: {alive} of {} alive, {leaving} leaving",
+            reply.members.len()
+        );
+    }
+    for it in &reply.counters {
+        println!("  {} {}", it.name, it.value);
+    }
+}
+
+fn json(replies: &[StatusReply], missing: &[String]) -> String {
+    let processes: Vec<_> = replies.iter().map(process_json).collect();
+    let all = serde_json::json!({ "processes": processes, "unreachable": missing });
+    format!("{all:#}")
+}
+
+fn process_json(reply: &StatusReply) -> serde_json::Value {
+    let services = reply.services.iter().map(|it| {
+        serde_json::json!({
+            "service": it.service,
+            "name": it.name,
+            "version": it.version,
+            "digest": it.digest,
+        })
+    });
+    let members = reply.members.iter().map(|it| {
+        serde_json::json!({
+            "name": it.name,
+            "incarnation": it.incarnation,
+            "condition": it.condition,
+            "is_leaving": it.is_leaving,
+        })
+    });
+    let counters = reply.counters.iter();
+    let counters = counters.map(|it| (it.name.clone(), serde_json::Value::from(it.value)));
+    serde_json::json!({
+        "instance": reply.instance,
+        "role": reply.role,
+        "zone": reply.zone,
+        "incarnation": reply.incarnation,
+        "uptime_ms": reply.uptime_ms,
+        "services": services.collect::<Vec<_>>(),
+        "members": members.collect::<Vec<_>>(),
+        "counters": counters.collect::<serde_json::Map<_, _>>(),
+    })
+}
