lovagectl: use the processes' own TLS set-up

Cause: the client's TLS set-up stood twice. Change: lovagectl calls control::client_tls; its tests control::server_tls. Conclusion: one place decides how processes prove themselves.

--- a/crates/lovagectl/src/collect.rs
+++ b/crates/lovagectl/src/collect.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use control::{PeerTls, client_tls};
 use futures_util::future::join_all;
 use settings::{OperatorSettings, PROCESS_NAME, ProcessAddress, ProcessTls};
 use timeline::{Collected, Entry, Stamp, Unreachable};
-use tonic::transport::{Certificate, Channel, ClientTlsConfig, Endpoint, Identity};
+use tonic::transport::{Channel, Endpoint};
 use units::Millis;
 use wire::inspect::{
     StatusReply, StatusRequest, TimelineEvent, TimelinePart, TimelineRequest,
@@ -120,10 +121,13 @@
     tls: &ProcessTls,
     process: &ProcessAddress,
 ) -> std::result::Result<InspectClient<Channel>, String> {
-    let config = ClientTlsConfig::new()
-        .ca_certificate(Certificate::from_pem(&tls.ca_pem))
-        .identity(Identity::from_pem(&tls.certificate_pem, &tls.key_pem))
-        .domain_name(PROCESS_NAME);
+    let config = client_tls(&PeerTls {
+        ca_pem: tls.ca_pem.clone(),
+        certificate_pem: tls.certificate_pem.clone(),
+        key_pem: tls.key_pem.clone(),
+        server_name: PROCESS_NAME.to_owned(),
+    });
+    let config = config.map_err(|err| err.to_string())?;
     let endpoint = Endpoint::from_shared(format!("https://{}", process.control_address))
         .and_then(|it| it.connect_timeout(CONNECT_TIMEOUT).tls_config(config))
         .map_err(|err| source_text(&err))?;
--- a/crates/lovagectl/tests/fleet_views.rs
+++ b/crates/lovagectl/tests/fleet_views.rs
@@ -5,13 +5,17 @@
 
 use std::net::SocketAddr;
 
-use control::inspect::{InspectCalls, StatusSource};
+use control::{
+    PeerTls,
+    inspect::{InspectCalls, StatusSource},
+    server_tls,
+};
 use program::{Folder, run, run_well};
 use serde_json::json;
-use settings::ProcessTls;
+use settings::{PROCESS_NAME, ProcessTls};
 use timeline::{BundleSource, Event, Note, Recorder, Timeline};
 use tokio::{net::TcpListener, runtime::Runtime};
-use tonic::transport::{Certificate, Identity, Server, ServerTlsConfig, server::TcpIncoming};
+use tonic::transport::{Server, server::TcpIncoming};
 use units::{BundleDigest, BundleVersion, Millis, ServiceId};
 use wire::inspect::{MemberStatus, ServiceStatus, StatusReply};
 
@@ -58,11 +62,14 @@
 ) -> SocketAddr {
     let listener = runtime.block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
     let address = listener.local_addr().unwrap();
-    let config = ServerTlsConfig::new()
-        .identity(Identity::from_pem(&tls.certificate_pem, &tls.key_pem))
-        .client_ca_root(Certificate::from_pem(&tls.ca_pem));
+    let config = server_tls(&PeerTls {
+        ca_pem: tls.ca_pem.clone(),
+        certificate_pem: tls.certificate_pem.clone(),
+        key_pem: tls.key_pem.clone(),
+        server_name: PROCESS_NAME.to_owned(),
+    });
     let calls = InspectCalls::server(name.parse().unwrap(), recorder, Balancer(name));
-    let server = Server::builder().tls_config(config).unwrap();
+    let server = Server::builder().tls_config(config.unwrap()).unwrap();
     let incoming = TcpIncoming::from(listener);
     runtime.spawn(
         server
