Agent: tests of its failures, and three faults they found

Each promise of the request path gets a test that brings about its failure: answers out of order on a bad network, refusals that must not run, callers that cancel or vanish, deadlines, graceful stop, datagrams of other runs, silent and gone upstreams, bad HTTP, bundle changes.

Found and mended: after rejecting a late request the connection closed at once and the rejection was lost, so the caller could not know that its request did not run; a cancelled run's slot was given away before the upstream had heard of the cancellation; the upstream stand-in gave its slot back after its last byte could be seen.

--- a/crates/agent/src/connection.rs
+++ b/crates/agent/src/connection.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use h3::server::RequestResolver;
-use tokio::{sync::watch, task::JoinSet};
+use tokio::{sync::watch, task::JoinSet, time::Instant};
 
 use crate::{
     agent::Phase,
@@ -22,6 +22,9 @@
 /// caller learns that it did not run.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// Pause between looks for requests to reject.
+const REJECT_PAUSE: Duration = Duration::from_millis(5);
+
 /// Serves a connection until it is lost, or until its requests have ended once the agent leaves.
 pub(crate) async fn serve<F: Filter + 'static>(
     core: Arc<Core<F>>,
@@ -37,13 +40,19 @@
     };
     let mut requests = JoinSet::new();
     let mut is_leaving = false;
+    let mut idle_since = None;
     loop {
-        let may_close = is_leaving && requests.is_empty();
+        if is_leaving && requests.is_empty() {
+            idle_since.get_or_insert_with(Instant::now);
+        }
+        let close_at = idle_since.map(|it: Instant| it + LINGER);
         tokio::select! {
             accepted = http.accept() => match accepted {
                 Ok(Some(resolver)) => {
                     requests.spawn(take(Arc::clone(&core), resolver, ends.clone()));
                 }
+                // A request was rejected and none is left; there may be more to reject.
+                Ok(None) if is_leaving => tokio::time::sleep(REJECT_PAUSE).await,
                 Ok(None) | Err(_) => break,
             },
             Some(_ended) = requests.join_next(), if !requests.is_empty() => (),
@@ -53,13 +62,21 @@
                     break;
                 }
             }
-            () = tokio::time::sleep(LINGER), if may_close => break,
+            () = sleep_until(close_at), if close_at.is_some() => break,
         }
     }
     // After a loss the remaining requests end by themselves.
     while requests.join_next().await.is_some() {}
 }
 
+/// Waits for a moment, for ever if there is none.
+async fn sleep_until(moment: Option<Instant>) {
+    match moment {
+        Some(moment) => tokio::time::sleep_until(moment).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits until the agent leaves or is gone.
 async fn leaving(phase: &mut watch::Receiver<Phase>) {
     // An agent that is gone has left.
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -12,6 +12,9 @@
 
 use crate::tunnel::LoadCell;
 
+/// Time for a cancellation to reach the upstream beside the agent.
+const CANCEL_SETTLES: Duration = Duration::from_millis(10);
+
 /// Requests of one endpoint, waiting and running.
 #[derive(Debug)]
 pub struct Gate {
@@ -275,9 +278,20 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.gate.handle(Event::Finished {
+        let event = Event::Finished {
             id: self.id,
             signal: self.signal,
+        };
+        let runtime = tokio::runtime::Handle::try_current();
+        let (Signal::Cancelled, Ok(runtime)) = (self.signal, runtime) else {
+            self.gate.handle(event);
+            return;
+        };
+        // The upstream frees its slot only once it hears of the cancellation.
+        let gate = Arc::clone(&self.gate);
+        runtime.spawn(async move {
+            tokio::time::sleep(CANCEL_SETTLES).await;
+            gate.handle(event);
         });
     }
 }
--- /dev/null
+++ b/crates/agent/tests/bad_http.rs
@@ -0,0 +1,83 @@
+//! Malformed and oversized requests are refused before they reach the upstream.
+
+#[path = "fixture/fixture.rs"]
+mod fixture;
+
+use fixture::{Fixture, soon};
+use http::{Method, StatusCode};
+use stand_ins::{caller::Call, upstream::Behavior};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refused_heads() {
+    let long = "x".repeat(9000);
+    let cases = [
+        (Call::get(&format!("/{long}")), StatusCode::URI_TOO_LONG),
+        (
+            Call::new(Method::TRACE, "/fit"),
+            StatusCode::METHOD_NOT_ALLOWED,
+        ),
+        (many_fields(), StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
+        (
+            Call::get("/fit").with_header("lovagehall-timeout-ms", "soon"),
+            StatusCode::BAD_REQUEST,
+        ),
+        (Call::post("/purchase"), StatusCode::BAD_REQUEST),
+        (
+            Call::post("/purchase").with_header("idempotency-key", &"k".repeat(200)),
+            StatusCode::BAD_REQUEST,
+        ),
+        (
+            purchase().with_header("lovagehall-attempt", "none"),
+            StatusCode::BAD_REQUEST,
+        ),
+        (
+            purchase().with_header("lovagehall-attempt", "2"),
+            StatusCode::CONFLICT,
+        ),
+    ];
+    check(&cases).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refused_bodies() {
+    let cases = [
+        (
+            Call::post("/fit").with_header("content-length", "99999999999"),
+            StatusCode::PAYLOAD_TOO_LARGE,
+        ),
+        (
+            Call::post("/fit")
+                .with_header("content-length", "many")
+                .with_body("abc"),
+            StatusCode::BAD_REQUEST,
+        ),
+        (
+            Call::post("/fit").with_header("content-length", "9"),
+            StatusCode::BAD_REQUEST,
+        ),
+    ];
+    check(&cases).await;
+}
+
+async fn check(cases: &[(Call, StatusCode)]) {
+    let fixture = Fixture::start(2, Behavior::new()).await;
+    let connection = fixture.connect().await;
+    for (call, status) in cases {
+        let answer = soon(connection.request(call.clone())).await;
+        assert_eq!(answer.unwrap().status, *status, "{call:?}");
+    }
+    assert_eq!(fixture.upstream.run_count(), 0);
+    let answer = soon(connection.request(Call::get("/fit"))).await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK);
+}
+
+/// More fields than allowed, in fewer bytes than the connection's settings allow.
+fn many_fields() -> Call {
+    (0..110).fold(Call::get("/fit"), |call, it| {
+        call.with_header(&format!("x-{it}"), "1")
+    })
+}
+
+fn purchase() -> Call {
+    Call::post("/purchase").with_header("idempotency-key", "k1")
+}
--- /dev/null
+++ b/crates/agent/tests/given_up.rs
@@ -0,0 +1,59 @@
+//! Requests given up by the caller or at their deadline end at the upstream too.
+
+#[path = "fixture/fixture.rs"]
+mod fixture;
+
+use std::time::Duration;
+
+use fixture::{Fixture, soon, until};
+use http::StatusCode;
+use stand_ins::{
+    caller::{Call, CallError},
+    upstream::{Behavior, RunEnd},
+};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn caller_cancels() {
+    let fixture = Fixture::start(1, Behavior::new()).await;
+    let connection = fixture.connect().await;
+    let call = endless().with_timeout(Duration::from_millis(300));
+    let answer = soon(connection.request(call)).await;
+    assert_eq!(answer.unwrap_err(), CallError::Timeout);
+    check_free_again(&fixture).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn caller_vanishes() {
+    let fixture = Fixture::start(1, Behavior::new()).await;
+    let connection = fixture.connect().await;
+    let running = tokio::spawn(async move { connection.request(endless()).await });
+    until(|| fixture.upstream.busy() == 1).await;
+    running.abort();
+    check_free_again(&fixture).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn deadline_passes() {
+    let fixture = Fixture::start(1, Behavior::new()).await;
+    let connection = fixture.connect().await;
+    let call = endless().with_header("lovagehall-timeout-ms", "300");
+    let answer = soon(connection.request(call)).await.unwrap();
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+    let body = String::from_utf8_lossy(&answer.body);
+    assert!(body.contains("outcome-unknown"), "{body}");
+    let deadline = fixture.upstream.runs()[0].deadline_ms.unwrap();
+    assert!(deadline.get() <= 300, "the upstream is told {deadline}");
+    check_free_again(&fixture).await;
+}
+
+async fn check_free_again(fixture: &Fixture) {
+    until(|| fixture.upstream.busy() == 0).await;
+    assert_eq!(fixture.upstream.runs()[0].end, Some(RunEnd::Cancelled));
+    let connection = fixture.connect().await;
+    let answer = soon(connection.request(Call::get("/fit"))).await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK);
+}
+
+fn endless() -> Call {
+    Call::get("/fit").with_header("x-run-time-ms", "60000")
+}
--- /dev/null
+++ b/crates/agent/tests/refused.rs
@@ -0,0 +1,53 @@
+//! What was refused as "not run" did not run.
+
+#[path = "fixture/fixture.rs"]
+mod fixture;
+
+use fixture::{Fixture, soon};
+use futures_util::future::join_all;
+use http::StatusCode;
+use stand_ins::{
+    caller::{Answer, Call, CallError, CallerConnection},
+    upstream::Behavior,
+};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn full_slots() {
+    let fixture = Fixture::start(2, Behavior::new()).await;
+    let connection = fixture.connect().await;
+    let calls = (0..120).map(|it| call(&connection, it));
+    let answers = soon(join_all(calls)).await;
+    let mut refused = 0;
+    for (id, answer) in &answers {
+        if is_refused(answer) {
+            refused += 1;
+            assert_eq!(fixture.upstream.runs_of(id), 0, "{id} was refused but ran");
+        }
+    }
+    assert!(refused > 0, "two slots can't run 120 requests in 200 ms");
+    assert_eq!(fixture.upstream.violations(), 0);
+    assert_eq!(fixture.upstream.busy_peak(), 2);
+}
+
+async fn call(connection: &CallerConnection, number: usize) -> (String, Result<Answer, CallError>) {
+    let id = format!("r{number}");
+    let call = Call::get("/fit")
+        .with_header("x-request-id", &id)
+        .with_header("x-run-time-ms", "20")
+        .with_header("lovagehall-timeout-ms", "200");
+    let answer = connection.request(call).await;
+    (id, answer)
+}
+
+fn is_refused(answer: &Result<Answer, CallError>) -> bool {
+    match answer {
+        Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => {
+            let body = String::from_utf8_lossy(&answer.body);
+            assert!(body.contains("urn:lovagehall:problem:not-run"), "{body}");
+            assert!(answer.headers.contains_key("retry-after"));
+            true
+        }
+        Err(CallError::Rejected) => true,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/agent/tests/silent_upstream.rs
@@ -0,0 +1,59 @@
+//! Connections to the upstream that went silent or away are found and replaced.
+
+#[path = "fixture/fixture.rs"]
+mod fixture;
+
+use fixture::{Fixture, soon, until};
+use http::StatusCode;
+use stand_ins::{
+    caller::{Call, CallerConnection},
+    upstream::{Behavior, Upstream},
+};
+use units::Slots;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idle_connection() {
+    let fixture = Fixture::start(2, Behavior::new()).await;
+    let connection = fixture.connect().await;
+    check_answered(&connection).await;
+    fixture.upstream.silence_open_connections();
+    until(|| fixture.agent.counters().upstream_silent.get() > 0).await;
+    check_answered(&connection).await;
+    assert_eq!(fixture.upstream.connections(), 2);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn healthy_connection() {
+    let fixture = Fixture::start(2, Behavior::new()).await;
+    let connection = fixture.connect().await;
+    check_answered(&connection).await;
+    tokio::time::sleep(std::time::Duration::from_millis(1500)).await;
+    check_answered(&connection).await;
+    assert_eq!(fixture.agent.counters().upstream_silent.get(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn gone_upstream() {
+    let mut fixture = Fixture::start(2, Behavior::new()).await;
+    let connection = fixture.connect().await;
+    check_answered(&connection).await;
+    let address = fixture.upstream.address();
+    let spare = Upstream::start(Slots::new(2), Behavior::new())
+        .await
+        .unwrap();
+    drop(std::mem::replace(&mut fixture.upstream, spare));
+    until(|| std::net::TcpListener::bind(address).is_ok()).await;
+    let call = Call::get("/fit").with_header("lovagehall-timeout-ms", "2000");
+    let answer = soon(connection.request(call)).await.unwrap();
+    assert_ne!(answer.status, StatusCode::OK);
+    until(|| {
+        fixture.agent.counters().upstream_connect_failed.get() > 0
+            || fixture.agent.counters().requests_timed_out.get() > 0
+    })
+    .await;
+}
+
+async fn check_answered(connection: &CallerConnection) {
+    let answer = soon(connection.request(Call::get("/fit"))).await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK);
+}
--- /dev/null
+++ b/crates/agent/tests/wrong_incarnation.rs
@@ -0,0 +1,81 @@
+//! Only datagrams of this run's flows reach the QUIC library; resets never hit a live flow.
+//!
+//! All runs of a service's agents share one reset key, so the library would answer any unknown
+//! connection id with a valid reset.
+
+#[path = "fixture/fixture.rs"]
+mod fixture;
+
+use std::sync::Arc;
+
+use agent::{Agent, Counter, Counters};
+use fixture::{ENDPOINT, Fixture, INCARNATION, keys, soon, until};
+use flow::cid::CidCodec;
+use http::StatusCode;
+use stand_ins::{caller::Call, relay::candidate, upstream::Behavior};
+use units::{EndpointId, Incarnation};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn other_endpoint() {
+    let other = EndpointId::new(71);
+    check_dropped(other, INCARNATION, |it| &it.dropped_foreign_incarnation).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn later_run() {
+    let later = Incarnation::new(INCARNATION.get() + 1);
+    check_dropped(ENDPOINT, later, |it| &it.dropped_foreign_incarnation).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unknown_id() {
+    let fixture = Fixture::start(1, Behavior::new()).await;
+    check_silent(&fixture, &[0x40; 120], |it| &it.dropped_unknown_flow).await;
+}
+
+/// A run that is gone for good leaves flows; its successor tells their callers at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn earlier_run() {
+    let fixture = Fixture::start(1, Behavior::new()).await;
+    let connection = fixture.connect().await;
+    let mut config = fixture.config.clone();
+    config.incarnation = Incarnation::new(INCARNATION.get() + 1);
+    let successor = Agent::start(config, Arc::clone(&fixture.in_force)).unwrap();
+    let address = successor.tunnel_address().unwrap();
+    fixture.relay.set_agent(candidate(ENDPOINT, address));
+
+    let call = Call::get("/fit").with_header("x-request-id", "orphan");
+    soon(connection.request(call)).await.unwrap_err();
+    assert_eq!(
+        connection.close_reason(),
+        Some(quinn::ConnectionError::Reset)
+    );
+    assert!(successor.counters().resets_sent.get() > 0);
+    assert_eq!(fixture.upstream.runs_of("orphan"), 0);
+
+    let fresh = fixture.connect().await;
+    let answer = soon(fresh.request(Call::get("/fit"))).await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK);
+}
+
+async fn check_dropped(
+    endpoint: EndpointId,
+    incarnation: Incarnation,
+    counter: impl Fn(&Counters) -> &Counter,
+) {
+    let fixture = Fixture::start(1, Behavior::new()).await;
+    let cid = CidCodec::new(keys()).encode(endpoint, incarnation, [5; 6]);
+    let mut datagram = [0x40; 120];
+    datagram[1..=cid.len()].copy_from_slice(&cid);
+    check_silent(&fixture, &datagram, counter).await;
+}
+
+async fn check_silent(fixture: &Fixture, datagram: &[u8], counter: impl Fn(&Counters) -> &Counter) {
+    let caller = "127.0.0.1:9".parse().unwrap();
+    let relay = &fixture.relay;
+    relay.inject(caller, INCARNATION, datagram).await.unwrap();
+    until(|| counter(fixture.agent.counters()).get() == 1).await;
+    let connection = fixture.connect().await;
+    soon(connection.request(Call::get("/fit"))).await.unwrap();
+    assert_eq!(fixture.agent.counters().resets_sent.get(), 0);
+}
--- a/crates/stand-ins/src/upstream/serve.rs
+++ b/crates/stand-ins/src/upstream/serve.rs
@@ -95,10 +95,10 @@
     let mut body = AnswerBody {
         chunks: Pattern::new(&request_id, answer_bytes),
         left_bytes: answer_bytes,
-        slot,
+        slot: Some(slot),
     };
     if answer_bytes == 0 {
-        body.slot.end = RunEnd::Finished;
+        body.finish();
     }
     let mut answer = Response::new(Either::Right(body));
     answer
@@ -163,7 +163,16 @@
 struct AnswerBody {
     chunks: Pattern,
     left_bytes: u64,
-    slot: Slot,
+    /// Given back with the last chunk, before the peer can see the end.
+    slot: Option<Slot>,
+}
+
+impl AnswerBody {
+    fn finish(&mut self) {
+        if let Some(mut slot) = self.slot.take() {
+            slot.end = RunEnd::Finished;
+        }
+    }
 }
 
 impl Body for AnswerBody {
@@ -177,7 +186,7 @@
         let chunk = self.chunks.next();
         self.left_bytes -= chunk.as_ref().map_or(0, |it| it.len() as u64);
         if self.left_bytes == 0 {
-            self.slot.end = RunEnd::Finished;
+            self.finish();
         }
         Poll::Ready(chunk.map(|it| Ok(Frame::data(it))))
     }
