control: a process's own status, counters of the members controller

Cause: both roles would fill in the status reply alike, and the liveness counters did not reach statsd. Change: ProcessStatus answers from the controllers; the members controller adds its counters once a second and tells when it has ended. Conclusion: the roles only name themselves.

--- a/crates/control/src/inspect.rs
+++ b/crates/control/src/inspect.rs
@@ -1,21 +1,104 @@
 //! Calls by which operators see what a process holds and has seen.
 
+use std::time::Instant;
+
+use bundle::InForce;
 use futures_util::stream::{self, Iter};
+use membership::Condition;
 use timeline::{Entry, Recorder, Stamp};
 use tonic::{Request, Response, Status};
-use units::{InstanceId, Millis};
+use units::{Incarnation, InstanceId, Millis, Zone};
 use wire::inspect::{
-    StatusReply, StatusRequest, TimelineEvent, TimelineHead, TimelinePart, TimelineRequest,
+    Counter, MemberStatus, ServiceStatus, StatusReply, StatusRequest, TimelineEvent, TimelineHead,
+    TimelinePart, TimelineRequest,
     inspect_server::{Inspect, InspectServer},
     timeline_part::Part,
 };
 
+use crate::{
+    Handle,
+    members::{MembersHandle, MembersView},
+};
+
 /// Tells what a process holds, when asked.
 pub trait StatusSource: Send + Sync + 'static {
     /// Returns what the process holds now.
     fn status(&self) -> StatusReply;
 }
 
+/// What a balancer or an agent tells of itself.
+#[derive(Debug, Clone)]
+pub struct ProcessStatus {
+    /// Name of the process.
+    pub instance: InstanceId,
+    /// `balancer` or `agent`.
+    pub role: &'static str,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// This run of the process.
+    pub incarnation: Incarnation,
+    /// When it started.
+    pub started: Instant,
+    /// Its controllers.
+    pub control: Handle,
+    /// Its view of the fleet, for a balancer.
+    pub members: Option<MembersHandle>,
+}
+
+impl StatusSource for ProcessStatus {
+    fn status(&self) -> StatusReply {
+        let in_force = self.control.snapshot();
+        let counters = self.control.counters().values().into_iter();
+        let counters = counters.map(|(name, value)| Counter { name, value });
+        let members = self.members.as_ref().map(|it| member_statuses(&it.view()));
+        let uptime = Millis::from_duration(self.started.elapsed());
+        StatusReply {
+            instance: self.instance.to_string(),
+            role: self.role.to_owned(),
+            zone: self.zone.to_string(),
+            incarnation: self.incarnation.get(),
+            services: in_force.iter().map(service_status).collect(),
+            counters: counters.collect(),
+            members: members.unwrap_or_default(),
+            uptime_ms: uptime.get(),
+        }
+    }
+}
+
+fn service_status(in_force: &InForce) -> ServiceStatus {
+    let accepted = &in_force.current;
+    ServiceStatus {
+        service: accepted.bundle.service.get(),
+        name: accepted.bundle.name.clone(),
+        version: accepted.bundle.version.get(),
+        digest: accepted.digest.to_string(),
+    }
+}
+
+fn member_statuses(view: &MembersView) -> Vec<MemberStatus> {
+    let balancers = view.balancers.iter().map(|it| MemberStatus {
+        name: it.name.to_string(),
+        incarnation: it.incarnation.get(),
+        condition: condition_text(it.condition).to_owned(),
+        is_leaving: it.is_leaving,
+    });
+    let endpoints = view.endpoints.iter().map(|it| MemberStatus {
+        name: format!("endpoint {}", it.endpoint),
+        incarnation: it.incarnation.get(),
+        condition: condition_text(it.condition).to_owned(),
+        is_leaving: it.is_leaving,
+    });
+    balancers.chain(endpoints).collect()
+}
+
+const fn condition_text(condition: Condition) -> &'static str {
+    match condition {
+        Condition::Alive => "alive",
+        Condition::Suspect => "suspect",
+        Condition::Dead => "dead",
+    }
+}
+
 /// Answers operators' calls.
 #[derive(Debug)]
 pub struct InspectCalls<S> {
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -15,9 +15,7 @@
     table::{EndpointCell, Liveness},
     tunnel::Load,
 };
-use membership::{
-    AgentSpec, Condition, Counters, Introduction, MemberId, Members, Output, decode, encode,
-};
+use membership::{AgentSpec, Condition, Introduction, MemberId, Members, Output, decode, encode};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use timeline::Recorder;
 use tokio::sync::watch;
@@ -25,7 +23,10 @@
 
 use self::report::Reporter;
 pub use self::view::{BalancerState, EndpointState, MembersView};
-use crate::peer_link::{PeerLink, PeerPacket, PeerSend, Waiting, pump, scope_of, service_of};
+use crate::{
+    Counters,
+    peer_link::{PeerLink, PeerPacket, PeerSend, Waiting, pump, scope_of, service_of},
+};
 
 /// Time between two ticks of the protocol.
 const TICK: Duration = Duration::from_millis(50);
@@ -43,6 +44,8 @@
     pub control_seeds: Vec<SocketAddr>,
     /// Where events go.
     pub recorder: Recorder,
+    /// Where counters go.
+    pub counters: Counters,
     /// Intervals and limits.
     pub protocol: membership::Config,
     /// Seed of the choice of peers and of jitter.
@@ -59,6 +62,7 @@
             seeds: Vec::new(),
             control_seeds: Vec::new(),
             recorder,
+            counters: Counters::new(),
             protocol: membership::Config::new(),
             random_seed: rand::random(),
         }
@@ -72,6 +76,13 @@
         self
     }
 
+    /// Counts with these counters.
+    #[must_use]
+    pub fn with_counters(mut self, counters: Counters) -> Self {
+        self.counters = counters;
+        self
+    }
+
     /// Replaces the seed of random choices.
     #[must_use]
     pub const fn with_random_seed(mut self, seed: u64) -> Self {
@@ -106,8 +117,14 @@
         shared: Arc::clone(&shared),
         waiting: waiting.clone(),
     };
-    let (actor, _running) = Actor::spawn(None, Controller::new(), args).await?;
+    let (actor, running) = Actor::spawn(None, Controller::new(), args).await?;
     pump(link.incoming, actor.clone(), waiting, MembersMsg::Incoming);
+    let ended = Arc::clone(&shared);
+    tokio::spawn(async move {
+        // Its panic, if any, was printed when it happened.
+        drop(running.await);
+        ended.is_ended.send_replace(true);
+    });
     Ok(MembersHandle { actor, shared })
 }
 
@@ -137,10 +154,10 @@
         self.shared.control_addresses.subscribe()
     }
 
-    /// Returns what happened since the start.
-    #[must_use]
-    pub fn counters(&self) -> Counters {
-        **self.shared.counters.load()
+    /// Waits until the controller has ended: a bug; the process should end too.
+    pub async fn ended(&self) {
+        let mut is_ended = self.shared.is_ended.subscribe();
+        drop(is_ended.wait_for(|it| *it).await);
     }
 
     /// Replaces the agents to watch.
@@ -181,7 +198,7 @@
     view: ArcSwap<MembersView>,
     generation: watch::Sender<u64>,
     control_addresses: watch::Sender<Vec<SocketAddr>>,
-    counters: ArcSwap<Counters>,
+    is_ended: watch::Sender<bool>,
 }
 
 impl Shared {
@@ -190,7 +207,7 @@
             view: ArcSwap::default(),
             generation: watch::Sender::new(0),
             control_addresses: watch::Sender::new(config.control_seeds.clone()),
-            counters: ArcSwap::default(),
+            is_ended: watch::Sender::new(false),
         }
     }
 }
@@ -298,7 +315,7 @@
             sender: args.sender,
             shared: args.shared,
             waiting: args.waiting,
-            reporter: Reporter::new(config.recorder),
+            reporter: Reporter::new(config.recorder, config.counters),
             started: Instant::now(),
             agents: Vec::new(),
             control_seeds: config.control_seeds,
@@ -326,7 +343,7 @@
     fn tick(&mut self, now: Millis) {
         self.read_traffic(now);
         self.core.tick(now, &mut self.outputs);
-        self.shared.counters.store(Arc::new(self.core.counters()));
+        self.reporter.count(now, &self.core.counters());
         if self.is_view_stale {
             self.publish();
         }
--- a/crates/control/src/members/report.rs
+++ b/crates/control/src/members/report.rs
@@ -1,11 +1,13 @@
-//! Events and log lines about the fleet's liveness.
+//! Events, counters and log lines about the fleet's liveness.
 
 use std::net::SocketAddr;
 
-use membership::{Condition, MemberId, Output, Reject};
+use membership::{Condition, Counters as Counted, MemberId, Output, Reject};
 use timeline::{Event, Note, Peer, Recorder};
 use units::{InstanceId, Millis};
 
+use crate::Counters;
+
 /// Events about single members recorded a second at most.
 ///
 /// A zone or a partition changes thousands at once; they must not push everything else out of the
@@ -19,6 +21,10 @@
 #[derive(Debug)]
 pub(super) struct Reporter {
     recorder: Recorder,
+    counters: Counters,
+    /// What was added to `counters` so far.
+    counted: Counted,
+    counted_ms: Millis,
     interval_start_ms: Millis,
     /// Events about single members within the interval, those not recorded included.
     events: u32,
@@ -29,9 +35,12 @@
 }
 
 impl Reporter {
-    pub(super) const fn new(recorder: Recorder) -> Self {
+    pub(super) fn new(recorder: Recorder, counters: Counters) -> Self {
         Self {
             recorder,
+            counters,
+            counted: Counted::default(),
+            counted_ms: Millis::new(0),
             interval_start_ms: Millis::new(0),
             events: 0,
             silent: 0,
@@ -39,6 +48,21 @@
         }
     }
 
+    /// Adds what happened since the last time, once an interval.
+    pub(super) fn count(&mut self, now: Millis, counted: &Counted) {
+        if now.since(self.counted_ms) < INTERVAL_MS {
+            return;
+        }
+        self.counted_ms = now;
+        let values = named(counted).into_iter().zip(named(&self.counted));
+        for ((name, value), (_name, before)) in values {
+            if value > before {
+                self.counters.add(name, value - before);
+            }
+        }
+        self.counted = *counted;
+    }
+
     /// Reports an output if it is news.
     pub(super) fn report(&mut self, now: Millis, output: &Output) {
         match output {
@@ -98,6 +122,22 @@
     }
 }
 
+/// Names every counter of the protocol.
+const fn named(it: &Counted) -> [(&'static str, u64); 10] {
+    [
+        ("members.probes_sent", it.probes_sent),
+        ("members.answers", it.answers),
+        ("members.checks", it.checks),
+        ("members.suspected", it.suspected),
+        ("members.doubted", it.doubted),
+        ("members.revived", it.revived),
+        ("members.refuted", it.refuted),
+        ("members.pauses", it.pauses),
+        ("members.held_back", it.held_back),
+        ("members.gossip_deferred", it.gossip_deferred),
+    ]
+}
+
 /// Translates a change of a member.
 fn event(output: &Output) -> Option<Event> {
     let Output::Changed {
--- a/crates/control/src/members/view.rs
+++ b/crates/control/src/members/view.rs
@@ -36,6 +36,8 @@
     pub address: SocketAddr,
     /// Where it is called.
     pub control_address: SocketAddr,
+    /// Its run.
+    pub incarnation: Incarnation,
     /// Whether it answers.
     pub condition: Condition,
     /// Whether it takes no new work.
@@ -94,6 +96,7 @@
         name: introduction.name.clone(),
         address: introduction.address,
         control_address: introduction.control_address,
+        incarnation: member.version.incarnation,
         condition: member.condition,
         is_leaving: member.is_leaving,
     }
