Demo: both users' load, changes of the fleet and the summary

Cause: the main job must be seen end to end with real processes. Change: seven kinds of requests of both users, callers that keep flows open and retry as answers allow, a kill, a replacement, a rolled bundle and a drain during the load, and a table whose counts come from callers and upstream stand-ins; a broken promise fails the command.

--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -1,13 +1,90 @@
 //! The main job, end to end, with real processes on loopback.
+//!
+//! Both users' deployments run in one fleet while balancers and upstreams come and go. The counts
+//! are what callers and upstreams saw.
+
+mod changes;
+mod report;
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{sync::watch, task::JoinSet};
 
 use crate::{
     error::{BenchError, Result},
     figure::Options,
+    fleet::{Fleet, FleetPlan},
+    load::{CallerLoop, Pace, Tally, WORKS},
 };
 
+/// Balancers in the demo.
+const BALANCERS: usize = 4;
+
+/// Callers that share one socket.
+const CALLERS_PER_SOCKET: usize = 8;
+
+/// Longest load, so that the demo ends within a minute.
+const LOAD_MAX_SECONDS: u64 = 40;
+
 /// Runs the demo.
-pub(crate) fn run(_options: &Options) -> Result<()> {
-    Err(BenchError::Usage(
-        "the demo needs the balancer and agent programs".to_owned(),
-    ))
+pub(crate) fn run(options: &Options) -> Result<()> {
+    let runtime = tokio::runtime::Runtime::new()
+        .map_err(|err| BenchError::setup("starting the runtime", &err))?;
+    runtime.block_on(demo(options))
+}
+
+async fn demo(options: &Options) -> Result<()> {
+    let load = Duration::from_secs(options.seconds.min(LOAD_MAX_SECONDS));
+    eprintln!("starting {BALANCERS} balancers and the agents of four services");
+    let mut fleet = Fleet::start(FleetPlan::both_users(BALANCERS), options.seed).await?;
+    eprintln!("every service answers; load for {} s", load.as_secs());
+    let (_pace, pace) = watch::channel(Pace(1.0));
+    let (stop, stopped) = watch::channel(false);
+    let mut callers = start_callers(&fleet, options.seed, &pace, &stopped)?;
+    changes::make(&mut fleet, load).await?;
+    stop.send_replace(true);
+    let tallies = collect(&mut callers).await;
+    report::print(&fleet, &tallies, load)
+}
+
+/// Starts every caller of both users; each task returns the position of its work and its tally.
+fn start_callers(
+    fleet: &Fleet,
+    seed: u64,
+    pace: &watch::Receiver<Pace>,
+    stopped: &watch::Receiver<bool>,
+) -> Result<JoinSet<(usize, Tally)>> {
+    let mut callers = JoinSet::new();
+    let mut number = 0;
+    for (work_idx, work) in WORKS.iter().enumerate() {
+        let mut socket = Arc::new(fleet.caller()?);
+        for caller_idx in 0..work.callers {
+            if caller_idx > 0 && caller_idx % CALLERS_PER_SOCKET == 0 {
+                socket = Arc::new(fleet.caller()?);
+            }
+            let caller = CallerLoop {
+                caller: Arc::clone(&socket),
+                service: fleet.service_address(work.service_idx),
+                work: *work,
+                number,
+                seed,
+                pace: pace.clone(),
+            };
+            number += 1;
+            let stopped = stopped.clone();
+            callers.spawn(async move { (work_idx, caller.run(stopped).await) });
+        }
+    }
+    Ok(callers)
+}
+
+/// Waits for every caller's last answer and adds up by kind of work.
+async fn collect(callers: &mut JoinSet<(usize, Tally)>) -> Vec<Tally> {
+    let mut tallies = vec![Tally::new(); WORKS.len()];
+    while let Some(res) = callers.join_next().await {
+        if let Ok((work_idx, tally)) = res {
+            tallies[work_idx].merge(&tally);
+        }
+    }
+    tallies
 }
--- /dev/null
+++ b/crates/bench/src/demo/report.rs
@@ -0,0 +1,137 @@
+//! The demo's summary, and whether a promise was broken.
+
+use std::time::Duration;
+
+use stand_ins::upstream;
+
+use crate::{
+    error::{BenchError, Result},
+    fleet::Fleet,
+    load::{Tally, WORKS},
+};
+
+/// What went against a promise, over the whole run.
+#[derive(Debug, Default)]
+struct Violations {
+    broken_flows: u64,
+    wrong_answers: u64,
+    misrouted_requests: u64,
+    run_twice: usize,
+}
+
+/// Prints the summary.
+///
+/// # Errors
+///
+/// Fails if a promise was broken.
+pub(crate) fn print(fleet: &Fleet, tallies: &[Tally], load: Duration) -> Result<()> {
+    print_works(tallies);
+    print_services(fleet);
+    let violations = violations(fleet, tallies);
+    let requests: u64 = tallies.iter().map(|it| it.requests).sum();
+    println!();
+    println!("requests              {requests} in {} s", load.as_secs());
+    println!("broken flows          {}", violations.broken_flows);
+    println!("wrong answers         {}", violations.wrong_answers);
+    println!("misrouted requests    {}", violations.misrouted_requests);
+    println!("purchases run twice   {}", violations.run_twice);
+    println!("settings and logs     {}", fleet.dir());
+    if violations.is_none() {
+        println!("every promise held");
+        return Ok(());
+    }
+    for tally in tallies {
+        for sample in &tally.samples {
+            println!("  seen: {sample}");
+        }
+    }
+    Err(BenchError::Broken(
+        "a promise was broken; see the table".to_owned(),
+    ))
+}
+
+impl Violations {
+    fn is_none(&self) -> bool {
+        let sum = self.broken_flows + self.wrong_answers + self.misrouted_requests;
+        sum == 0 && self.run_twice == 0
+    }
+}
+
+fn print_works(tallies: &[Tally]) {
+    println!();
+    println!(
+        "{:<16}{:>9}{:>9}{:>9}{:>9}{:>9}{:>10}{:>10}",
+        "request", "count", "whole", "not-run", "unknown", "timeout", "p50 ms", "p99 ms"
+    );
+    for (work, tally) in WORKS.iter().zip(tallies) {
+        let row = tally.row();
+        println!(
+            "{:<16}{:>9}{:>9}{:>9}{:>9}{:>9}{:>10.1}{:>10.1}",
+            work.name,
+            tally.requests,
+            tally.whole,
+            tally.not_run,
+            tally.unknown,
+            tally.timeouts,
+            row.p50_ms,
+            row.p99_ms
+        );
+    }
+}
+
+fn print_services(fleet: &Fleet) {
+    println!();
+    println!(
+        "{:<16}{:>11}{:>9}{:>22}",
+        "service", "endpoints", "runs", "peak / mean of runs"
+    );
+    for (service_idx, service) in fleet.plan.services.iter().enumerate() {
+        let counts: Vec<usize> = fleet
+            .endpoints_of(service_idx)
+            .map(|it| fleet.upstreams[it].run_count())
+            .collect();
+        println!(
+            "{:<16}{:>11}{:>9}{:>22.2}",
+            service.name,
+            service.endpoints,
+            counts.iter().sum::<usize>(),
+            peak_to_mean(&counts)
+        );
+    }
+}
+
+fn violations(fleet: &Fleet, tallies: &[Tally]) -> Violations {
+    Violations {
+        broken_flows: tallies.iter().map(|it| it.broken).sum(),
+        wrong_answers: tallies.iter().map(|it| it.wrong).sum(),
+        misrouted_requests: misrouted(fleet),
+        run_twice: upstream::keys_run_twice(&fleet.upstreams).len(),
+    }
+}
+
+/// Requests that ran at an upstream of another service.
+fn misrouted(fleet: &Fleet) -> u64 {
+    let mut count = 0;
+    for (idx, upstream) in fleet.upstreams.iter().enumerate() {
+        let service_idx = fleet.plan.service_of(idx);
+        let own: Vec<&str> = WORKS
+            .iter()
+            .filter(|it| it.service_idx == service_idx)
+            .map(|it| it.path)
+            .collect();
+        for run in upstream.runs() {
+            count += u64::from(!own.iter().any(|it| run.path.starts_with(it)));
+        }
+    }
+    count
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+fn peak_to_mean(counts: &[usize]) -> f64 {
+    let sum: usize = counts.iter().sum();
+    let peak = counts.iter().max().copied().unwrap_or_default();
+    if sum == 0 {
+        return 0.0;
+    }
+    peak as f64 * counts.len() as f64 / sum as f64
+}
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -167,6 +167,11 @@
         self.plan.endpoints_of(service_idx)
     }
 
+    /// The folder of the processes' settings and logs.
+    pub(crate) fn dir(&self) -> String {
+        self.files.dir()
+    }
+
     /// Waits until `service_idx` answers a connection through the balancers routed now.
     pub(crate) async fn wait_until_service_answers(&self, service_idx: usize) -> Result<()> {
         let caller = self.caller()?;
--- /dev/null
+++ b/crates/bench/src/load/tally.rs
@@ -0,0 +1,124 @@
+//! Counts and running times of one kind of request.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+use super::Outcome;
+
+/// Longest latency that is told apart, in microseconds.
+const LATENCY_MAX_US: u64 = 60_000_000;
+
+/// Significant digits of latencies.
+const DIGITS: u8 = 3;
+
+/// Counts and latencies of one kind of request.
+#[derive(Debug, Clone)]
+pub(crate) struct Tally {
+    latency_us: Histogram<u64>,
+    pub(crate) requests: u64,
+    pub(crate) whole: u64,
+    pub(crate) not_run: u64,
+    pub(crate) unknown: u64,
+    pub(crate) timeouts: u64,
+    pub(crate) broken: u64,
+    pub(crate) wrong: u64,
+    pub(crate) reconnects: u64,
+    /// What was first seen of each bad kind.
+    pub(crate) samples: Vec<String>,
+}
+
+/// What a table shows of a tally.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct TallyRow {
+    pub(crate) p50_ms: f64,
+    pub(crate) p99_ms: f64,
+    pub(crate) max_ms: f64,
+}
+
+impl Tally {
+    /// Makes an empty tally.
+    pub(crate) fn new() -> Self {
+        let latency_us = Histogram::new_with_max(LATENCY_MAX_US, DIGITS)
+            .expect("the bounds of the histogram are valid");
+        Self {
+            latency_us,
+            requests: 0,
+            whole: 0,
+            not_run: 0,
+            unknown: 0,
+            timeouts: 0,
+            broken: 0,
+            wrong: 0,
+            reconnects: 0,
+            samples: Vec::new(),
+        }
+    }
+
+    /// Counts one call.
+    pub(crate) fn add(&mut self, outcome: &Outcome, latency: Duration) {
+        self.requests += 1;
+        match outcome {
+            Outcome::Whole => {
+                self.whole += 1;
+                let latency_us = u64::try_from(latency.as_micros()).unwrap_or(LATENCY_MAX_US);
+                self.latency_us.saturating_record(latency_us);
+            }
+            Outcome::NotRun => self.not_run += 1,
+            Outcome::Unknown => self.unknown += 1,
+            Outcome::Timeout => self.timeouts += 1,
+            Outcome::Broken(reason) => {
+                self.broken += 1;
+                self.sample(reason);
+            }
+            Outcome::Wrong(what) => {
+                self.wrong += 1;
+                self.sample(what);
+            }
+        }
+    }
+
+    /// Adds another tally's counts.
+    pub(crate) fn merge(&mut self, other: &Self) {
+        self.latency_us
+            .add(&other.latency_us)
+            .expect("both histograms have the same bounds");
+        self.requests += other.requests;
+        self.whole += other.whole;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.timeouts += other.timeouts;
+        self.broken += other.broken;
+        self.wrong += other.wrong;
+        self.reconnects += other.reconnects;
+        for it in &other.samples {
+            self.sample(it);
+        }
+    }
+
+    /// Latencies of the whole answers.
+    pub(crate) fn row(&self) -> TallyRow {
+        TallyRow {
+            p50_ms: self.quantile_ms(0.5),
+            p99_ms: self.quantile_ms(0.99),
+            max_ms: self.quantile_ms(1.0),
+        }
+    }
+
+    /// A quantile of the whole answers' latencies.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "latencies stay far below 2^52 us"
+    )]
+    pub(crate) fn quantile_ms(&self, quantile: f64) -> f64 {
+        self.latency_us.value_at_quantile(quantile) as f64 / 1_000.0
+    }
+
+    fn sample(&mut self, text: &str) {
+        const SAMPLES_MAX: usize = 5;
+        let is_known = self.samples.iter().any(|it| it == text);
+        if self.samples.len() < SAMPLES_MAX && !is_known {
+            self.samples.push(text.to_owned());
+        }
+    }
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -8,6 +8,7 @@
 mod figure;
 mod flags;
 mod fleet;
+mod load;
 
 use std::process::ExitCode;
 
