The thin whole path: balancer and agent roles, a request through any balancer

Cause: the parts were built apart; nothing served a request from end to end. Change: the balancer role joins datapath, table feed, members and bundle controllers, the agent role joins QUIC, filter chain, bundle controllers and responder; both serve calls under mutual TLS, stop on SIGTERM and report what was left; a run's incarnation is the next full second, so that two runs within a second differ.

--- a/crates/balancer/src/feed.rs
+++ b/crates/balancer/src/feed.rs
@@ -50,6 +50,8 @@
     retired: Vec<(Endpoint, Millis)>,
     /// Endpoints that ramp to their full weight, with the time they began.
     ramping: Vec<(EndpointId, Millis)>,
+    /// Endpoints in force whose agents were taken as dead at the last update.
+    dead: Vec<EndpointId>,
 }
 
 impl Feed {
@@ -85,6 +87,7 @@
         self.is_started = true;
         for service in &mut self.services {
             is_changed |= service.expire(now);
+            service.follow_liveness(now, &self.board);
             service.ramp(now, &self.board);
         }
         if !is_changed {
@@ -93,24 +96,6 @@
         Some(self.table())
     }
 
-    /// Notes whether an endpoint's agent is believed to run.
-    ///
-    /// An endpoint back from the dead ramps up again.
-    pub fn set_liveness(&mut self, now: Millis, endpoint: EndpointId, liveness: Liveness) {
-        let cell = self.board.cell(endpoint);
-        let is_back = cell.liveness() == Liveness::Dead && liveness == Liveness::Alive;
-        cell.set_liveness(liveness);
-        if !is_back {
-            return;
-        }
-        for service in &mut self.services {
-            if names(&service.in_force.current.bundle.endpoints, endpoint) {
-                service.begin_ramp(now, endpoint);
-                service.ramp(now, &self.board);
-            }
-        }
-    }
-
     fn take(&mut self, now: Millis, in_force: &InForce) -> bool {
         let id = in_force.service();
         match self.services.binary_search_by_key(&id, |it| it.id) {
@@ -152,6 +137,7 @@
             changed_at: now,
             retired: Vec::new(),
             ramping: Vec::new(),
+            dead: Vec::new(),
         }
     }
 
@@ -204,6 +190,30 @@
         ends_overlap || self.retired.len() != held
     }
 
+    /// Lets endpoints that are back from the dead ramp up again.
+    fn follow_liveness(&mut self, now: Millis, board: &Board) {
+        let is_dead = |id| {
+            board
+                .find(id)
+                .is_some_and(|it| it.liveness() == Liveness::Dead)
+        };
+        let back: Vec<EndpointId> = self
+            .dead
+            .iter()
+            .copied()
+            .filter(|&it| !is_dead(it))
+            .collect();
+        for endpoint in back {
+            self.begin_ramp(now, endpoint);
+        }
+        let endpoints = &self.in_force.current.bundle.endpoints;
+        self.dead = endpoints
+            .iter()
+            .map(|it| it.id)
+            .filter(|&it| is_dead(it))
+            .collect();
+    }
+
     fn begin_ramp(&mut self, now: Millis, endpoint: EndpointId) {
         self.ramping.retain(|it| it.0 != endpoint);
         self.ramping.push((endpoint, now));
--- a/crates/balancer/tests/table_feed.rs
+++ b/crates/balancer/tests/table_feed.rs
@@ -124,12 +124,19 @@
 #[test]
 fn back_from_dead() {
     let mut feed = feed();
+    let live = |feed: &mut Feed, at_ms: u64, id: u32, liveness: Liveness| {
+        feed.board()
+            .find(EndpointId::new(id))
+            .unwrap()
+            .set_liveness(liveness);
+        feed.update(Millis::new(at_ms), &[first()]);
+    };
     feed.update(Millis::new(0), &[first()]);
-    feed.set_liveness(Millis::new(1), EndpointId::new(1), Liveness::Dead);
-    feed.set_liveness(Millis::new(2), EndpointId::new(1), Liveness::Alive);
+    live(&mut feed, 1, 1, Liveness::Dead);
+    live(&mut feed, 2, 1, Liveness::Alive);
     assert_eq!(ramp(&feed, 1), 10);
-    feed.set_liveness(Millis::new(3), EndpointId::new(2), Liveness::Suspect);
-    feed.set_liveness(Millis::new(4), EndpointId::new(2), Liveness::Alive);
+    live(&mut feed, 3, 2, Liveness::Suspect);
+    live(&mut feed, 4, 2, Liveness::Alive);
     assert_eq!(
         ramp(&feed, 2),
         100,
--- a/crates/bench/src/fleet/process.rs
+++ b/crates/bench/src/fleet/process.rs
@@ -94,7 +94,7 @@
         let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
         if let Some(pid) = pid {
             // An error means that it has ended already.
-            drop(kill_process(pid, signal));
+            let _ = kill_process(pid, signal);
         }
     }
 }
--- /dev/null
+++ b/crates/lovagehall/src/agent_role.rs
@@ -0,0 +1,234 @@
+//! The agent: the endpoint beside one upstream and the controllers that feed it.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use agent::{Agent, AgentEvent, Config as AgentConfig, PeerSender, TlsIdentity};
+use arc_swap::ArcSwap;
+use bundle::InForce;
+use control::{
+    Config as ControlConfig, Handle, PeerLink, PeerPacket, PeerSend, Role,
+    responder::{ResponderConfig, start_responder},
+};
+use flow::key::{Secret, ServiceKey, ServiceKeys};
+use rustls_pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject as _};
+use settings::{AgentSettings, CallerTls};
+use timeline::{Event, Recorder};
+use tokio::sync::{broadcast, mpsc, watch};
+use tonic::service::Routes;
+use units::{Incarnation, ServiceId};
+
+use crate::{calls, common, error::RunError};
+
+/// Peer datagrams that may wait for the responder.
+const PEER_PACKETS_MAX: usize = 1_024;
+
+/// Runs an agent until the stop signal.
+pub(crate) async fn run(settings: AgentSettings) -> Result<(), RunError> {
+    let incarnation = common::incarnation().await;
+    let recorder = Recorder::new();
+    let tls = common::peer_tls(&settings.tls);
+    let (_balancers, balancers) = watch::channel(settings.balancers.clone());
+    let config = ControlConfig::new(
+        settings.instance.clone(),
+        Role::Agent {
+            service: settings.service,
+        },
+        common::key_set(&settings.operator_keys, &settings.root_keys),
+        tls.clone(),
+        settings.control_address,
+        balancers,
+    )
+    .with_recorder(recorder.clone())
+    .with_counters(common::counters(settings.statsd_address)?);
+    let control = control::start(config)
+        .await
+        .map_err(|err| RunError::start("the controllers", &err))?;
+    let routes = Routes::new(control.calls());
+    let server = calls::serve(settings.control_address, &tls, routes).await?;
+    control.ready().await;
+    let config = agent_config(&settings, incarnation)?;
+    let started = tokio::select! {
+        started = start(&control, config) => started?,
+        res = common::stop_signal() => return res,
+    };
+    let (agent, in_force) = started;
+    recorder.record(Event::ProcessStarted { incarnation });
+    log::info!(
+        "agent {} serves, incarnation {incarnation}",
+        settings.instance
+    );
+    let agent = serve(agent, &in_force, &control, &settings, incarnation).await?;
+    recorder.record(Event::ProcessStopping);
+    log::info!("agent {} stops", settings.instance);
+    let report = agent.stop().await;
+    server.abort();
+    let left = report.connections_cut as u64 + u64::from(report.requests_cut);
+    recorder.record(Event::ProcessStopped { left });
+    log::info!(
+        "agent {} stopped after {}, {left} left open",
+        settings.instance,
+        report.took_ms
+    );
+    if left > 0 {
+        return Err(RunError::LeftOpen { left });
+    }
+    Ok(())
+}
+
+/// Starts to serve callers, as soon as a bundle in force names the endpoint.
+async fn start(
+    control: &Handle,
+    config: AgentConfig,
+) -> Result<(Agent, Arc<ArcSwap<InForce>>), RunError> {
+    let mut changes = control.changes();
+    let mut is_logged = false;
+    loop {
+        changes.mark_unchanged();
+        if let Some(in_force) = find(control, config.service) {
+            let in_force = Arc::new(ArcSwap::from_pointee(in_force));
+            match Agent::start(config.clone(), Arc::clone(&in_force)) {
+                Ok(agent) => return Ok((agent, in_force)),
+                Err(agent::StartError::NotInBundle(_)) => {}
+                Err(err) => return Err(RunError::start("the agent", &err)),
+            }
+        }
+        if !is_logged {
+            log::warn!(
+                "no bundle in force names endpoint {} of service {}; waiting for one",
+                config.endpoint,
+                config.service
+            );
+            is_logged = true;
+        }
+        if changes.changed().await.is_err() {
+            return Err(RunError::Ended {
+                part: "a controller",
+            });
+        }
+    }
+}
+
+/// Keeps the agent fed until the stop signal.
+async fn serve(
+    mut agent: Agent,
+    in_force: &ArcSwap<InForce>,
+    control: &Handle,
+    settings: &AgentSettings,
+    incarnation: Incarnation,
+) -> Result<Agent, RunError> {
+    let (packets, incoming) = mpsc::channel(PEER_PACKETS_MAX);
+    let link = PeerLink {
+        incoming,
+        sender: TunnelSender(agent.peer_sender()),
+    };
+    let responder_config = ResponderConfig {
+        endpoint: settings.endpoint,
+        service: settings.service,
+        incarnation,
+    };
+    let responder = start_responder(responder_config, link)
+        .await
+        .map_err(|err| RunError::start("the responder", &err))?;
+    let mut changes = control.changes();
+    let mut newer_version = agent.newer_version();
+    let mut events = agent.events();
+    let mut stop = std::pin::pin!(common::stop_signal());
+    loop {
+        tokio::select! {
+            res = &mut stop => {
+                res?;
+                responder.leave();
+                return Ok(agent);
+            }
+            () = control.ended() => return Err(RunError::Ended { part: "a controller" }),
+            Ok(()) = changes.changed() => {
+                if let Some(newer) = find(control, settings.service) {
+                    in_force.store(Arc::new(newer));
+                }
+            }
+            Ok(()) = newer_version.changed() => {
+                control.cue(settings.service, *newer_version.borrow_and_update());
+            }
+            event = events.recv() => log_event(&event),
+            Some(it) = agent.receive_peer() => {
+                let packet =
+                    PeerPacket { from: it.from, scope: settings.service, payload: it.payload.into() };
+                // Dropping a datagram when the responder is behind is as good as a loss.
+                drop(packets.try_send(packet));
+            }
+        }
+    }
+}
+
+fn log_event(event: &Result<AgentEvent, broadcast::error::RecvError>) {
+    match event {
+        Ok(AgentEvent::PhaseChanged(phase)) => log::info!("phase {phase:?}"),
+        Ok(AgentEvent::BundleApplied(version)) => log::info!("bundle version {version} applied"),
+        Ok(AgentEvent::NewerBundleSeen(_)) | Err(_) => {}
+    }
+}
+
+fn find(control: &Handle, service: ServiceId) -> Option<InForce> {
+    let snapshot = control.snapshot();
+    let idx = snapshot
+        .binary_search_by_key(&service, InForce::service)
+        .ok()?;
+    Some(snapshot[idx].clone())
+}
+
+fn agent_config(
+    settings: &AgentSettings,
+    incarnation: Incarnation,
+) -> Result<AgentConfig, RunError> {
+    let config = AgentConfig::new(
+        settings.instance.clone(),
+        settings.service,
+        settings.endpoint,
+        incarnation,
+        settings.tunnel_address,
+        Arc::new(service_keys(settings)?),
+        tls_identity(&settings.caller_tls)?,
+    );
+    Ok(config.with_balancers(settings.balancer_tunnels.clone()))
+}
+
+fn service_keys(settings: &AgentSettings) -> Result<ServiceKeys, RunError> {
+    let unusable = |err: flow::key::KeyError| RunError::Field {
+        field: "service_keys",
+        cause: err.to_string(),
+    };
+    let mut keys = Vec::with_capacity(settings.service_keys.len());
+    for key in &settings.service_keys {
+        let secret = Secret::new(*key.key.expose());
+        keys.push(ServiceKey::new(key.index, &secret).map_err(unusable)?);
+    }
+    let current = keys.remove(0);
+    ServiceKeys::new(current, keys).map_err(unusable)
+}
+
+fn tls_identity(tls: &CallerTls) -> Result<TlsIdentity, RunError> {
+    let unusable = |field: &'static str, err: rustls_pki_types::pem::Error| RunError::Field {
+        field,
+        cause: format!("{err}; paste the whole PEM text"),
+    };
+    let certificates = CertificateDer::pem_slice_iter(tls.certificate_pem.as_bytes())
+        .collect::<Result<Vec<_>, _>>()
+        .map_err(|err| unusable("caller_tls.certificate_pem", err))?;
+    let private_key = PrivateKeyDer::from_pem_slice(tls.key_pem.as_bytes())
+        .map_err(|err| unusable("caller_tls.key_pem", err))?;
+    Ok(TlsIdentity {
+        certificates,
+        private_key,
+    })
+}
+
+/// Sends the responder's datagrams through the agent's tunnel.
+#[derive(Debug, Clone)]
+struct TunnelSender(PeerSender);
+
+impl PeerSend for TunnelSender {
+    fn send_peer(&self, to: SocketAddr, _scope: ServiceId, payload: &[u8]) {
+        // A failure is as good as a loss.
+        drop(self.0.send(to, payload));
+    }
+}
--- a/crates/lovagehall/src/main.rs
+++ b/crates/lovagehall/src/main.rs
@@ -3,6 +3,11 @@
 //! This crate only reads settings, starts what the role needs and waits for the stop signal. Every
 //! decision lives in the library crates.
 
+mod agent_role;
+mod balancer_role;
+mod calls;
+mod common;
+mod error;
 mod flags;
 mod logging;
 mod run;
--- a/crates/lovagehall/src/run.rs
+++ b/crates/lovagehall/src/run.rs
@@ -1,68 +1,37 @@
 //! Reads settings and runs the role until the stop signal.
 
-use std::{fmt, fs, io, path::Path};
+use std::{fs, path::Path};
 
-use settings::{AgentSettings, BalancerSettings, Checked, SettingsError};
+use settings::{AgentSettings, BalancerSettings, Checked};
 
 use crate::{
+    agent_role, balancer_role,
+    error::RunError,
     flags::{Lovagehall, LovagehallCmd},
     logging,
 };
 
-/// Why the program could not start or run.
-#[derive(Debug)]
-pub(crate) enum RunError {
-    /// The settings file could not be read.
-    Read {
-        /// Path of the file.
-        path: String,
-        /// What the system said.
-        source: io::Error,
-    },
-    /// The settings can't be used.
-    Settings(SettingsError),
-    /// Logging could not start.
-    Logging(flexi_logger::FlexiLoggerError),
-    /// The runtime could not start.
-    Runtime(io::Error),
-}
-
-impl fmt::Display for RunError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Read { path, source } => {
-                write!(
-                    f,
-                    "{path}: {source}; give the path of a readable settings file"
-                )
-            }
-            Self::Settings(err) => err.fmt(f),
-            Self::Logging(err) => write!(f, "--log: {err}; give a level such as `info`"),
-            Self::Runtime(err) => write!(f, "starting the runtime: {err}; free threads or memory"),
-        }
-    }
-}
-
-impl std::error::Error for RunError {}
-
 /// Runs what the command line asks for.
 pub(crate) fn run(flags: &Lovagehall) -> Result<(), RunError> {
+    let log_spec = flags.log.as_deref();
     match &flags.subcommand {
         LovagehallCmd::Balancer(cmd) => {
-            let _settings: BalancerSettings = read(&cmd.settings)?;
+            let settings: BalancerSettings = read(&cmd.settings)?;
             if cmd.check_settings {
                 return Ok(());
             }
+            let _logger = logging::start(log_spec).map_err(RunError::Logging)?;
+            runtime()?.block_on(balancer_role::run(settings))
         }
         LovagehallCmd::Agent(cmd) => {
-            let _settings: AgentSettings = read(&cmd.settings)?;
+            let settings: AgentSettings = read(&cmd.settings)?;
             if cmd.check_settings {
                 return Ok(());
             }
+            let _logger = logging::start(log_spec).map_err(RunError::Logging)?;
+            runtime()?.block_on(agent_role::run(settings))
         }
     }
-    let _logger = logging::start(flags.log.as_deref()).map_err(RunError::Logging)?;
-    Ok(())
 }
 
 fn read<S: serde::de::DeserializeOwned + Checked>(path: &Path) -> Result<S, RunError> {
@@ -72,3 +41,10 @@
     })?;
     settings::parse(&text).map_err(RunError::Settings)
 }
+
+fn runtime() -> Result<tokio::runtime::Runtime, RunError> {
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(RunError::Runtime)
+}
