bench: datagrams routed a second and core, and decisions alone

The issue asks for the datagram path beside a plain relay with the same batched I/O, and for the decision's cost from 10 to 5,800 endpoints and 1 to 820 services. The relays take turns on one thread each and are compared by datagrams a second of their thread's processor time.

--- a/crates/bench/src/benches.rs
+++ b/crates/bench/src/benches.rs
@@ -1,5 +1,7 @@
 //! Every bench by name; one module a bench.
 
+mod datagrams;
+
 use crate::{
     error::{BenchError, Result},
     figure::{Figure, Options},
@@ -13,7 +15,11 @@
 }
 
 /// Every bench, sorted by name.
-const BENCHES: &[Bench] = &[];
+const BENCHES: &[Bench] = &[Bench {
+    name: "datagrams",
+    about: "datagrams routed a second and core, and the cost of the decision alone",
+    run: datagrams::run,
+}];
 
 /// Runs the named bench, or lists all when no name is given.
 pub(crate) fn run(name: Option<&str>, options: &Options) -> Result<()> {
--- /dev/null
+++ b/crates/bench/src/benches/datagrams.rs
@@ -0,0 +1,156 @@
+//! Datagrams routed a second and core, beside a plain relay, and the cost of the decision alone.
+
+mod decision;
+mod load;
+mod relay;
+mod tables;
+
+use std::time::Duration;
+
+use self::{
+    load::Load,
+    relay::{Relay, Sample},
+    tables::{Fixture, Size},
+};
+use crate::{
+    error::Result,
+    figure::{Figure, Options},
+};
+
+pub(crate) const NAME: &str = "datagrams";
+
+/// Datagrams that a caller sends at once, as the kernel coalesces them.
+const BURSTS: [usize; 3] = [1, 8, 32];
+
+/// Rounds of each relay and burst; the relays take turns, so that noise hits both.
+const ROUNDS: u32 = 3;
+
+/// Share of the plain relay's rate that is asked for.
+const RATE_SHARE_TARGET: f64 = 0.85;
+
+/// Growth of the decision's cost that is allowed from the smallest to the largest fleet.
+const GROWTH_TARGET: f64 = 2.0;
+
+/// Today's size: one service.
+const SMALL: Size = Size {
+    services: 1,
+    endpoints: 10,
+};
+
+/// The size to design for.
+const LARGE: Size = Size {
+    services: 820,
+    endpoints: 5_800,
+};
+
+/// All endpoints of the size to design for behind one service.
+const LOPSIDED: Size = Size {
+    services: 1,
+    endpoints: 5_800,
+};
+
+/// Runs the bench.
+pub(crate) fn run(options: &Options) -> Result<Vec<Figure>> {
+    let mut figures = decision_figures(options);
+    let slices = ROUNDS * 2 * u32::try_from(BURSTS.len()).unwrap_or(u32::MAX);
+    let slice = Duration::from_secs(options.seconds) / slices;
+    for burst in BURSTS {
+        figures.extend(rate_figures(options, burst, slice)?);
+    }
+    Ok(figures)
+}
+
+fn decision_figures(options: &Options) -> Vec<Figure> {
+    let mut figures = Vec::new();
+    let small = decision::measure(SMALL, options.seed);
+    for (name, size) in [("fleet", LARGE), ("one service", LOPSIDED)] {
+        eprintln!("datagrams: decisions with {size}");
+        let large = decision::measure(size, options.seed);
+        for (kind, ours, base) in [
+            ("established", large.established_ns, small.established_ns),
+            ("opening", large.opening_ns, small.opening_ns),
+        ] {
+            let metric = format!("decision, {kind}, {size}");
+            figures.push(figure(options, metric, "ns", ours, Some(base), None));
+            let metric = format!("growth of decision, {kind}, {name} of 5800 endpoints");
+            let growth = ours / base;
+            let mut grown = figure(options, metric, "ratio", growth, Some(1.0), None);
+            grown.target = Some(GROWTH_TARGET);
+            grown.met = Some(growth <= GROWTH_TARGET);
+            figures.push(grown);
+        }
+    }
+    figures
+}
+
+fn rate_figures(options: &Options, burst: usize, slice: Duration) -> Result<Vec<Figure>> {
+    let fixture = Fixture::new(LARGE);
+    let (mut ours, mut plain) = (Vec::new(), Vec::new());
+    for round in 0..ROUNDS {
+        eprintln!("datagrams: bursts of {burst}, round {}", round + 1);
+        ours.push(sample(
+            &fixture,
+            options.seed,
+            Relay::Balancer,
+            burst,
+            slice,
+        )?);
+        plain.push(sample(&fixture, options.seed, Relay::Plain, burst, slice)?);
+    }
+    let (ours, plain) = (median_rate(&ours), median_rate(&plain));
+    let share = ours / plain;
+    let rate = format!("routed a core second, bursts of {burst}");
+    let mut shared = figure(
+        options,
+        format!("share of the plain relay's rate, bursts of {burst}"),
+        "ratio",
+        share,
+        Some(1.0),
+        Some(RATE_SHARE_TARGET),
+    );
+    shared.met = Some(share >= RATE_SHARE_TARGET);
+    let rates = figure(options, rate, "datagrams/s", ours, Some(plain), None);
+    Ok(vec![rates, shared])
+}
+
+fn sample(
+    fixture: &Fixture,
+    seed: u64,
+    relay: Relay,
+    burst: usize,
+    slice: Duration,
+) -> Result<Sample> {
+    let running = relay.start(fixture)?;
+    let load = Load::start(fixture, running.address(), seed, burst)?;
+    std::thread::sleep(slice);
+    let sample = running.stop()?;
+    load.stop();
+    Ok(sample)
+}
+
+/// Returns the median of datagrams a second of processor time.
+fn median_rate(samples: &[Sample]) -> f64 {
+    let mut rates: Vec<f64> = samples.iter().map(Sample::rate).collect();
+    rates.sort_by(f64::total_cmp);
+    rates[rates.len() / 2]
+}
+
+fn figure(
+    options: &Options,
+    metric: String,
+    unit: &'static str,
+    ours: f64,
+    baseline: Option<f64>,
+    target: Option<f64>,
+) -> Figure {
+    Figure {
+        bench: NAME,
+        metric,
+        unit,
+        ours,
+        baseline,
+        target,
+        met: None,
+        seed: options.seed,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/benches/datagrams/decision.rs
@@ -0,0 +1,56 @@
+//! The cost of the decision alone.
+
+use std::{hint::black_box, net::SocketAddr, time::Instant};
+
+use rand::{SeedableRng, rngs::StdRng};
+
+use super::tables::{Fixture, Size};
+
+/// Different datagrams that are routed in turn.
+const DATAGRAMS: usize = 8_192;
+
+/// Times that all are routed; the median of these is the result.
+const PASSES: usize = 15;
+
+const ESTABLISHED_BYTES: usize = 64;
+
+/// Nanoseconds a decision takes.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Cost {
+    pub(super) established_ns: f64,
+    pub(super) opening_ns: f64,
+}
+
+/// Measures decisions with a table of the given size.
+pub(super) fn measure(size: Size, seed: u64) -> Cost {
+    let fixture = Fixture::new(size);
+    let mut rng = StdRng::seed_from_u64(seed);
+    let established: Vec<_> = (0..DATAGRAMS)
+        .map(|_idx| fixture.established(&mut rng, ESTABLISHED_BYTES))
+        .collect();
+    let openings: Vec<_> = (0..DATAGRAMS)
+        .map(|_idx| fixture.opening(&mut rng))
+        .collect();
+    Cost {
+        established_ns: median_ns(&fixture, &established),
+        opening_ns: median_ns(&fixture, &openings),
+    }
+}
+
+fn median_ns(fixture: &Fixture, datagrams: &[(SocketAddr, Vec<u8>)]) -> f64 {
+    let mut passes: Vec<_> = (0..PASSES)
+        .map(|_idx| pass_ns(fixture, datagrams))
+        .collect();
+    passes.sort_by(f64::total_cmp);
+    passes[PASSES / 2]
+}
+
+fn pass_ns(fixture: &Fixture, datagrams: &[(SocketAddr, Vec<u8>)]) -> f64 {
+    let caller = SocketAddr::from(([192, 0, 2, 1], 5_000));
+    let start = Instant::now();
+    for (local, datagram) in datagrams {
+        black_box(fixture.table.route(*local, caller, black_box(datagram)));
+    }
+    let count = u32::try_from(datagrams.len()).expect("few datagrams");
+    start.elapsed().as_secs_f64() * 1e9 / f64::from(count)
+}
