Control: a start asks peers until enough that serve have answered

Cause: when most of a fleet starts at once, the few peers asked may all be empty, and a stale service would then be believed.

Change: a comparison says whether the peer serves; a start asks up to 64 peers, eight at a time, until three that serve have answered, and agents if none did.

--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -34,6 +34,9 @@
     pub seed: u64,
 }
 
+/// Name in every process's certificate, unless settings say otherwise.
+pub const PROCESS_NAME: &str = "process.lovagehall";
+
 /// What a process reads and holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
@@ -139,6 +142,19 @@
     }
 }
 
+impl PeerTls {
+    /// Takes the PEM texts.
+    #[must_use]
+    pub fn new(ca_pem: String, certificate_pem: String, key_pem: String) -> Self {
+        Self {
+            ca_pem,
+            certificate_pem,
+            key_pem,
+            server_name: PROCESS_NAME.to_owned(),
+        }
+    }
+}
+
 impl Role {
     /// Returns the one service held, if the role holds one.
     #[must_use]
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use backoff::Backoff;
 pub use budget::CallBudget;
-pub use config::{Config, PeerTls, Role, Timing};
+pub use config::{Config, PROCESS_NAME, PeerTls, Role, Timing};
 pub use counters::Counters;
 pub use freshness::PauseDetector;
 pub use handle::{Handle, StartError, start};
--- a/crates/control/src/platform/pace.rs
+++ b/crates/control/src/platform/pace.rs
@@ -6,8 +6,8 @@
 /// Time over which the watches that one change ended begin again, a process.
 const REST_PER_PROCESS_MS: u64 = 50;
 
-/// Longest time until a watch begins again; half the time in which a change must be in force.
-const REST_MAX_MS: u64 = 4_000;
+/// Longest time until a watch begins again; under the 10 s in which a change must be in force.
+const REST_MAX_MS: u64 = 8_000;
 
 /// Time over which the fetches of one change are spread, a process.
 const FETCH_PER_PROCESS_MS: u64 = 20;
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -15,14 +15,20 @@
 use units::{BundleVersion, Millis, ServiceId};
 
 use crate::{bundles::BundlesMsg, shared::Shared};
-use calls::{Caller, ExchangeResult};
+use calls::Caller;
 use partners::Partners;
 
 pub use server::BundleCalls;
 pub use tls::{TlsError, client_tls, server_tls};
 
-/// Peers asked at once at the start and after a pause.
-const ASK_COUNT: usize = 8;
+/// Peers asked at the same time at the start and after a pause.
+const ASK_PARALLEL: usize = 8;
+
+/// Most peers asked at the start and after a pause.
+const ASK_MAX: usize = 64;
+
+/// Answers of serving peers that are enough.
+const ASK_ENOUGH: usize = 3;
 
 /// Ticks between comparisons with an agent.
 const TICKS_PER_AGENT: u64 = 5;
@@ -46,9 +52,9 @@
     Accepted(Held),
     /// A newer version was seen in a tunnel header.
     Cue(ServiceId, BundleVersion),
-    /// Ask several peers, then say whether any answered.
+    /// Ask peers until enough that serve have answered, then say whether any did.
     AskPeers(oneshot::Sender<bool>),
-    /// Ask agents of the services in force, then say whether any answered.
+    /// Ask agents of the services in force, then say whether any that serves has answered.
     AskAgents(oneshot::Sender<bool>),
     /// Ask peers, then take facts as confirmed after this many pauses.
     Confirm {
@@ -191,13 +197,13 @@
     }
 
     fn ask_peers(&mut self, reply: impl FnOnce(bool) + Send + 'static) {
+        let only = self.shared.only_service;
         let peers = self.shared.other_peers();
         let asked: Vec<_> = peers
-            .choose_multiple(&mut self.rng, ASK_COUNT)
-            .map(|it| self.caller.connect(*it))
+            .choose_multiple(&mut self.rng, ASK_MAX)
+            .map(|it| (*it, only))
             .collect();
-        let only = self.shared.only_service;
-        self.ask(asked.into_iter().map(|it| (it, only)).collect(), reply);
+        self.ask(asked, ASK_ENOUGH, reply);
     }
 
     fn ask_agents(&mut self, reply: oneshot::Sender<bool>) {
@@ -206,33 +212,20 @@
         for held in view.choose_multiple(&mut self.rng, ASKED_SERVICES_MAX) {
             let endpoints = &held.current.bundle.endpoints;
             for it in endpoints.choose_multiple(&mut self.rng, AGENTS_PER_SERVICE) {
-                asked.push((
-                    self.caller.connect(it.control_address),
-                    Some(held.service()),
-                ));
+                asked.push((it.control_address, Some(held.service())));
             }
         }
-        self.ask(asked, move |any| answer(reply, any));
+        self.ask(asked, usize::MAX, move |any| answer(reply, any));
     }
 
     fn ask(
         &self,
-        asked: Vec<(partners::Partner, Option<ServiceId>)>,
+        asked: Vec<(SocketAddr, Option<ServiceId>)>,
+        enough: usize,
         reply: impl FnOnce(bool) + Send + 'static,
     ) {
         let caller = self.caller.clone();
-        tokio::spawn(async move {
-            let mut answers = JoinSet::new();
-            for (partner, only) in asked {
-                let caller = caller.clone();
-                answers.spawn(async move { caller.exchange(&partner, only).await });
-            }
-            let mut has_answer = false;
-            while let Some(res) = answers.join_next().await {
-                has_answer |= matches!(res, Ok(ExchangeResult::Ok(_)));
-            }
-            reply(has_answer);
-        });
+        tokio::spawn(async move { reply(ask_all(&caller, asked, enough).await) });
     }
 
     fn confirm(&mut self, pauses: u64) {
@@ -249,6 +242,34 @@
     }
 }
 
+/// Exchanges with one after the other, a few at a time, until `enough` that serve have answered.
+async fn ask_all(
+    caller: &Caller,
+    asked: Vec<(SocketAddr, Option<ServiceId>)>,
+    enough: usize,
+) -> bool {
+    let mut rest = asked.into_iter();
+    let mut answers = JoinSet::new();
+    let mut ready_count = 0;
+    loop {
+        while answers.len() < ASK_PARALLEL {
+            let Some((address, only)) = rest.next() else {
+                break;
+            };
+            let (caller, partner) = (caller.clone(), caller.connect(address));
+            answers.spawn(async move { caller.exchange(&partner, only).await });
+        }
+        match answers.join_next().await {
+            Some(Ok(Ok(exchanged))) => ready_count += usize::from(exchanged.is_ready),
+            Some(_failed) => {}
+            None => return ready_count > 0,
+        }
+        if ready_count >= enough {
+            return true;
+        }
+    }
+}
+
 fn answer(reply: oneshot::Sender<bool>, any: bool) {
     // Whoever asked may have stopped waiting.
     let _ = reply.send(any);
--- a/crates/control/src/spread/calls.rs
+++ b/crates/control/src/spread/calls.rs
@@ -30,8 +30,15 @@
 /// Bound on the answer to a probe.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Result of an exchange: how many bundles it brought.
-pub(super) type ExchangeResult = Result<usize, CallError>;
+/// What an exchange told.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Exchanged {
+    /// Whether the other process serves.
+    pub(super) is_ready: bool,
+}
+
+/// Result of an exchange.
+pub(super) type ExchangeResult = Result<Exchanged, CallError>;
 
 /// Why a call to another process gave nothing.
 #[derive(Debug)]
@@ -135,9 +142,12 @@
             digest: self.shared.store.load().summary(only).as_bytes().to_vec(),
             only_service,
         };
-        let comparison = client.compare(self.bounded(summary)).await?;
-        if comparison.into_inner().is_equal {
-            return Ok(0);
+        let comparison = client.compare(self.bounded(summary)).await?.into_inner();
+        let exchanged = Exchanged {
+            is_ready: comparison.is_ready,
+        };
+        if comparison.is_equal {
+            return Ok(exchanged);
         }
         let vector = self.shared.store.load().version_vector();
         let vector = VersionVector {
@@ -149,22 +159,19 @@
             only_service,
         };
         let mut newer = client.exchange(vector).await?.into_inner();
-        let mut taken = 0;
         while let Some(bundle) = newer.message().await? {
-            taken += usize::from(self.take(bundle, partner.address).await);
+            self.take(bundle, partner.address).await;
         }
-        Ok(taken)
+        Ok(exchanged)
     }
 
-    async fn take(&self, bundle: SignedBundle, from: SocketAddr) -> bool {
+    async fn take(&self, bundle: SignedBundle, from: SocketAddr) {
         let source = BundleSource::Peer(Note::new(from));
         let envelope = Bytes::from(bundle.envelope);
         let decision = bundles::offer(&self.bundles, envelope, source).await;
-        let is_taken = matches!(decision, Some(Ok(())));
-        if is_taken {
+        if matches!(decision, Some(Ok(()))) {
             self.shared.counters.bump("spread.taken");
         }
-        is_taken
     }
 
     /// Returns the bundle in force that `held` names, unless a newer one took its place.
--- a/crates/control/src/spread/server.rs
+++ b/crates/control/src/spread/server.rs
@@ -44,7 +44,8 @@
         let only = only_service(summary.only_service);
         let mine = self.shared.store.load().summary(only);
         let is_equal = summary.digest == mine.as_bytes();
-        Ok(Response::new(Comparison { is_equal }))
+        let is_ready = *self.shared.is_ready.borrow();
+        Ok(Response::new(Comparison { is_equal, is_ready }))
     }
 
     async fn exchange(
--- a/crates/control/tests/support/node.rs
+++ b/crates/control/tests/support/node.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bundle::KeySet;
-use control::{Config, Handle, PeerTls, Role, server_tls, start};
+use control::{Config, Handle, PROCESS_NAME, PeerTls, Role, server_tls, start};
 use rcgen::{BasicConstraints, CertificateParams, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair};
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
 use tonic::transport::{Server, server::TcpIncoming};
@@ -110,16 +110,14 @@
     let ca_pem = params.self_signed(&ca_key).unwrap().pem();
     let issuer = Issuer::new(params, ca_key);
     let key = KeyPair::generate().unwrap();
-    let name = "process.lovagehall";
-    let mut params = CertificateParams::new(vec![name.to_owned()]).unwrap();
+    let mut params = CertificateParams::new(vec![PROCESS_NAME.to_owned()]).unwrap();
     params.extended_key_usages = vec![
         ExtendedKeyUsagePurpose::ServerAuth,
         ExtendedKeyUsagePurpose::ClientAuth,
     ];
-    PeerTls {
+    PeerTls::new(
         ca_pem,
-        certificate_pem: params.signed_by(&key, &issuer).unwrap().pem(),
-        key_pem: key.serialize_pem(),
-        server_name: name.to_owned(),
-    }
+        params.signed_by(&key, &issuer).unwrap().pem(),
+        key.serialize_pem(),
+    )
 }
