Benches: bundles in force, and calls at the platform

Cause: the promise of seconds without reverts, and the bound on calls at the service, had no measurement.

Change: `bundles` runs 32 control processes (a balancer's controllers without the datagram path) beside 32 that only watch; `platform-calls` runs fleets of 8, 32 and 64.

--- a/crates/bench/src/benches.rs
+++ b/crates/bench/src/benches.rs
@@ -1,6 +1,9 @@
 //! Every bench by name; one module a bench.
 
+mod bundles;
 mod datagrams;
+mod platform_calls;
+mod publisher;
 
 use crate::{
     error::{BenchError, Result},
@@ -15,11 +18,23 @@
 }
 
 /// Every bench, sorted by name.
-const BENCHES: &[Bench] = &[Bench {
-    name: "datagrams",
-    about: "datagrams routed a second and core, and the cost of the decision alone",
-    run: datagrams::run,
-}];
+const BENCHES: &[Bench] = &[
+    Bench {
+        name: "bundles",
+        about: "publication to in force on every balancer, and reverts after restarts",
+        run: bundles::run,
+    },
+    Bench {
+        name: "datagrams",
+        about: "datagrams routed a second and core, and the cost of the decision alone",
+        run: datagrams::run,
+    },
+    Bench {
+        name: "platform-calls",
+        about: "calls at the platform's service by the size of the fleet",
+        run: platform_calls::run,
+    },
+];
 
 /// Runs the named bench, or lists all when no name is given.
 pub(crate) fn run(name: Option<&str>, options: &Options) -> Result<()> {
--- /dev/null
+++ b/crates/bench/src/benches/bundles.rs
@@ -0,0 +1,316 @@
+//! Time from publication to in force on every balancer, and reverts after restarts.
+//!
+//! Each balancer is a process that runs the controllers of `control` without a datagram path. The
+//! baseline is a second fleet of such processes that watch the platform and know no peers.
+
+mod holdings;
+
+use std::{net::SocketAddr, time::Duration};
+
+use stand_ins::platform::{Fault, Platform};
+
+use self::holdings::Holdings;
+use super::publisher::{Publication, Publisher};
+use crate::{
+    controllers::{ControllerFleet, ControllerPlan, Report, Spread, now_us},
+    error::{BenchError, Result},
+    figure::{Figure, Options},
+};
+
+const NAME: &str = "bundles";
+
+/// Balancers of each fleet.
+const BALANCERS: usize = 32;
+
+/// Changes published in each phase.
+const CHANGES: usize = 100;
+
+/// Services whose bundles change in turn.
+const SERVICES: u8 = 4;
+
+/// Balancers that still read the service well when all others don't.
+const GOOD_READERS: usize = 2;
+
+/// Versions that a stale reader is behind.
+const STALE_VERSIONS: usize = 10;
+
+/// Balancers replaced at once in a rolling restart.
+const BATCH: usize = 8;
+
+/// Longest time until a change must be in force everywhere.
+const TARGET_MS: f64 = 5_000.0;
+
+/// Time left after the last change of a phase.
+const PATIENCE: Duration = Duration::from_secs(6);
+
+/// Share of the run that each of the two phases with changes takes, in percent.
+const PHASE_PERCENT: u64 = 35;
+
+/// Runs the bench.
+pub(crate) fn run(options: &Options) -> Result<Vec<Figure>> {
+    tokio::runtime::Runtime::new()
+        .map_err(|err| BenchError::setup("starting the runtime", &err))?
+        .block_on(measure(options))
+}
+
+async fn measure(options: &Options) -> Result<Vec<Figure>> {
+    let mut bench = Bench::start(options).await?;
+    let mut figures = Vec::new();
+    eprintln!("bundles: {CHANGES} changes with the service up");
+    let up = bench.phase().await?;
+    figures.extend(up.figures("service up", options));
+    eprintln!("bundles: {CHANGES} changes, {GOOD_READERS} of {BALANCERS} read the service well");
+    bench.break_reads();
+    let broken = bench.phase().await?;
+    figures.extend(broken.figures("service down or stale for all but 2", options));
+    eprintln!("bundles: restarts against a service {STALE_VERSIONS} versions old");
+    bench.platform.set_fault(Fault::StaleBy(STALE_VERSIONS));
+    bench.all_read(Fault::StaleBy(STALE_VERSIONS));
+    let all: Vec<usize> = (0..BALANCERS).collect();
+    let batches: Vec<&[usize]> = all.chunks(BATCH).collect();
+    let rolling = bench.reverts(&batches).await?;
+    figures.push(rolling.figure(
+        "reverts after a restart of every balancer, 8 at a time",
+        options,
+    ));
+    let all_but_one = bench.reverts(&[&all[1..]]).await?;
+    figures.push(all_but_one.figure("reverts after a restart of all balancers but one", options));
+    Ok(figures)
+}
+
+/// The two fleets and what they read.
+struct Bench {
+    platform: Platform,
+    publisher: Publisher,
+    ours: ControllerFleet,
+    baseline: ControllerFleet,
+    interval: Duration,
+    turn: usize,
+    /// Newest version published of each service, by position.
+    newest: Vec<u64>,
+}
+
+/// What a phase of changes measured.
+struct Phase {
+    ours: Vec<Option<f64>>,
+    baseline: Vec<Option<f64>>,
+}
+
+/// Reverts of both fleets.
+struct Reverts {
+    ours: usize,
+    baseline: usize,
+}
+
+impl Bench {
+    async fn start(options: &Options) -> Result<Self> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = Platform::start(any)
+            .await
+            .map_err(|err| BenchError::setup("starting the platform", &err))?;
+        let publisher = Publisher::new(SERVICES);
+        let plan = ControllerPlan {
+            count: BALANCERS,
+            group: 11,
+            platform: platform.address(),
+            operator: publisher.operator().public(),
+            spread: Spread::Peers,
+            seed: options.seed,
+        };
+        let watch_only = ControllerPlan {
+            group: 12,
+            spread: Spread::WatchOnly,
+            ..plan.clone()
+        };
+        let interval_ms = options.seconds * 10 * PHASE_PERCENT / CHANGES as u64;
+        Ok(Self {
+            ours: ControllerFleet::start(plan).await?,
+            baseline: ControllerFleet::start(watch_only).await?,
+            platform,
+            publisher,
+            interval: Duration::from_millis(interval_ms.max(1)),
+            turn: 0,
+            newest: vec![0; usize::from(SERVICES)],
+        })
+    }
+
+    /// Lets all but two readers of each fleet see the service down or stale, in turn.
+    fn break_reads(&self) {
+        for idx in GOOD_READERS..BALANCERS {
+            let fault = if idx % 2 == 0 {
+                Fault::Down
+            } else {
+                Fault::StaleBy(STALE_VERSIONS)
+            };
+            self.reads(idx, fault);
+        }
+    }
+
+    fn all_read(&self, fault: Fault) {
+        (0..BALANCERS).for_each(|idx| self.reads(idx, fault));
+    }
+
+    fn reads(&self, idx: usize, fault: Fault) {
+        for fleet in [&self.ours, &self.baseline] {
+            self.platform.set_reader_fault(&fleet.reader(idx), fault);
+        }
+    }
+
+    /// Publishes changes and measures when each was in force everywhere.
+    async fn phase(&mut self) -> Result<Phase> {
+        let mut published = Vec::new();
+        for _ in 0..CHANGES {
+            let at_us = now_us();
+            let publication = self.publisher.publish(self.turn, &self.platform)?;
+            self.newest[self.turn % usize::from(SERVICES)] = publication.version;
+            self.turn += 1;
+            published.push((publication, at_us));
+            tokio::time::sleep(self.interval).await;
+        }
+        let last: Vec<Publication> = published
+            .iter()
+            .rev()
+            .take(usize::from(SERVICES))
+            .map(|it| it.0)
+            .collect();
+        let (ours, baseline) = tokio::join!(
+            listen(&mut self.ours, &last),
+            listen(&mut self.baseline, &last)
+        );
+        Ok(Phase {
+            ours: latencies_ms(&published, &ours),
+            baseline: latencies_ms(&published, &baseline),
+        })
+    }
+
+    /// Replaces each batch of balancers at once and counts lower versions in force.
+    async fn reverts(&mut self, batches: &[&[usize]]) -> Result<Reverts> {
+        let mut reverts = Reverts {
+            ours: 0,
+            baseline: 0,
+        };
+        for batch in batches {
+            let (ours, baseline) =
+                tokio::join!(self.ours.replace(batch), self.baseline.replace(batch));
+            reverts.ours += count_reverts(&ours?, &self.newest);
+            reverts.baseline += count_reverts(&baseline?, &self.newest);
+        }
+        Ok(reverts)
+    }
+}
+
+/// Collects reports until every balancer holds the last changes, or patience ends.
+async fn listen(fleet: &mut ControllerFleet, last: &[Publication]) -> Holdings {
+    let mut holdings = Holdings::new(BALANCERS);
+    let collecting = async {
+        while !holdings.all_hold(last) {
+            let Some((idx, report)) = fleet.next_report().await else {
+                return;
+            };
+            holdings.add(idx, report);
+        }
+    };
+    // What arrives later counts as missing.
+    drop(tokio::time::timeout(PATIENCE, collecting).await);
+    holdings
+}
+
+/// Time from each publication until in force everywhere; `None` if it wasn't.
+fn latencies_ms(published: &[(Publication, u64)], holdings: &Holdings) -> Vec<Option<f64>> {
+    published
+        .iter()
+        .map(|(publication, at_us)| {
+            let in_force_us = holdings.in_force_everywhere_us(*publication)?;
+            Some(in_force_us.saturating_sub(*at_us) as f64 / 1_000.0)
+        })
+        .collect()
+}
+
+fn count_reverts(reports: &[(usize, Report)], newest: &[u64]) -> usize {
+    reports
+        .iter()
+        .filter(|(_, report)| match report {
+            Report::Ready => false,
+            Report::InForce {
+                service, version, ..
+            } => *version < newest[*service as usize - 1],
+        })
+        .count()
+}
+
+impl Phase {
+    fn figures(&self, state: &str, options: &Options) -> Vec<Figure> {
+        let max = |of: &[Option<f64>]| {
+            let all: Option<Vec<f64>> = of.iter().copied().collect();
+            all.map(|it| it.into_iter().fold(0.0, f64::max))
+        };
+        let ours_max = max(&self.ours).unwrap_or(f64::MAX);
+        let mut ours: Vec<f64> = self.ours.iter().flatten().copied().collect();
+        ours.sort_by(f64::total_cmp);
+        let median = ours.get(ours.len() / 2).copied().unwrap_or(f64::MAX);
+        let percent = |of: &[Option<f64>]| {
+            let timely = of.iter().flatten().filter(|it| **it <= TARGET_MS).count();
+            timely as f64 * 100.0 / of.len() as f64
+        };
+        let (ours_percent, baseline_percent) = (percent(&self.ours), percent(&self.baseline));
+        vec![
+            figure(
+                format!("in force on every balancer, {state}, max"),
+                "ms",
+                (ours_max, max(&self.baseline)),
+                Some(TARGET_MS),
+                Some(ours_max <= TARGET_MS),
+                options,
+            ),
+            figure(
+                format!("in force on every balancer, {state}, median"),
+                "ms",
+                (median, None),
+                None,
+                None,
+                options,
+            ),
+            figure(
+                format!("changes in force on every balancer within 5 s, {state}"),
+                "percent",
+                (ours_percent, Some(baseline_percent)),
+                Some(100.0),
+                Some(ours_percent >= 100.0),
+                options,
+            ),
+        ]
+    }
+}
+
+impl Reverts {
+    fn figure(&self, metric: &str, options: &Options) -> Figure {
+        figure(
+            metric.to_owned(),
+            "reverts",
+            (self.ours as f64, Some(self.baseline as f64)),
+            Some(0.0),
+            Some(self.ours == 0),
+            options,
+        )
+    }
+}
+
+fn figure(
+    metric: String,
+    unit: &'static str,
+    (ours, baseline): (f64, Option<f64>),
+    target: Option<f64>,
+    met: Option<bool>,
+    options: &Options,
+) -> Figure {
+    Figure {
+        bench: NAME,
+        metric,
+        unit,
+        ours,
+        baseline,
+        target,
+        met,
+        seed: options.seed,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/benches/publisher.rs
@@ -0,0 +1,108 @@
+//! Publishes chained versions of a few services at the platform stand-in.
+
+use std::net::SocketAddr;
+
+use bundle::{
+    Bundle, Endpoint, Leaving, RequestClass, RetrySafety, RouteRule, SecretKey, Sharing, digest,
+    sign,
+};
+use stand_ins::platform::Platform;
+use units::{BundleDigest, BundleVersion, ByteSize, EndpointId, Millis, ServiceId, Slots, Weight};
+
+use crate::error::{BenchError, Result};
+
+/// Endpoints of each service, as many as the users' larger services have.
+const ENDPOINTS: u8 = 7;
+
+/// Publishes chained versions of a few services.
+#[derive(Debug)]
+pub(super) struct Publisher {
+    operator: SecretKey,
+    /// The current bundle of each service and its digest.
+    current: Vec<(Bundle, Option<BundleDigest>)>,
+}
+
+/// What was published.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Publication {
+    pub(super) service: u32,
+    pub(super) version: u64,
+}
+
+impl Publisher {
+    pub(super) fn new(services: u8) -> Self {
+        Self {
+            operator: SecretKey::new([7; 32]),
+            current: (1..=services).map(|it| (first(it), None)).collect(),
+        }
+    }
+
+    pub(super) fn operator(&self) -> &SecretKey {
+        &self.operator
+    }
+
+    /// Publishes the next version of the service whose turn it is.
+    pub(super) fn publish(&mut self, turn: usize, platform: &Platform) -> Result<Publication> {
+        let idx = turn % self.current.len();
+        let (bundle, before) = &mut self.current[idx];
+        if let Some(before) = *before {
+            bundle.version = BundleVersion::new(bundle.version.get() + 1);
+            bundle.previous = Some(before);
+        }
+        let document = serde_json::to_string(bundle)
+            .map_err(|err| BenchError::setup("writing a bundle", &err))?;
+        *before = Some(digest(&document));
+        platform
+            .publish(&sign(&document, &self.operator))
+            .map_err(|err| BenchError::setup("publishing", &err))?;
+        Ok(Publication {
+            service: bundle.service.get(),
+            version: bundle.version.get(),
+        })
+    }
+}
+
+fn first(service: u8) -> Bundle {
+    Bundle {
+        service: ServiceId::new(u32::from(service)),
+        name: format!("service-{service}"),
+        version: BundleVersion::new(1),
+        previous: None,
+        addresses: vec![address(service, 0, 4_430)],
+        endpoints: (1..=ENDPOINTS).map(|it| endpoint(service, it)).collect(),
+        routes: vec![RouteRule {
+            method: None,
+            path_prefix: "/".to_owned(),
+            class: RequestClass::Short,
+            retry: RetrySafety::Idempotent,
+            timeout_ms: Millis::new(2_000),
+        }],
+        sharing: Sharing {
+            short_reserve_percent: 20,
+            retry_budget_percent: 10,
+            cold_start_ramp_ms: Millis::new(2_000),
+            body_max_bytes: ByteSize::new(1 << 20),
+        },
+        leaving: Leaving {
+            drain_timeout_ms: Millis::new(30_000),
+        },
+    }
+}
+
+/// An endpoint with no process behind it; these benches have no agents.
+fn endpoint(service: u8, idx: u8) -> Endpoint {
+    Endpoint {
+        id: EndpointId::new(u32::from(service) * 100 + u32::from(idx)),
+        zone: "a".parse().unwrap_or_default(),
+        tunnel_address: address(service, idx, 7_000),
+        control_address: address(service, idx, 7_001),
+        upstream_address: address(service, idx, 8_080),
+        slots: Slots::new(2),
+        weight: Weight::new(100),
+        is_leaving: false,
+    }
+}
+
+fn address(service: u8, idx: u8, port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 250, service, idx], port))
+}
--- a/crates/bench/src/flags.rs
+++ b/crates/bench/src/flags.rs
@@ -1,5 +1,7 @@
 //! Command line of the bench program.
 
+use std::path::PathBuf;
+
 xflags::xflags! {
     /// The demo and the benches.
     cmd program {
@@ -19,5 +21,10 @@
             /// Length of the run in seconds.
             optional --seconds seconds: u64
         }
+        /// Runs one control process of a bench; benches start it.
+        cmd control-process {
+            /// Settings file that the bench wrote.
+            required settings: PathBuf
+        }
     }
 }
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -28,13 +28,13 @@
 
 use crate::error::{BenchError, Result};
 
+use self::settings_files::SettingsFiles;
 pub(crate) use self::{
     addresses::AddressPlan,
-    certificates::SERVICE_NAME,
+    certificates::{Certificates, SERVICE_NAME},
     plan::{FleetPlan, RoutePlan, ServicePlan},
     process::Process,
 };
-use self::{certificates::Certificates, settings_files::SettingsFiles};
 
 /// Longest time a fleet may take until every process answers.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -257,7 +257,7 @@
 }
 
 /// A fresh folder for settings files and logs, under `target`.
-fn run_dir() -> Result<PathBuf> {
+pub(crate) fn run_dir() -> Result<PathBuf> {
     let own = std::env::current_exe()
         .map_err(|err| BenchError::setup("finding the target folder", &err))?;
     let target = own
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 //! `cargo xtask demo` and `cargo xtask bench` run this program. It never ships.
 
 mod benches;
+mod controllers;
 mod demo;
 mod error;
 mod figure;
@@ -25,6 +26,7 @@
             cmd.name.as_deref(),
             &figure::Options::new(cmd.seed, cmd.seconds),
         ),
+        flags::ProgramCmd::ControlProcess(cmd) => controllers::run(&cmd.settings),
     };
     match res {
         Ok(()) => ExitCode::SUCCESS,
