Agent: at most once over repeats, agents and parted ones

The replay filter asks the owner of a key before an attempt runs; the owner settles earlier attempts by fences over tonic with mutual TLS. An attempt is marked as started after a connection to the upstream is there and before a byte is sent, so an unreachable upstream stays "not run". A refusal after a grant is given up first; a repeat refused before its grant is outcome-unknown, since only this attempt is known not to have run.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -10,20 +10,26 @@
     time::{Duration, Instant},
 };
 
+use admission::once;
 use arc_swap::ArcSwap;
 use bundle::InForce;
 use tokio::{
     sync::{broadcast, mpsc, watch},
     task::{AbortHandle, JoinSet},
 };
+use tonic::transport::ClientTlsConfig;
 use units::{BundleVersion, EndpointId, Millis};
+use wire::requests::requests_server::RequestsServer;
 
 use crate::{
+    calls::RequestCalls,
     config::Config,
     counters::Counters,
     endpoint,
     filter::{Admit, Chain, Deadline, Parse, ReadStart, Replay, Route},
     gate::Gate,
+    once::Keys,
+    peers::Peers,
     request::Core,
     tunnel::{Identity, Links, LoadCell, PeerDatagram, Shared, SocketParts, TunnelSocket},
     upstream::Client,
@@ -55,6 +61,7 @@
     config: Arc<Config>,
     in_force: Arc<ArcSwap<InForce>>,
     core: Arc<Core<Filters>>,
+    keys: Arc<Keys>,
     gate: Arc<Gate>,
     load: Arc<LoadCell>,
     links: Arc<Links>,
@@ -148,8 +155,14 @@
             .map_err(StartError::Endpoint)?;
         let gate = Arc::new(Gate::new(own.admission, Arc::clone(&load)));
         let client = Arc::new(Client::new(own.upstream_address, Arc::clone(&counters)));
+        let peers = Arc::new(Peers::new(Arc::clone(&in_force), peer_tls(&config)?));
+        let me = once::Agent {
+            endpoint: config.endpoint,
+            incarnation: config.incarnation,
+        };
+        let keys = Arc::new(Keys::new(config.service, me, &in_force.load(), peers));
         let core = Arc::new(Core {
-            chain: filters(&in_force, &gate),
+            chain: filters(&in_force, &keys, &gate),
             client,
             counters: Arc::clone(&counters),
         });
@@ -157,6 +170,7 @@
             config: Arc::new(config),
             in_force,
             core,
+            keys,
             gate,
             load,
             links,
@@ -186,6 +200,16 @@
         &self.parts.counters
     }
 
+    /// Returns what serves the calls of other agents.
+    #[must_use]
+    pub fn calls(&self) -> RequestsServer<RequestCalls> {
+        RequestsServer::new(RequestCalls {
+            service: self.parts.config.service,
+            keys: Arc::clone(&self.parts.keys),
+            gate: Arc::clone(&self.parts.gate),
+        })
+    }
+
     /// Returns the gate in front of the upstream's slots.
     #[must_use]
     pub fn gate(&self) -> &Arc<Gate> {
@@ -334,18 +358,24 @@
     }
 }
 
-fn filters(in_force: &Arc<ArcSwap<InForce>>, gate: &Arc<Gate>) -> Filters {
+fn filters(in_force: &Arc<ArcSwap<InForce>>, keys: &Arc<Keys>, gate: &Arc<Gate>) -> Filters {
     let route = Route {
         in_force: Arc::clone(in_force),
     };
+    let replay = Replay {
+        keys: Arc::clone(keys),
+    };
     let admit = Admit {
         gate: Arc::clone(gate),
     };
-    let replay = Chain(Replay, admit);
-    Chain(
-        Parse,
-        Chain(route, Chain(Deadline, Chain(ReadStart, replay))),
-    )
+    let last = Chain(ReadStart, Chain(replay, admit));
+    Chain(Parse, Chain(route, Chain(Deadline, last)))
+}
+
+fn peer_tls(config: &Config) -> Result<Option<ClientTlsConfig>, StartError> {
+    let tls = config.peer_tls.as_ref().map(control::client_tls);
+    tls.transpose()
+        .map_err(|err| StartError::Endpoint(io::Error::other(err)))
 }
 
 fn h3_no_error() -> quinn::VarInt {
--- /dev/null
+++ b/crates/agent/src/calls/convert.rs
@@ -0,0 +1,168 @@
+//! Messages of the calls between agents and what they stand for.
+
+use admission::{
+    Load,
+    once::{Agent, Ask, Attempt, FenceReply, FenceRequest, PastRun, RequestKey, RunState, Verdict},
+};
+use units::{BundleVersion, EndpointId, Incarnation, Millis, ServiceId};
+use wire::requests as msg;
+
+pub(crate) fn grant_request(service: ServiceId, ask: &Ask) -> msg::GrantRequest {
+    msg::GrantRequest {
+        service: service.get(),
+        key: ask.key.as_bytes().to_vec(),
+        attempt: ask.attempt.get(),
+        first_sent_unix_ms: ask.first_sent_ms.get(),
+        asker: Some(agent_id(ask.asker)),
+        bundle_version: ask.version.get(),
+    }
+}
+
+pub(crate) fn ask(request: &msg::GrantRequest) -> Option<Ask> {
+    Some(Ask {
+        key: key(&request.key)?,
+        attempt: attempt(request.attempt)?,
+        first_sent_ms: Millis::new(request.first_sent_unix_ms),
+        asker: agent(request.asker?),
+        version: BundleVersion::new(request.bundle_version),
+    })
+}
+
+pub(crate) fn grant_reply(verdict: Verdict) -> msg::GrantReply {
+    use msg::grant_reply::Verdict as Kind;
+
+    let mut reply = msg::GrantReply::default();
+    let kind = match verdict {
+        Verdict::Granted => Kind::Granted,
+        Verdict::Ran(agent, attempt) => {
+            reply.agent = Some(agent_id(agent));
+            reply.attempt = attempt.get();
+            Kind::Ran
+        }
+        Verdict::Superseded => Kind::Superseded,
+        Verdict::Unknown => Kind::Unknown,
+        Verdict::TooYoung => Kind::TooYoung,
+        Verdict::NotOwner { version } => {
+            reply.bundle_version = version.get();
+            Kind::NotOwner
+        }
+        Verdict::ClockAhead => Kind::ClockAhead,
+    };
+    reply.set_verdict(kind);
+    reply
+}
+
+pub(crate) fn verdict(reply: &msg::GrantReply) -> Option<Verdict> {
+    use msg::grant_reply::Verdict as Kind;
+
+    Some(match reply.verdict() {
+        Kind::Unspecified => return None,
+        Kind::Granted => Verdict::Granted,
+        Kind::Ran => Verdict::Ran(agent(reply.agent?), attempt(reply.attempt)?),
+        Kind::Superseded => Verdict::Superseded,
+        Kind::Unknown => Verdict::Unknown,
+        Kind::TooYoung => Verdict::TooYoung,
+        Kind::NotOwner => Verdict::NotOwner {
+            version: BundleVersion::new(reply.bundle_version),
+        },
+        Kind::ClockAhead => Verdict::ClockAhead,
+    })
+}
+
+pub(crate) fn fence_request(service: ServiceId, request: &FenceRequest) -> msg::FenceRequest {
+    msg::FenceRequest {
+        service: service.get(),
+        key: request.key.as_bytes().to_vec(),
+        below: request.below.get(),
+        first_sent_unix_ms: request.first_sent_ms.get(),
+        bundle_version: request.version.get(),
+    }
+}
+
+pub(crate) fn fence(request: &msg::FenceRequest) -> Option<FenceRequest> {
+    Some(FenceRequest {
+        key: key(&request.key)?,
+        below: attempt(request.below)?,
+        first_sent_ms: Millis::new(request.first_sent_unix_ms),
+        version: BundleVersion::new(request.bundle_version),
+    })
+}
+
+pub(crate) fn fence_reply_message(reply: &FenceReply) -> msg::FenceReply {
+    use msg::fence_reply::Past;
+
+    let (past, past_attempt) = match reply.past {
+        PastRun::NotRun => (Past::NotRun, Attempt::default()),
+        PastRun::Ran(attempt, RunState::Started) => (Past::Started, attempt),
+        PastRun::Ran(attempt, RunState::Ended) => (Past::Ended, attempt),
+        PastRun::TooYoung => (Past::TooYoung, Attempt::default()),
+    };
+    msg::FenceReply {
+        agent: Some(agent_id(reply.agent)),
+        bundle_version: reply.version.get(),
+        past: past.into(),
+        past_attempt: past_attempt.get(),
+        prior_fence: reply.prior_fence.get(),
+        granted_to: reply.granted.map(|(agent, _)| agent_id(agent)),
+        granted_attempt: reply.granted.map_or(0, |(_, attempt)| attempt.get()),
+        is_superseded: reply.is_superseded,
+    }
+}
+
+pub(crate) fn fence_reply(reply: &msg::FenceReply) -> Option<FenceReply> {
+    use msg::fence_reply::Past;
+
+    let past = match reply.past() {
+        Past::Unspecified => return None,
+        Past::NotRun => PastRun::NotRun,
+        Past::Started => PastRun::Ran(attempt(reply.past_attempt)?, RunState::Started),
+        Past::Ended => PastRun::Ran(attempt(reply.past_attempt)?, RunState::Ended),
+        Past::TooYoung => PastRun::TooYoung,
+    };
+    let granted = match reply.granted_to {
+        Some(to) => Some((agent(to), attempt(reply.granted_attempt)?)),
+        None => None,
+    };
+    Some(FenceReply {
+        agent: agent(reply.agent?),
+        version: BundleVersion::new(reply.bundle_version),
+        past,
+        prior_fence: Attempt::new(reply.prior_fence),
+        granted,
+        is_superseded: reply.is_superseded,
+    })
+}
+
+pub(crate) fn load_reply(me: Agent, load: Load) -> msg::LoadReply {
+    msg::LoadReply {
+        agent: Some(agent_id(me)),
+        limit: load.limit,
+        running: load.running,
+        waiting: load.waiting,
+        free_short: load.free_short,
+        free_long: load.free_long,
+    }
+}
+
+fn agent_id(agent: Agent) -> msg::AgentId {
+    msg::AgentId {
+        endpoint: agent.endpoint.get(),
+        incarnation: agent.incarnation.get(),
+    }
+}
+
+fn agent(id: msg::AgentId) -> Agent {
+    Agent {
+        endpoint: EndpointId::new(id.endpoint),
+        incarnation: Incarnation::new(id.incarnation),
+    }
+}
+
+fn key(raw: &[u8]) -> Option<RequestKey> {
+    raw.try_into().ok().map(RequestKey::new)
+}
+
+/// Reads an attempt, which counts from 1.
+fn attempt(raw: u32) -> Option<Attempt> {
+    (raw > 0).then(|| Attempt::new(raw))
+}
--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use control::PeerTls;
 use flow::key::ServiceKeys;
 use units::{EndpointId, Incarnation, InstanceId, ServiceId};
 
@@ -26,6 +27,8 @@
     pub tls: TlsIdentity,
     /// Balancers to answer through until one is heard.
     pub balancers: Vec<SocketAddr>,
+    /// How it proves itself to other agents; without it none is called.
+    pub peer_tls: Option<PeerTls>,
 }
 
 impl Config {
@@ -49,9 +52,17 @@
             keys,
             tls,
             balancers: Vec::new(),
+            peer_tls: None,
         }
     }
 
+    /// Sets how it proves itself to other agents.
+    #[must_use]
+    pub fn with_peer_tls(mut self, peer_tls: PeerTls) -> Self {
+        self.peer_tls = Some(peer_tls);
+        self
+    }
+
     /// Sets the balancers to answer through until one is heard.
     #[must_use]
     pub fn with_balancers(mut self, balancers: Vec<SocketAddr>) -> Self {
--- a/crates/agent/src/filter.rs
+++ b/crates/agent/src/filter.rs
@@ -9,19 +9,26 @@
 
 use std::{fmt, time::Instant};
 
+use admission::once::Attempt;
 use bundle::{RequestClass, RetrySafety};
 use bytes::Bytes;
 use h3::server::RequestStream;
 use http::{HeaderMap, Method, Uri, header};
 use units::Millis;
 
-use crate::{gate::Slot, problem::Problem, streams::Receiving, upstream::CallerBody};
+use crate::{
+    gate::Slot,
+    once::Ticket,
+    problem::{Fate, Problem},
+    streams::Receiving,
+    upstream::CallerBody,
+};
 
 pub(crate) use admit::Admit;
 pub(crate) use deadline::{Deadline, TIMEOUT_HEADER};
 pub(crate) use parse::{HEADERS_MAX_BYTES, Parse};
 pub(crate) use read_start::ReadStart;
-pub(crate) use replay::{ATTEMPT_HEADER, Replay};
+pub(crate) use replay::{ATTEMPT_HEADER, FIRST_SENT_HEADER, Replay};
 pub(crate) use route::Route;
 
 /// A request on its way through the chain, with what the filters found out about it.
@@ -40,6 +47,8 @@
     pub(crate) deadline: Instant,
     /// Set by the filter that reads the body's start.
     pub(crate) body: CallerBody,
+    /// Set by the replay filter on an at-most-once route.
+    pub(crate) ticket: Option<Ticket>,
     /// Set by the admission filter.
     pub(crate) slot: Option<Slot>,
 }
@@ -88,10 +97,39 @@
             rule: Rule::NONE,
             deadline: arrived + Rule::NONE.timeout_ms.to_duration(),
             body: CallerBody::default(),
+            ticket: None,
             slot: None,
         }
     }
 
+    /// Returns the number of the attempt, `None` if the caller gave no valid one.
+    pub(crate) fn attempt(&self) -> Option<Attempt> {
+        let Some(text) = self.text(ATTEMPT_HEADER) else {
+            return Some(Attempt::FIRST);
+        };
+        let raw = text.parse().ok().filter(|it| *it > 0)?;
+        Some(Attempt::new(raw))
+    }
+
+    /// Makes sure that a refusal says no more than is known.
+    ///
+    /// An attempt that was granted is given up before the caller hears "not run". Of a repeat
+    /// that was refused before its grant only this attempt is known not to have run.
+    pub(crate) fn settle_refusal(&mut self, problem: Problem) -> Problem {
+        let is_repeat = self.attempt() != Some(Attempt::FIRST);
+        let may_have_run = match self.ticket.take() {
+            Some(ticket) => !ticket.abandon(),
+            None => is_repeat && self.rule.retry == RetrySafety::AtMostOnce,
+        };
+        if may_have_run && problem.fate == Fate::NotRun {
+            return Problem {
+                fate: Fate::OutcomeUnknown,
+                ..problem
+            };
+        }
+        problem
+    }
+
     /// Returns the body's length as the caller announced it.
     pub(crate) fn announced_bytes(&self) -> Option<u64> {
         self.text(header::CONTENT_LENGTH.as_str())?.parse().ok()
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,12 +1,15 @@
 //! The agent beside one upstream endpoint: QUIC, HTTP/3 and the request filter chain.
 
 mod agent;
+mod calls;
 mod config;
 mod connection;
 mod counters;
 mod endpoint;
 mod filter;
 mod gate;
+mod once;
+mod peers;
 mod problem;
 mod request;
 mod streams;
@@ -14,6 +17,7 @@
 mod upstream;
 
 pub use agent::{Agent, AgentEvent, PeerSender, Phase, Report, StartError};
+pub use calls::RequestCalls;
 pub use config::Config;
 pub use counters::{Counter, Counters};
 pub use endpoint::TlsIdentity;
--- /dev/null
+++ b/crates/agent/src/once.rs
@@ -0,0 +1,148 @@
+//! At most once at work: grants from the owner of a key, fences, and starts.
+
+mod ticket;
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use admission::once::{
+    Agent, Ask, FenceReply, FenceRequest, Once, RequestKey, Step, Verdict, View,
+};
+use bundle::{Accepted, InForce};
+use futures_util::future::join_all;
+use units::{EndpointId, Millis, ServiceId};
+
+use crate::{calls::convert, peers::Peers};
+
+pub(crate) use ticket::{Attempted, Run, Ticket};
+
+/// Longest wait for one agent's answer to a fence.
+const FENCE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Longest wait for the owner's verdict, which may take two rounds of fences.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// The at-most-once state of this agent, with the calls it needs.
+#[derive(Debug)]
+pub(crate) struct Keys {
+    service: ServiceId,
+    state: Mutex<Once>,
+    peers: Arc<Peers>,
+}
+
+impl Keys {
+    /// Starts with empty memory.
+    pub(crate) fn new(
+        service: ServiceId,
+        me: Agent,
+        in_force: &InForce,
+        peers: Arc<Peers>,
+    ) -> Self {
+        let state = Once::new(me, unix_now(), view(in_force));
+        Self {
+            service,
+            state: Mutex::new(state),
+            peers,
+        }
+    }
+
+    /// Takes over a newer bundle's endpoints.
+    pub(crate) fn adopt(&self, in_force: &InForce) {
+        self.lock().adopt(unix_now(), view(in_force));
+    }
+
+    /// Returns this agent.
+    pub(crate) fn me(&self) -> Agent {
+        self.lock().me()
+    }
+
+    /// Makes the key of a request from what the caller named it.
+    pub(crate) fn key(&self, name: &str) -> RequestKey {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&self.service.get().to_be_bytes());
+        hasher.update(name.as_bytes());
+        let mut key = [0; 16];
+        key.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+        RequestKey::new(key)
+    }
+
+    /// Asks the owner of the key whether this agent may run an attempt; `None` if it can't be
+    /// reached.
+    pub(crate) async fn ask(self: &Arc<Self>, attempted: Attempted) -> Option<Verdict> {
+        let (owner, ask) = {
+            let state = self.lock();
+            let ask = Ask {
+                key: attempted.key,
+                attempt: attempted.attempt,
+                first_sent_ms: attempted.first_sent_ms,
+                asker: state.me(),
+                version: state.version(),
+            };
+            (state.owner_of(attempted.key), ask)
+        };
+        if owner == ask.asker.endpoint {
+            return Some(self.decide(ask).await);
+        }
+        let mut client = self.peers.client(owner)?;
+        let request = convert::grant_request(self.service, &ask);
+        let reply = tokio::time::timeout(GRANT_TIMEOUT, client.grant(request)).await;
+        convert::verdict(&reply.ok()?.ok()?.into_inner())
+    }
+
+    /// Decides as owner. A settlement that was begun is concluded even if nobody waits for it.
+    pub(crate) async fn decide(self: &Arc<Self>, ask: Ask) -> Verdict {
+        let keys = Arc::clone(self);
+        let deciding = tokio::spawn(async move { keys.settle(ask).await });
+        deciding.await.unwrap_or(Verdict::Unknown)
+    }
+
+    /// Answers another owner's fence.
+    pub(crate) fn fence(&self, request: &FenceRequest) -> FenceReply {
+        self.lock().fence(unix_now(), request)
+    }
+
+    async fn settle(&self, ask: Ask) -> Verdict {
+        let mut step = self.lock().grant(unix_now(), ask);
+        loop {
+            match step {
+                Step::Reply(verdict) => return verdict,
+                Step::Fence(settle) => {
+                    let request = settle.request(self.lock().version());
+                    let targets = settle.targets();
+                    let calls = targets.iter().map(|it| self.call_fence(*it, &request));
+                    let replies: Vec<_> = join_all(calls).await.into_iter().flatten().collect();
+                    step = self.lock().fenced(settle, &replies);
+                }
+            }
+        }
+    }
+
+    async fn call_fence(&self, target: EndpointId, request: &FenceRequest) -> Option<FenceReply> {
+        let mut client = self.peers.client(target)?;
+        let request = convert::fence_request(self.service, request);
+        let reply = tokio::time::timeout(FENCE_TIMEOUT, client.fence(request)).await;
+        convert::fence_reply(&reply.ok()?.ok()?.into_inner())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Once> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the time since the Unix epoch.
+pub(crate) fn unix_now() -> Millis {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    Millis::from_duration(now.unwrap_or_default())
+}
+
+/// Returns the endpoints that the bundles name.
+fn view(in_force: &InForce) -> View {
+    let ids = |it: &Accepted| it.bundle.endpoints.iter().map(|it| it.id).collect();
+    let view = View::new(in_force.current.bundle.version, ids(&in_force.current));
+    match &in_force.previous {
+        Some(previous) => view.with_previous(ids(previous)),
+        None => view,
+    }
+}
--- a/crates/agent/src/request.rs
+++ b/crates/agent/src/request.rs
@@ -14,8 +14,9 @@
 
 use crate::{
     counters::Counters,
-    filter::{ATTEMPT_HEADER, Exchange, Filter, TIMEOUT_HEADER},
+    filter::{ATTEMPT_HEADER, Exchange, FIRST_SENT_HEADER, Filter, TIMEOUT_HEADER},
     gate::Slot,
+    once::Run,
     problem::Problem,
     streams::{Bidi, Ended, Sending, StreamEnd},
     upstream::{Answered, BodyFault, CallerBody, Client, SendError},
@@ -94,6 +95,7 @@
     sending: &mut Answering,
 ) -> Answer {
     if let Err(problem) = core.chain.admit(exchange).await {
+        let problem = exchange.settle_refusal(problem);
         core.count_refusal(&problem);
         if let Some(receiving) = &mut exchange.receiving {
             receiving.stop_sending(Code::H3_NO_ERROR);
@@ -154,7 +156,11 @@
     let body = std::mem::take(&mut exchange.body);
     let fault = body.fault_cell();
     let request = upstream_request(exchange, body);
-    let sent = core.client.send(request).await;
+    let unreachable = |_failed| core.unreachable(exchange);
+    let link = core.client.link().await.map_err(unreachable)?;
+    // Noted before a byte is sent, so that no other attempt of the key runs beside this one.
+    let _run = start(exchange)?;
+    let sent = core.client.send(link, request).await;
     let mut answered = sent.map_err(|err| core.send_failure(err, fault.get()))?;
     let signal = core.signal(answered.response.status());
     let response = caller_response(&answered.response);
@@ -213,12 +219,17 @@
         }
     }
 
+    /// Refuses a request whose upstream takes no connection.
+    fn unreachable(&self, exchange: &mut Exchange) -> Failure {
+        let problem = exchange.settle_refusal(unreachable());
+        self.count_refusal(&problem);
+        Failure::Problem(problem)
+    }
+
     fn send_failure(&self, err: SendError, fault: Option<BodyFault>) -> Failure {
         if err == SendError::NotSent {
-            self.counters.requests_refused.add_one();
-            let detail = "the upstream can't be reached; retry later";
-            let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, detail)
-                .with_retry_after(UNREACHABLE_RETRY_AFTER_MS);
+            let problem = unreachable();
+            self.count_refusal(&problem);
             return Failure::Problem(problem);
         }
         self.counters.outcomes_unknown.add_one();
@@ -252,6 +263,23 @@
     }
 }
 
+/// Marks an at-most-once attempt as started.
+fn start(exchange: &mut Exchange) -> Result<Option<Run>, Failure> {
+    let Some(ticket) = exchange.ticket.take() else {
+        return Ok(None);
+    };
+    ticket.start().map(Some).map_err(|_not_started| {
+        let detail = "another attempt settled this one; wait for its answer";
+        Failure::Problem(Problem::outcome_unknown(StatusCode::CONFLICT, detail))
+    })
+}
+
+fn unreachable() -> Problem {
+    let detail = "the upstream can't be reached; retry later";
+    Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, detail)
+        .with_retry_after(UNREACHABLE_RETRY_AFTER_MS)
+}
+
 /// Makes the request as the upstream gets it.
 fn upstream_request(exchange: &Exchange, body: CallerBody) -> Request<CallerBody> {
     let mut request = Request::new(body);
@@ -263,6 +291,7 @@
     remove_hop_fields(headers);
     headers.remove(TIMEOUT_HEADER);
     headers.remove(ATTEMPT_HEADER);
+    headers.remove(FIRST_SENT_HEADER);
     let authority = exchange.uri.authority().map_or("", |it| it.as_str());
     if let Ok(host) = HeaderValue::from_str(authority) {
         headers.insert(header::HOST, host);
--- a/crates/agent/src/upstream/client.rs
+++ b/crates/agent/src/upstream/client.rs
@@ -49,7 +49,7 @@
 
 /// A connection and the task that drives it; dropped, it is closed.
 #[derive(Debug)]
-pub(super) struct Link {
+pub(crate) struct Link {
     pub(super) sender: http1::SendRequest<CallerBody>,
     address: SocketAddr,
     driver: AbortHandle,
@@ -97,18 +97,15 @@
         }
     }
 
-    /// Sends a request and returns the answer's head.
+    /// Sends a request on a connection and returns the answer's head.
     ///
     /// Another connection is tried only while no byte of the request was written.
     pub(crate) async fn send(
         &self,
+        mut link: Link,
         mut request: Request<CallerBody>,
     ) -> Result<Answered, SendError> {
-        for attempt in 0..TRIES_MAX {
-            if attempt > 0 {
-                self.counters.upstream_retries.add_one();
-            }
-            let mut link = self.link().await?;
+        for _try in 0..TRIES_MAX {
             match link.sender.try_send_request(request).await {
                 Ok(response) => return Ok(Answered { response, link }),
                 Err(mut err) => match err.take_message() {
@@ -116,6 +113,8 @@
                     None => return Err(SendError::Unknown),
                 },
             }
+            self.counters.upstream_retries.add_one();
+            link = self.link().await?;
         }
         Err(SendError::NotSent)
     }
@@ -131,7 +130,7 @@
     }
 
     /// Returns a connection proven lately, or a fresh one.
-    async fn link(&self) -> Result<Link, SendError> {
+    pub(crate) async fn link(&self) -> Result<Link, SendError> {
         let address = {
             let mut inner = self.lock();
             inner.idle.retain(|it| !it.link.sender.is_closed());
