Bench imbalance; an agent without a bundle asks often; status of every process

Cause: 5 of 7 agents started 9 s late, since a process that got no bundle at its start compared with peers only every 10 s; balancers then took their endpoints as dead and two endpoints carried all work.

--- a/crates/bench/src/benches.rs
+++ b/crates/bench/src/benches.rs
@@ -2,6 +2,7 @@
 
 mod bundles;
 mod datagrams;
+mod imbalance;
 mod platform_calls;
 mod publisher;
 
@@ -11,29 +12,18 @@
 };
 
 /// A bench that can be run by name.
-struct Bench {
+struct Entry {
     name: &'static str,
     about: &'static str,
     run: fn(&Options) -> Result<Vec<Figure>>,
 }
 
 /// Every bench, sorted by name.
-const BENCHES: &[Bench] = &[
-    Bench {
-        name: "bundles",
-        about: "publication to in force on every balancer, and reverts after restarts",
-        run: bundles::run,
-    },
-    Bench {
-        name: "datagrams",
-        about: "datagrams routed a second and core, and the cost of the decision alone",
-        run: datagrams::run,
-    },
-    Bench {
-        name: "platform-calls",
-        about: "calls at the platform's service by the size of the fleet",
-        run: platform_calls::run,
-    },
+const BENCHES: &[Entry] = &[
+    bundles::BENCH,
+    datagrams::BENCH,
+    imbalance::BENCH,
+    platform_calls::BENCH,
 ];
 
 /// Runs the named bench, or lists all when no name is given.
--- a/crates/bench/src/benches/bundles.rs
+++ b/crates/bench/src/benches/bundles.rs
@@ -10,6 +10,7 @@
 use stand_ins::platform::{Fault, Platform};
 
 use self::holdings::Holdings;
+use super::Entry;
 use super::publisher::{Publication, Publisher};
 use crate::{
     controllers::{ControllerFleet, ControllerPlan, Report, Spread, now_us},
@@ -46,8 +47,15 @@
 /// Share of the run that each of the two phases with changes takes, in percent.
 const PHASE_PERCENT: u64 = 35;
 
+/// This bench in the list.
+pub(super) const BENCH: Entry = Entry {
+    name: "bundles",
+    about: "publication to in force on every balancer, and reverts after restarts",
+    run,
+};
+
 /// Runs the bench.
-pub(crate) fn run(options: &Options) -> Result<Vec<Figure>> {
+fn run(options: &Options) -> Result<Vec<Figure>> {
     tokio::runtime::Runtime::new()
         .map_err(|err| BenchError::setup("starting the runtime", &err))?
         .block_on(measure(options))
--- a/crates/bench/src/benches/datagrams.rs
+++ b/crates/bench/src/benches/datagrams.rs
@@ -12,6 +12,7 @@
     relay::{Relay, Sample},
     tables::{Fixture, Size},
 };
+use super::Entry;
 use crate::{
     error::Result,
     figure::{Figure, Options},
@@ -49,8 +50,15 @@
     endpoints: 5_800,
 };
 
+/// This bench in the list.
+pub(super) const BENCH: Entry = Entry {
+    name: "datagrams",
+    about: "datagrams routed a second and core, and the cost of the decision alone",
+    run,
+};
+
 /// Runs the bench.
-pub(crate) fn run(options: &Options) -> Result<Vec<Figure>> {
+fn run(options: &Options) -> Result<Vec<Figure>> {
     let mut figures = decision_figures(options);
     let slices = ROUNDS * 2 * u32::try_from(BURSTS.len()).unwrap_or(u32::MAX);
     let slice = Duration::from_secs(options.seconds) / slices;
--- a/crates/bench/src/benches/platform_calls.rs
+++ b/crates/bench/src/benches/platform_calls.rs
@@ -6,6 +6,7 @@
 
 use stand_ins::platform::Platform;
 
+use super::Entry;
 use super::publisher::Publisher;
 use crate::{
     controllers::{ControllerFleet, ControllerPlan, Spread},
@@ -50,8 +51,15 @@
     per_change_and_process: f64,
 }
 
+/// This bench in the list.
+pub(super) const BENCH: Entry = Entry {
+    name: "platform-calls",
+    about: "calls at the platform's service by the size of the fleet",
+    run,
+};
+
 /// Runs the bench.
-pub(crate) fn run(options: &Options) -> Result<Vec<Figure>> {
+fn run(options: &Options) -> Result<Vec<Figure>> {
     tokio::runtime::Runtime::new()
         .map_err(|err| BenchError::setup("starting the runtime", &err))?
         .block_on(measure(options))
--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -11,8 +11,8 @@
 use tokio::{sync::watch, task::JoinSet};
 
 use crate::{
-    error::{BenchError, Result},
-    figure::Options,
+    error::Result,
+    figure::{Options, block_on},
     fleet::{Fleet, FleetPlan},
     load::{CallerLoop, Pace, Tally, WORKS},
 };
@@ -28,9 +28,7 @@
 
 /// Runs the demo.
 pub(crate) fn run(options: &Options) -> Result<()> {
-    let runtime = tokio::runtime::Runtime::new()
-        .map_err(|err| BenchError::setup("starting the runtime", &err))?;
-    runtime.block_on(demo(options))
+    block_on(demo(options))
 }
 
 async fn demo(options: &Options) -> Result<()> {
--- a/crates/bench/src/demo/report.rs
+++ b/crates/bench/src/demo/report.rs
@@ -64,7 +64,6 @@
         "request", "count", "whole", "not-run", "unknown", "timeout", "p50 ms", "p99 ms"
     );
     for (work, tally) in WORKS.iter().zip(tallies) {
-        let row = tally.row();
         println!(
             "{:<16}{:>9}{:>9}{:>9}{:>9}{:>9}{:>10.1}{:>10.1}",
             work.name,
@@ -73,8 +72,8 @@
             tally.not_run,
             tally.unknown,
             tally.timeouts,
-            row.p50_ms,
-            row.p99_ms
+            tally.quantile_ms(0.5),
+            tally.quantile_ms(0.99)
         );
     }
 }
--- a/crates/bench/src/figure.rs
+++ b/crates/bench/src/figure.rs
@@ -2,6 +2,8 @@
 
 use serde::Serialize;
 
+use crate::error::{BenchError, Result};
+
 /// Seed used when none is given.
 const DEFAULT_SEED: u64 = 1;
 
@@ -47,3 +49,16 @@
     /// Seed of the run.
     pub(crate) seed: u64,
 }
+
+/// Runs a bench's future on a runtime of its own.
+pub(crate) fn block_on<T>(bench: impl Future<Output = Result<T>>) -> Result<T> {
+    let runtime = tokio::runtime::Runtime::new()
+        .map_err(|err| BenchError::setup("starting the runtime", &err))?;
+    runtime.block_on(bench)
+}
+
+/// Converts a count for use in a ratio.
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+pub(crate) fn floats(count: usize) -> f64 {
+    count as f64
+}
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -8,6 +8,7 @@
 mod plan;
 mod process;
 mod settings_files;
+mod status;
 
 use std::{
     fs,
@@ -28,13 +29,13 @@
 
 use crate::error::{BenchError, Result};
 
-use self::settings_files::SettingsFiles;
 pub(crate) use self::{
     addresses::AddressPlan,
     certificates::{Certificates, SERVICE_NAME},
-    plan::{FleetPlan, RoutePlan, ServicePlan},
+    plan::FleetPlan,
     process::Process,
 };
+use self::{settings_files::SettingsFiles, status::StatusProbe};
 
 /// Longest time a fleet may take until every process answers.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -190,13 +191,45 @@
         }
     }
 
+    /// Waits until every process holds what it serves, and every service answers.
     async fn wait_until_answering(&self) -> Result<()> {
+        let probe = StatusProbe::new(&self.certificates.process)?;
+        let balancers = (0..self.balancers.len()).map(|it| self.addresses.balancer_control(it));
+        for address in balancers {
+            self.wait_until_holding(&probe, address, self.bundles.len())
+                .await?;
+        }
+        for idx in 0..self.agents.len() {
+            self.wait_until_holding(&probe, self.addresses.agent_control(idx), 1)
+                .await?;
+        }
         for service_idx in 0..self.bundles.len() {
             self.wait_until_service_answers(service_idx).await?;
         }
         Ok(())
     }
 
+    async fn wait_until_holding(
+        &self,
+        probe: &StatusProbe,
+        address: SocketAddr,
+        services: usize,
+    ) -> Result<()> {
+        let deadline = Instant::now() + START_TIMEOUT;
+        while Instant::now() < deadline {
+            let status = probe.ask(address).await;
+            if status.is_some_and(|it| it.services.len() == services) {
+                return Ok(());
+            }
+            tokio::time::sleep(START_STEP).await;
+        }
+        let text = format!(
+            "the process at {address} holds no bundle; see {}",
+            self.files.dir()
+        );
+        Err(BenchError::Broken(text))
+    }
+
     fn publish(&mut self, service_idx: usize) -> Result<()> {
         let (bundle, digest) = &mut self.bundles[service_idx];
         let envelope = sign_bundle(bundle, &self.operator);
--- a/crates/bench/src/fleet/certificates.rs
+++ b/crates/bench/src/fleet/certificates.rs
@@ -1,5 +1,6 @@
 //! Certificates of one fleet: an authority, one for all processes and one for the services.
 
+use control::PROCESS_NAME;
 use rcgen::{
     BasicConstraints, CertificateParams, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
     KeyUsagePurpose,
@@ -9,9 +10,6 @@
 
 use crate::error::{BenchError, Result};
 
-/// Name in every process's certificate.
-pub(crate) const PROCESS_NAME: &str = "process.lovagehall";
-
 /// Name in every service's certificate.
 pub(crate) const SERVICE_NAME: &str = "service.example";
 
--- a/crates/bench/src/fleet/process.rs
+++ b/crates/bench/src/fleet/process.rs
@@ -46,11 +46,6 @@
         Ok(())
     }
 
-    /// Returns the process id.
-    pub(crate) fn id(&self) -> u32 {
-        self.child.id()
-    }
-
     /// Asks for a graceful stop.
     pub(crate) fn stop(&self) {
         self.signal(Signal::TERM);
@@ -85,11 +80,6 @@
         None
     }
 
-    /// Whether the process is still running.
-    pub(crate) fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
-
     fn signal(&self, signal: Signal) {
         let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
         if let Some(pid) = pid {
--- /dev/null
+++ b/crates/bench/src/fleet/status.rs
@@ -0,0 +1,54 @@
+//! Asks a process over its own call whether it serves.
+
+use std::{net::SocketAddr, time::Duration};
+
+use control::{PROCESS_NAME, PeerTls, client_tls};
+use settings::ProcessTls;
+use tonic::transport::{Channel, ClientTlsConfig, Endpoint};
+use wire::inspect::{StatusReply, StatusRequest, inspect_client::InspectClient};
+
+use crate::error::{BenchError, Result};
+
+/// Longest time for one question.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Asks processes for their status.
+#[derive(Debug, Clone)]
+pub(crate) struct StatusProbe {
+    tls: ClientTlsConfig,
+}
+
+impl StatusProbe {
+    /// Makes a probe that proves itself with the fleet's certificate.
+    pub(crate) fn new(tls: &ProcessTls) -> Result<Self> {
+        let tls = PeerTls {
+            ca_pem: tls.ca_pem.clone(),
+            certificate_pem: tls.certificate_pem.clone(),
+            key_pem: tls.key_pem.clone(),
+            server_name: PROCESS_NAME.to_owned(),
+        };
+        let tls =
+            client_tls(&tls).map_err(|err| BenchError::setup("reading certificates", &err))?;
+        Ok(Self { tls })
+    }
+
+    /// Returns what the process tells, if it answers.
+    pub(crate) async fn ask(&self, address: SocketAddr) -> Option<StatusReply> {
+        let channel = self.connect(address).await?;
+        let mut client = InspectClient::new(channel);
+        let reply = client.status(StatusRequest {}).await.ok()?;
+        Some(reply.into_inner())
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Option<Channel> {
+        Endpoint::from_shared(format!("https://{address}"))
+            .ok()?
+            .tls_config(self.tls.clone())
+            .ok()?
+            .connect_timeout(TIMEOUT)
+            .timeout(TIMEOUT)
+            .connect()
+            .await
+            .ok()
+    }
+}
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -1,6 +1,7 @@
 //! Load of both users: what callers ask, what came of it, and the counts.
 
 mod caller_loop;
+mod open_loop;
 mod outcome;
 mod purchases;
 mod tally;
@@ -8,8 +9,9 @@
 
 pub(crate) use self::{
     caller_loop::{CallerLoop, Pace},
+    open_loop::{Arrival, Finished, OpenLoop, poisson},
     outcome::{Outcome, classify},
-    purchases::{KeyedRequest, RetryPolicy},
-    tally::{Tally, TallyRow},
+    purchases::KeyedRequest,
+    tally::Tally,
     work::{WORKS, Work},
 };
--- a/crates/bench/src/load/purchases.rs
+++ b/crates/bench/src/load/purchases.rs
@@ -15,17 +15,6 @@
 /// When the first attempt was sent, in milliseconds since the Unix epoch.
 const FIRST_SENT_HEADER: &str = "lovagehall-first-sent-ms";
 
-/// When a caller sends a request again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum RetryPolicy {
-    /// As the answer allows, with the attempt counted.
-    Counted,
-    /// Never.
-    Never,
-    /// After every failure, as a new request with a new key.
-    Always,
-}
-
 /// A request that must run at most once.
 #[derive(Debug, Clone)]
 pub(crate) struct KeyedRequest {
--- a/crates/bench/src/load/tally.rs
+++ b/crates/bench/src/load/tally.rs
@@ -28,14 +28,6 @@
     pub(crate) samples: Vec<String>,
 }
 
-/// What a table shows of a tally.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct TallyRow {
-    pub(crate) p50_ms: f64,
-    pub(crate) p99_ms: f64,
-    pub(crate) max_ms: f64,
-}
-
 impl Tally {
     /// Makes an empty tally.
     pub(crate) fn new() -> Self {
@@ -96,15 +88,6 @@
         }
     }
 
-    /// Latencies of the whole answers.
-    pub(crate) fn row(&self) -> TallyRow {
-        TallyRow {
-            p50_ms: self.quantile_ms(0.5),
-            p99_ms: self.quantile_ms(0.99),
-            max_ms: self.quantile_ms(1.0),
-        }
-    }
-
     /// A quantile of the whole answers' latencies.
     #[expect(
         clippy::cast_precision_loss,
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -30,6 +30,9 @@
 /// Answers of serving peers that are enough.
 const ASK_ENOUGH: usize = 3;
 
+/// Mean time between comparisons while nothing is held.
+const EMPTY_INTERVAL_MS: Millis = Millis::new(300);
+
 /// Ticks between comparisons with an agent.
 const TICKS_PER_AGENT: u64 = 5;
 
@@ -128,7 +131,7 @@
 
 impl SpreadState {
     fn tick(&mut self) {
-        let interval_ms = self.shared.timing.exchange_interval_ms.get();
+        let interval_ms = self.interval().get();
         let rest = Millis::new(self.rng.random_range(interval_ms / 2..=interval_ms * 3 / 2));
         self.myself
             .send_after(rest.to_duration(), || SpreadMsg::Tick);
@@ -147,6 +150,15 @@
         }
     }
 
+    /// A process that holds nothing can't serve, so it asks more often until it does.
+    fn interval(&self) -> Millis {
+        let usual = self.shared.timing.exchange_interval_ms;
+        if self.shared.view.load().is_empty() {
+            return usual.min(EMPTY_INTERVAL_MS);
+        }
+        usual
+    }
+
     fn exchange(&self, partner: partners::Partner, only: Option<ServiceId>) {
         let caller = self.caller.clone();
         let myself = self.myself.clone();
--- a/crates/lovagehall/src/agent_role.rs
+++ b/crates/lovagehall/src/agent_role.rs
@@ -1,12 +1,13 @@
 //! The agent: the endpoint beside one upstream and the controllers that feed it.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Instant};
 
 use agent::{Agent, AgentEvent, Config as AgentConfig, PeerSender, TlsIdentity};
 use arc_swap::ArcSwap;
 use bundle::InForce;
 use control::{
     Config as ControlConfig, Handle, PeerLink, PeerPacket, PeerSend, Role,
+    inspect::{InspectCalls, ProcessStatus},
     responder::{ResponderConfig, start_responder},
 };
 use flow::key::{Secret, ServiceKey, ServiceKeys};
@@ -43,7 +44,17 @@
     let control = control::start(config)
         .await
         .map_err(|err| RunError::start("the controllers", &err))?;
-    let routes = Routes::new(control.calls());
+    let status = ProcessStatus {
+        instance: settings.instance.clone(),
+        role: "agent",
+        zone: settings.zone.clone(),
+        incarnation,
+        started: Instant::now(),
+        control: control.clone(),
+        members: None,
+    };
+    let inspect = InspectCalls::server(settings.instance.clone(), recorder.clone(), status);
+    let routes = Routes::new(control.calls()).add_service(inspect);
     let server = calls::serve(settings.control_address, &tls, routes).await?;
     control.ready().await;
     let config = agent_config(&settings, incarnation)?;
--- a/crates/lovagehall/src/balancer_role.rs
+++ b/crates/lovagehall/src/balancer_role.rs
@@ -2,9 +2,12 @@
 
 mod tables;
 
+use std::time::Instant;
+
 use balancer::{Config as DatapathConfig, Datapath, DrainEnd, Feed, Handle, ListenAt};
 use control::{
     Config as ControlConfig, PeerLink, PeerPacket, PeerSend, Role,
+    inspect::{InspectCalls, ProcessStatus},
     members::{MembersConfig, MembersHandle, start_members},
 };
 use flow::key::{FleetKey, Secret};
@@ -55,7 +58,17 @@
     let control = control::start(config)
         .await
         .map_err(|err| RunError::start("the controllers", &err))?;
-    let routes = Routes::new(control.calls());
+    let status = ProcessStatus {
+        instance: settings.instance.clone(),
+        role: "balancer",
+        zone: settings.zone.clone(),
+        incarnation,
+        started: Instant::now(),
+        control: control.clone(),
+        members: Some(members.clone()),
+    };
+    let inspect = InspectCalls::server(settings.instance.clone(), recorder.clone(), status);
+    let routes = Routes::new(control.calls()).add_service(inspect);
     let server = calls::serve(settings.control_address, &tls, routes).await?;
     let (stop, stopped) = oneshot::channel::<()>();
     let forwarding = tokio::spawn(datapath.run(async move {
--- a/crates/lovagehall/src/common.rs
+++ b/crates/lovagehall/src/common.rs
@@ -6,16 +6,13 @@
 };
 
 use bundle::{KeySet, PublicKey};
-use control::{Counters, PeerTls};
+use control::{Counters, PROCESS_NAME, PeerTls};
 use settings::ProcessTls;
 use tokio::signal::unix::{SignalKind, signal};
 use units::Incarnation;
 
 use crate::error::RunError;
 
-/// Name in every process's certificate.
-const PROCESS_NAME: &str = "process.lovagehall";
-
 /// Waits for the next full second and returns it as this run's incarnation.
 ///
 /// The wait keeps two runs that start within one second apart.
