--- a/crates/agent/src/agent/follow.rs
+++ b/crates/agent/src/agent/follow.rs
@@ -1,6 +1,9 @@
 //! Follows the bundle in force: slots, the upstream's address, leaving.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use admission::Config;
 use bundle::InForce;
@@ -11,6 +14,9 @@
 /// Time between looks at the bundle in force.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time for which the upstream must have taken no connection until the endpoint counts as away.
+const AWAY_AFTER: Duration = Duration::from_secs(1);
+
 /// What a bundle says of the agent's own endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Own {
@@ -41,6 +47,13 @@
             },
         })
     }
+
+    /// Leaves while the upstream is away: refusing at once, it would look idle and draw flows.
+    fn or_away(self, unreachable_since: Option<Instant>) -> Self {
+        let is_away = unreachable_since.is_some_and(|it| it.elapsed() >= AWAY_AFTER);
+        let phase = if is_away { Phase::Leaving } else { self.phase };
+        Self { phase, ..self }
+    }
 }
 
 /// Applies each newer bundle until aborted.
@@ -51,7 +64,8 @@
     loop {
         tokio::select! {
             _tick = interval.tick() => {
-                let own = Own::find(&parts.in_force.load(), parts.config.endpoint);
+                let own = Own::find(&parts.in_force.load(), parts.config.endpoint)
+                    .map(|it| it.or_away(parts.core.client.unreachable_since()));
                 if applied != Some(own) {
                     apply(&parts, own);
                     applied = Some(own);
--- a/crates/agent/src/upstream/client.rs
+++ b/crates/agent/src/upstream/client.rs
@@ -38,6 +38,8 @@
     address: SocketAddr,
     /// The one used last comes last.
     pub(super) idle: Vec<Idle>,
+    /// Since when every attempt to connect has failed; `None` if the last one succeeded.
+    unreachable_since: Option<Instant>,
 }
 
 /// A connection without a request.
@@ -83,17 +85,24 @@
             inner: Mutex::new(Inner {
                 address,
                 idle: Vec::new(),
+                unreachable_since: None,
             }),
             counters,
         }
     }
 
+    /// Returns since when the upstream has taken no connection, `None` if it takes them.
+    pub(crate) fn unreachable_since(&self) -> Option<Instant> {
+        self.lock().unreachable_since
+    }
+
     /// Takes over a changed address; idle connections to the old one are closed.
     pub(crate) fn set_address(&self, address: SocketAddr) {
         let mut inner = self.lock();
         if inner.address != address {
             inner.address = address;
             inner.idle.clear();
+            inner.unreachable_since = None;
         }
     }
 
@@ -141,12 +150,20 @@
             inner.address
         };
         let connected = self.connect(address).await;
-        if connected.is_err() {
-            self.counters.upstream_connect_failed.add_one();
-        }
+        self.note_reachable(connected.is_ok());
         connected
     }
 
+    fn note_reachable(&self, is_reachable: bool) {
+        let mut inner = self.lock();
+        if is_reachable {
+            inner.unreachable_since = None;
+            return;
+        }
+        inner.unreachable_since.get_or_insert_with(Instant::now);
+        self.counters.upstream_connect_failed.add_one();
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<Link, SendError> {
         let connecting = TcpStream::connect(address);
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
--- a/crates/agent/src/upstream/probe.rs
+++ b/crates/agent/src/upstream/probe.rs
@@ -20,7 +20,7 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
 impl Client {
-    /// Probes idle connections for ever.
+    /// Probes idle connections, and an upstream that is away, for ever.
     pub(crate) async fn probe(&self) {
         let mut interval = tokio::time::interval(PROBE_INTERVAL);
         loop {
@@ -28,6 +28,18 @@
             let due = self.take_due();
             let probes = due.into_iter().map(|it| self.probe_one(it));
             futures_util::future::join_all(probes).await;
+            self.try_again().await;
+        }
+    }
+
+    /// Looks whether an upstream that took no connection does again.
+    async fn try_again(&self) {
+        if self.unreachable_since().is_none() {
+            return;
+        }
+        if let Ok(link) = self.link().await {
+            let proven = Instant::now();
+            self.put(Idle { link, proven });
         }
     }
 
--- a/crates/agent/tests/silent_upstream.rs
+++ b/crates/agent/tests/silent_upstream.rs
@@ -3,6 +3,9 @@
 #[path = "fixture/fixture.rs"]
 mod fixture;
 
+use std::net::TcpListener;
+
+use agent::Phase;
 use fixture::{Fixture, soon, until};
 use http::StatusCode;
 use stand_ins::{
@@ -32,25 +35,29 @@
     assert_eq!(fixture.agent.counters().upstream_silent.get(), 0);
 }
 
+/// An upstream that takes no connection makes its endpoint leave, and come back with it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn gone_upstream() {
     let mut fixture = Fixture::start(2, Behavior::new()).await;
     let connection = fixture.connect().await;
     check_answered(&connection).await;
     let address = fixture.upstream.address();
-    let spare = Upstream::start(Slots::new(2), Behavior::new())
-        .await
-        .unwrap();
-    drop(std::mem::replace(&mut fixture.upstream, spare));
-    until(|| std::net::TcpListener::bind(address).is_ok()).await;
-    let call = Call::get("/fit").with_header("lovagehall-timeout-ms", "2000");
+    let spare = Upstream::start(Slots::new(2), Behavior::new()).await;
+    drop(std::mem::replace(&mut fixture.upstream, spare.unwrap()));
+    until(|| TcpListener::bind(address).is_ok()).await;
+    until(|| fixture.agent.counters().upstream_silent.get() > 0).await;
+
+    let call = Call::get("/fit").with_header("x-request-id", "refused");
     let answer = soon(connection.request(call)).await.unwrap();
-    assert_ne!(answer.status, StatusCode::OK);
-    until(|| {
-        fixture.agent.counters().upstream_connect_failed.get() > 0
-            || fixture.agent.counters().requests_timed_out.get() > 0
-    })
-    .await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(String::from_utf8_lossy(&answer.body).contains("problem:not-run"));
+    until(|| fixture.agent.phase() == Phase::Leaving).await;
+    assert!(fixture.agent.load().get().is_leaving);
+
+    let back = Upstream::start_at(address, Slots::new(2), Behavior::new()).await;
+    fixture.upstream = back.unwrap();
+    until(|| fixture.agent.phase() == Phase::Serving).await;
+    check_answered(&fixture.connect().await).await;
 }
 
 async fn check_answered(connection: &CallerConnection) {
