Agents serve each other's calls

The control address of an agent answers grants, fences and loads; they are served from before the agent starts, as unavailable until it has.

Without it every at-most-once request whose key another agent owns was refused.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -19,10 +19,9 @@
 };
 use tonic::transport::ClientTlsConfig;
 use units::{BundleVersion, EndpointId, Millis};
-use wire::requests::requests_server::RequestsServer;
 
 use crate::{
-    calls::RequestCalls,
+    calls::{CallParts, RequestCalls},
     config::Config,
     counters::Counters,
     endpoint,
@@ -200,14 +199,13 @@
         &self.parts.counters
     }
 
-    /// Returns what serves the calls of other agents.
-    #[must_use]
-    pub fn calls(&self) -> RequestsServer<RequestCalls> {
-        RequestsServer::new(RequestCalls {
+    /// Answers the calls of other agents through `calls` from now on.
+    pub fn open_calls(&self, calls: &RequestCalls) {
+        calls.open(CallParts {
             service: self.parts.config.service,
             keys: Arc::clone(&self.parts.keys),
             gate: Arc::clone(&self.parts.gate),
-        })
+        });
     }
 
     /// Returns the gate in front of the upstream's slots.
--- a/crates/agent/src/calls.rs
+++ b/crates/agent/src/calls.rs
@@ -2,39 +2,57 @@
 
 pub(crate) mod convert;
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
-use admission::once::Agent;
 use tonic::{Request, Response, Status};
 use units::ServiceId;
 use wire::requests::{
     FenceReply, FenceRequest, GrantReply, GrantRequest, HandOffReply, HandOffRequest, LoadReply,
-    LoadRequest, requests_server::Requests,
+    LoadRequest,
+    requests_server::{Requests, RequestsServer},
 };
 
 use crate::{gate::Gate, once::Keys};
 
 /// Serves the calls of the other agents of the service.
-#[derive(Debug, Clone)]
+///
+/// It can be served before the agent starts; until then every call is refused as unavailable.
+/// Clones are the same.
+#[derive(Debug, Clone, Default)]
 pub struct RequestCalls {
+    parts: Arc<OnceLock<CallParts>>,
+}
+
+/// What the calls are about.
+#[derive(Debug)]
+pub(crate) struct CallParts {
     pub(crate) service: ServiceId,
     pub(crate) keys: Arc<Keys>,
     pub(crate) gate: Arc<Gate>,
 }
 
 impl RequestCalls {
-    /// Refuses calls about another service: addresses get reused.
-    fn check_service(&self, service: u32) -> Result<(), Status> {
-        if ServiceId::new(service) == self.service {
-            return Ok(());
-        }
-        Err(Status::failed_precondition(
-            "another service is served here",
-        ))
+    /// Returns what can be served at the control address.
+    #[must_use]
+    pub fn server(&self) -> RequestsServer<Self> {
+        RequestsServer::new(self.clone())
     }
 
-    fn load_reply(&self, me: Agent) -> LoadReply {
-        convert::load_reply(me, self.gate.load())
+    /// Answers calls from now on; only the first agent counts.
+    pub(crate) fn open(&self, parts: CallParts) {
+        self.parts.get_or_init(|| parts);
+    }
+
+    /// Refuses calls about another service: addresses get reused.
+    fn parts(&self, service: u32) -> Result<&CallParts, Status> {
+        let parts = self.parts.get();
+        let parts = parts.ok_or_else(|| Status::unavailable("the agent is not up yet"))?;
+        if ServiceId::new(service) != parts.service {
+            return Err(Status::failed_precondition(
+                "another service is served here",
+            ));
+        }
+        Ok(parts)
     }
 }
 
@@ -46,29 +64,30 @@
         &self,
         request: Request<HandOffRequest>,
     ) -> Result<Response<Self::HandOffStream>, Status> {
-        self.check_service(request.get_ref().service)?;
+        self.parts(request.get_ref().service)?;
         Err(Status::unimplemented("requests aren't handed off"))
     }
 
     async fn grant(&self, request: Request<GrantRequest>) -> Result<Response<GrantReply>, Status> {
         let request = request.into_inner();
-        self.check_service(request.service)?;
+        let parts = self.parts(request.service)?;
         let ask = convert::ask(&request).ok_or_else(malformed)?;
-        let verdict = self.keys.decide(ask).await;
+        let verdict = parts.keys.decide(ask).await;
         Ok(Response::new(convert::grant_reply(verdict)))
     }
 
     async fn fence(&self, request: Request<FenceRequest>) -> Result<Response<FenceReply>, Status> {
         let request = request.into_inner();
-        self.check_service(request.service)?;
+        let parts = self.parts(request.service)?;
         let fence = convert::fence(&request).ok_or_else(malformed)?;
-        let reply = self.keys.fence(&fence);
+        let reply = parts.keys.fence(&fence);
         Ok(Response::new(convert::fence_reply_message(&reply)))
     }
 
     async fn load(&self, request: Request<LoadRequest>) -> Result<Response<LoadReply>, Status> {
-        self.check_service(request.get_ref().service)?;
-        Ok(Response::new(self.load_reply(self.keys.me())))
+        let parts = self.parts(request.get_ref().service)?;
+        let reply = convert::load_reply(parts.keys.me(), parts.gate.load());
+        Ok(Response::new(reply))
     }
 }
 
--- a/crates/lovagehall/src/agent_role.rs
+++ b/crates/lovagehall/src/agent_role.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Instant};
 
-use agent::{Agent, AgentEvent, Config as AgentConfig, PeerSender, TlsIdentity};
+use agent::{Agent, AgentEvent, Config as AgentConfig, PeerSender, RequestCalls, TlsIdentity};
 use arc_swap::ArcSwap;
 use bundle::InForce;
 use control::{
@@ -54,15 +54,19 @@
         members: None,
     };
     let inspect = InspectCalls::server(settings.instance.clone(), recorder.clone(), status);
-    let routes = Routes::new(control.calls()).add_service(inspect);
+    let request_calls = RequestCalls::default();
+    let routes = Routes::new(control.calls())
+        .add_service(inspect)
+        .add_service(request_calls.server());
     let server = calls::serve(settings.control_address, &tls, routes).await?;
     control.ready().await;
-    let config = agent_config(&settings, incarnation)?;
+    let config = agent_config(&settings, incarnation)?.with_peer_tls(tls);
     let started = tokio::select! {
         started = start(&control, config) => started?,
         res = common::stop_signal() => return res,
     };
     let (agent, in_force) = started;
+    agent.open_calls(&request_calls);
     recorder.record(Event::ProcessStarted { incarnation });
     log::info!(
         "agent {} serves, incarnation {incarnation}",
