Agents learn of balancers from the ones they ask

Change: a balancer names up to 16 balancers alive in its answer to a process that holds one service; the agent adds them to those of its settings. Figures: new test replaced_balancers: the only known balancer dies, the next version arrives through one that was named; without the change the agent stays at version 1. Conclusion: agents outlive every balancer they started with.

--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -1,6 +1,6 @@
 //! What the controllers share and other parts of the process read.
 
-use std::{net::SocketAddr, time::Instant};
+use std::{net::SocketAddr, sync::Arc, time::Instant};
 
 use arc_swap::ArcSwap;
 use bundle::{Held, InForce, Store, index::InstanceList, is_within};
@@ -31,6 +31,8 @@
     pub(crate) is_ready: watch::Sender<bool>,
     pub(crate) pauses: PauseDetector,
     pub(crate) peers: watch::Receiver<Vec<SocketAddr>>,
+    /// Balancers that others named, for a process that holds one service.
+    pub(crate) named_balancers: ArcSwap<Vec<SocketAddr>>,
     pub(crate) recorder: Recorder,
     pub(crate) counters: Counters,
     pub(crate) timing: Timing,
@@ -50,6 +52,7 @@
             is_ready: watch::Sender::new(false),
             pauses: PauseDetector::new(config.timing.pause_ms, Millis::new(0)),
             peers: config.peers.clone(),
+            named_balancers: ArcSwap::default(),
             recorder: config.recorder.clone(),
             counters: config.counters.clone(),
             timing: config.timing,
@@ -69,9 +72,19 @@
 
     /// Returns the peers' addresses without this process's own.
     pub(crate) fn other_peers(&self) -> Vec<SocketAddr> {
-        let peers = self.peers.borrow();
-        let others = peers.iter().filter(|it| **it != self.control_address);
-        others.copied().collect()
+        let mut peers = self.peers.borrow().clone();
+        peers.extend(self.named_balancers.load().iter());
+        peers.sort_unstable();
+        peers.dedup();
+        peers.retain(|it| *it != self.control_address);
+        peers
+    }
+
+    /// Takes the balancers that one of them named as alive.
+    pub(crate) fn name_balancers(&self, balancers: Vec<SocketAddr>) {
+        if !balancers.is_empty() {
+            self.named_balancers.store(Arc::new(balancers));
+        }
     }
 
     /// Returns how many processes read the platform, as far as known.
--- a/crates/control/src/spread/calls.rs
+++ b/crates/control/src/spread/calls.rs
@@ -24,6 +24,9 @@
 /// Calls that one exchange may take the time of.
 const EXCHANGE_CALLS: u32 = 5;
 
+/// Most balancers taken from one answer.
+const NAMED_MAX: usize = 16;
+
 /// Interval of connection probes.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -146,6 +149,11 @@
         let exchanged = Exchanged {
             is_ready: comparison.is_ready,
         };
+        if self.shared.only_service.is_some() {
+            let named = comparison.balancers.iter();
+            let named = named.filter_map(|it| it.parse().ok()).take(NAMED_MAX);
+            self.shared.name_balancers(named.collect());
+        }
         if comparison.is_equal {
             return Ok(exchanged);
         }
--- a/crates/control/src/spread/server.rs
+++ b/crates/control/src/spread/server.rs
@@ -1,11 +1,12 @@
 //! The calls that other processes make to this one.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use bundle::{Held, is_within};
 use bytes::Bytes;
 use futures_util::stream;
 use ractor::ActorRef;
+use rand::seq::IndexedRandom as _;
 use timeline::{BundleSource, Note};
 use tonic::{Request, Response, Status};
 use units::{BundleDigest, BundleVersion, ServiceId};
@@ -22,6 +23,9 @@
 /// Most entries of a version vector, well over the services of any fleet.
 const VECTOR_MAX: usize = 16_384;
 
+/// Most balancers named to an agent.
+const NAMED_MAX: usize = 16;
+
 /// Answers the calls of `wire::bundles`.
 #[derive(Debug, Clone)]
 pub struct BundleCalls {
@@ -33,6 +37,17 @@
     pub(crate) const fn new(shared: Arc<Shared>, bundles: ActorRef<BundlesMsg>) -> Self {
         Self { shared, bundles }
     }
+
+    /// Returns some balancers by which an agent finds the fleet when all it knew are replaced.
+    fn some_balancers(&self) -> Vec<String> {
+        if self.shared.only_service.is_some() {
+            return Vec::new();
+        }
+        let others = self.shared.other_peers();
+        let others = others.choose_multiple(&mut rand::rng(), NAMED_MAX - 1);
+        let own = std::iter::once(&self.shared.control_address);
+        own.chain(others).map(SocketAddr::to_string).collect()
+    }
 }
 
 #[tonic::async_trait]
@@ -45,7 +60,16 @@
         let mine = self.shared.store.load().summary(only);
         let is_equal = summary.digest == mine.as_bytes();
         let is_ready = *self.shared.is_ready.borrow();
-        Ok(Response::new(Comparison { is_equal, is_ready }))
+        let balancers = if only.is_some() {
+            self.some_balancers()
+        } else {
+            Vec::new()
+        };
+        Ok(Response::new(Comparison {
+            is_equal,
+            is_ready,
+            balancers,
+        }))
     }
 
     async fn exchange(
--- a/crates/control/tests/peer_spread.rs
+++ b/crates/control/tests/peer_spread.rs
@@ -123,6 +123,25 @@
     assert_eq!(agent.handle.counters().get("spread.cues"), 1);
 }
 
+#[tokio::test]
+async fn replaced_balancers() {
+    let (fleet, platform) = (fleet(), platform().await);
+    publish(&platform, &first(1));
+    let mut nodes = balancers(&fleet, &platform, 2).await;
+    let (_seeds, seeds) = tokio::sync::watch::channel(vec![nodes[0].address]);
+    let service = ServiceId::new(1);
+    let agent = fleet
+        .start_knowing("a1", Role::Agent { service }, seeds)
+        .await;
+    agent.holds(1, 1).await;
+    agent.knows(&nodes[1]).await;
+    kill(&fleet, nodes.remove(0));
+    publish(&platform, &next(&first(1)));
+    nodes[0].holds(1, 2).await;
+    agent.handle.cue(service, BundleVersion::new(2));
+    agent.holds(1, 2).await;
+}
+
 #[tokio::test]
 async fn agents_remember() {
     let (fleet, platform) = (fleet(), platform().await);
--- a/crates/control/tests/support/node.rs
+++ b/crates/control/tests/support/node.rs
@@ -42,12 +42,24 @@
 
     /// Starts a process and adds balancers to the peers.
     pub async fn start(&self, name: &str, role: Role) -> Node {
+        self.start_knowing(name, role, self.peers.subscribe()).await
+    }
+
+    /// Starts a process that knows these peers.
+    pub async fn start_knowing(
+        &self,
+        name: &str,
+        role: Role,
+        peers: watch::Receiver<Vec<SocketAddr>>,
+    ) -> Node {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         if role.only_service().is_none() {
             self.peers.send_modify(|it| it.push(address));
         }
-        let handle = start(self.config(name, role, address)).await.unwrap();
+        let mut config = self.config(name, role, address);
+        config.peers = peers;
+        let handle = start(config).await.unwrap();
         let serving = Server::builder()
             .tls_config(server_tls(&self.tls).unwrap())
             .unwrap()
@@ -82,6 +94,18 @@
             .unwrap();
     }
 
+    /// Waits until another process is among the peers.
+    pub async fn knows(&self, other: &Self) {
+        let wait = async {
+            while !self.handle.peers().contains(&other.address) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, wait)
+            .await
+            .unwrap_or_else(|_| panic!("{:?}", self.handle.peers()));
+    }
+
     /// Waits until a counter has risen to this value.
     pub async fn counts(&self, name: &str, value: u64) {
         let wait = async {
