Test support: the wait for a peer stands where it is used

Cause: other tests that share the support file didn't use it, and the lint refuses that. Change: moved to the test of the spread.

--- a/crates/control/tests/peer_spread.rs
+++ b/crates/control/tests/peer_spread.rs
@@ -5,9 +5,11 @@
 #[path = "../../bundle/tests/support/sample.rs"]
 mod sample;
 
+use std::time::Duration;
+
 use bundle::{Bundle, KeySet, KeySetDocument, LastVersion, OperatorKey, sign_bundle};
 use control::Role;
-use node::{Fleet, Node};
+use node::{Fleet, Node, PATIENCE};
 use sample::{first, key, next};
 use stand_ins::platform::{Fault, Platform};
 use units::{BundleVersion, ServiceId};
@@ -43,6 +45,18 @@
     drop(node);
 }
 
+/// Waits until `other` is among the node's peers.
+async fn knows(node: &Node, other: &Node) {
+    let wait = async {
+        while !node.handle.peers().contains(&other.address) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait)
+        .await
+        .unwrap_or_else(|_| panic!("{:?}", node.handle.peers()));
+}
+
 fn publish(platform: &Platform, bundle: &Bundle) {
     platform.publish(&sign_bundle(bundle, &key(1))).unwrap();
 }
@@ -134,7 +148,7 @@
         .start_knowing("a1", Role::Agent { service }, seeds)
         .await;
     agent.holds(1, 1).await;
-    agent.knows(&nodes[1]).await;
+    knows(&agent, &nodes[1]).await;
     kill(&fleet, nodes.remove(0));
     publish(&platform, &next(&first(1)));
     nodes[0].holds(1, 2).await;
--- a/crates/control/tests/support/node.rs
+++ b/crates/control/tests/support/node.rs
@@ -10,7 +10,7 @@
 use units::{BundleVersion, ServiceId};
 
 /// Far over what any step takes; only a fault lasts this long.
-const PATIENCE: Duration = Duration::from_secs(30);
+pub const PATIENCE: Duration = Duration::from_secs(30);
 
 pub struct Node {
     pub handle: Handle,
@@ -94,18 +94,6 @@
             .unwrap();
     }
 
-    /// Waits until another process is among the peers.
-    pub async fn knows(&self, other: &Self) {
-        let wait = async {
-            while !self.handle.peers().contains(&other.address) {
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
-        };
-        tokio::time::timeout(PATIENCE, wait)
-            .await
-            .unwrap_or_else(|_| panic!("{:?}", self.handle.peers()));
-    }
-
     /// Waits until a counter has risen to this value.
     pub async fn counts(&self, name: &str, value: u64) {
         let wait = async {
