Counters of the request path reach statsd and status

Cause: the datapath and the agent count in atomics that no operator could see. Change: once a second what was added goes to the process's counters, which cadence sends and the status call shows.

--- a/crates/lovagehall/src/agent_role.rs
+++ b/crates/lovagehall/src/agent_role.rs
@@ -18,7 +18,7 @@
 use tonic::service::Routes;
 use units::{Incarnation, ServiceId};
 
-use crate::{calls, common, error::RunError};
+use crate::{calls, common, error::RunError, metrics::Export};
 
 /// Peer datagrams that may wait for the responder.
 const PEER_PACKETS_MAX: usize = 1_024;
@@ -72,10 +72,14 @@
         "agent {} serves, incarnation {incarnation}",
         settings.instance
     );
+    let export = Export::new(control.counters().clone(), "agent");
+    let counters = Arc::clone(agent.counters());
+    let exporting = tokio::spawn(export.run(move || counters.values()));
     let agent = serve(agent, &in_force, &control, &settings, incarnation).await?;
     recorder.record(Event::ProcessStopping);
     log::info!("agent {} stops", settings.instance);
     let report = agent.stop().await;
+    exporting.abort();
     server.abort();
     let left = report.connections_cut as u64 + u64::from(report.requests_cut);
     recorder.record(Event::ProcessStopped { left });
--- a/crates/lovagehall/src/balancer_role.rs
+++ b/crates/lovagehall/src/balancer_role.rs
@@ -19,7 +19,7 @@
 use units::{Incarnation, Millis, ServiceId};
 
 use self::tables::Tables;
-use crate::{calls, common, error::RunError};
+use crate::{calls, common, error::RunError, metrics::Export};
 
 /// Peer datagrams that may wait for the members controller.
 const PEER_PACKETS_MAX: usize = 4_096;
@@ -70,6 +70,8 @@
     let inspect = InspectCalls::server(settings.instance.clone(), recorder.clone(), status);
     let routes = Routes::new(control.calls()).add_service(inspect);
     let server = calls::serve(settings.control_address, &tls, routes).await?;
+    let export = Export::new(control.counters().clone(), "datapath");
+    let exporting = tokio::spawn(export.run(move || handle.counters().list()));
     let (stop, stopped) = oneshot::channel::<()>();
     let forwarding = tokio::spawn(datapath.run(async move {
         // A dropped sender stops the datapath too.
@@ -94,6 +96,7 @@
         part: "the datapath",
     })?;
     following.abort();
+    exporting.abort();
     server.abort();
     let left = if report.end == DrainEnd::Quiet {
         0
--- a/crates/lovagehall/src/main.rs
+++ b/crates/lovagehall/src/main.rs
@@ -10,6 +10,7 @@
 mod error;
 mod flags;
 mod logging;
+mod metrics;
 mod run;
 
 use std::process::ExitCode;
