balancer: new endpoints open flows once every balancer knows them

The search over flow ownership showed that a flow opened at an endpoint which only the new bundle names is dropped by balancers that still have the old one. The feed knew two states of a change and gave new endpoints flows at once. It now goes through spreading (15 s), overlap (to 60 s) and current, and an endpoint new to the bundle begins its ramp when the spread ends.

--- a/crates/balancer/src/feed.rs
+++ b/crates/balancer/src/feed.rs
@@ -5,10 +5,10 @@
 
 use std::sync::Arc;
 
-use bundle::{Endpoint, InForce};
+use bundle::{Bundle, Endpoint, InForce};
 use flow::{
     key::{FLEET_SCOPE, FleetKey, KeyError, ServiceKeys},
-    table::{Board, GENERATIONS_OVERLAP_MS, Generations, Liveness, RoutingTable, ServiceInput},
+    table::{Board, GENERATIONS_SPREAD_MS, Generations, Liveness, RoutingTable, ServiceInput},
 };
 use units::{BundleVersion, EndpointId, Millis, ServiceId};
 
@@ -45,7 +45,8 @@
     version: BundleVersion,
     in_force: InForce,
     changed_at: Millis,
-    is_overlapping: bool,
+    /// How far the change to the bundle in force has come.
+    generations: Generations,
     /// Endpoints that no held bundle names, with the time they are forgotten; oldest first.
     retired: Vec<(Endpoint, Millis)>,
     /// Endpoints that ramp to their full weight, with the time they began.
@@ -132,7 +133,7 @@
             id: in_force.service(),
             keys,
             version: in_force.current.bundle.version,
-            is_overlapping: in_force.previous.is_some(),
+            generations: generations(&in_force, Millis::new(0)),
             in_force,
             changed_at: now,
             retired: Vec::new(),
@@ -158,11 +159,11 @@
             .filter(|it| !names(&after.endpoints, it.id))
             .cloned()
             .collect();
-        let fresh: Vec<EndpointId> = after
+        let fresh: Vec<(EndpointId, Millis)> = after
             .endpoints
             .iter()
             .filter(|it| !serves(&before.endpoints, it.id))
-            .map(|it| it.id)
+            .map(|it| (it.id, ramp_start(now, before, it.id)))
             .collect();
         self.retired
             .retain(|(it, _)| !names(&after.endpoints, it.id));
@@ -170,13 +171,13 @@
             .extend(gone.into_iter().map(|it| (it, forget_at)));
         let excess = self.retired.len().saturating_sub(RETIRED_MAX);
         self.retired.drain(..excess);
-        for endpoint in fresh {
-            self.begin_ramp(now, endpoint);
+        for (endpoint, begun_at) in fresh {
+            self.begin_ramp(begun_at, endpoint);
         }
         self.version = version;
         self.in_force = in_force.clone();
         self.changed_at = now;
-        self.is_overlapping = in_force.previous.is_some();
+        self.generations = generations(in_force, Millis::new(0));
         true
     }
 
@@ -184,10 +185,9 @@
     fn expire(&mut self, now: Millis) -> bool {
         let held = self.retired.len();
         self.retired.retain(|(_, forget_at)| now < *forget_at);
-        let is_over = now.since(self.changed_at) >= GENERATIONS_OVERLAP_MS;
-        let ends_overlap = self.is_overlapping && is_over;
-        self.is_overlapping &= !is_over;
-        ends_overlap || self.retired.len() != held
+        let before = self.generations;
+        self.generations = generations(&self.in_force, now.since(self.changed_at));
+        self.generations != before || self.retired.len() != held
     }
 
     /// Lets endpoints that are back from the dead ramp up again.
@@ -241,20 +241,31 @@
     }
 
     fn input<'a>(&'a self, retired: &'a [Endpoint]) -> ServiceInput<'a> {
-        let generations = if self.is_overlapping {
-            Generations::Both
-        } else {
-            Generations::Current
-        };
         ServiceInput {
             in_force: &self.in_force,
             keys: Arc::clone(&self.keys),
-            generations,
+            generations: self.generations,
             retired,
         }
     }
 }
 
+/// When an endpoint begins to ramp: one that not every balancer knows opens no flows until then.
+fn ramp_start(now: Millis, before: &Bundle, endpoint: EndpointId) -> Millis {
+    if names(&before.endpoints, endpoint) {
+        return now;
+    }
+    now.plus(GENERATIONS_SPREAD_MS)
+}
+
+/// How far a change has come that took effect `since_ms` ago.
+fn generations(in_force: &InForce, since_ms: Millis) -> Generations {
+    match in_force.previous {
+        Some(_) => Generations::after(since_ms),
+        None => Generations::Current,
+    }
+}
+
 /// Share of its weight that an endpoint has this long after it began to ramp.
 fn ramp_percent(since_ms: Millis, length_ms: Millis) -> u8 {
     if since_ms >= length_ms {
