Spec: acceptance and spread searched exhaustively, and random runs

Cause: "never reverts" and convergence under stale reads, late messages, restarts, a partition, forks and rival claims rested on tests alone.

Change: a specification whose every decision is the real store's, tabulated; a breadth-first search over it; five rules broken on purpose; random runs of four real stores.

Conclusion: a bundle in force goes up in one order at every process and exchanges alone bring all processes to the same documents.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod once;
 pub mod ownership;
+pub mod spread;
--- /dev/null
+++ b/crates/spec/src/spread/documents.rs
@@ -0,0 +1,103 @@
+//! The documents that the specification publishes.
+
+use std::net::SocketAddr;
+
+use bundle::{
+    Bundle, Endpoint, KeySet, Leaving, RequestClass, RetrySafety, RouteRule, SecretKey, Sharing,
+    digest, sign,
+};
+use units::{BundleDigest, BundleVersion, ByteSize, EndpointId, Millis, ServiceId, Slots, Weight};
+
+/// One published document.
+#[derive(Debug, Clone)]
+pub(super) struct Document {
+    pub(super) service: ServiceId,
+    pub(super) version: BundleVersion,
+    pub(super) digest: BundleDigest,
+    pub(super) envelope: Vec<u8>,
+}
+
+/// Returns the documents in the order of publication.
+///
+/// Version 1 of service 1; version 2 as two documents; version 1 of service 2, which claims an
+/// endpoint that one of them has; version 3 of service 1 on top of the document that gives way.
+pub(super) fn documents() -> Vec<Document> {
+    let first = bundle(1, 1, None, &[1]);
+    let chained = signed(&first);
+    let mut forks = [
+        bundle(1, 2, Some(chained.digest), &[1, 2]),
+        bundle(1, 2, Some(chained.digest), &[1, 3]),
+    ];
+    forks.sort_by_key(|it| signed(it).digest);
+    let (kept, gives_way) = (signed(&forks[0]), signed(&forks[1]));
+    let shared = forks[1].endpoints[1].id.get();
+    let rival = bundle(2, 1, None, &[9, shared]);
+    let third = bundle(1, 3, Some(gives_way.digest), &[1]);
+    vec![chained, gives_way, kept, signed(&rival), signed(&third)]
+}
+
+/// Returns the keys that the documents are signed with.
+pub(super) fn keys() -> KeySet {
+    KeySet::new(vec![operator().public()])
+}
+
+fn operator() -> SecretKey {
+    SecretKey::new([1; 32])
+}
+
+fn signed(bundle: &Bundle) -> Document {
+    let text = serde_json::to_string(bundle).expect("a bundle has a JSON form");
+    Document {
+        service: bundle.service,
+        version: bundle.version,
+        digest: digest(&text),
+        envelope: sign(&text, &operator()),
+    }
+}
+
+fn bundle(service: u32, version: u64, previous: Option<BundleDigest>, endpoints: &[u32]) -> Bundle {
+    let mut endpoints: Vec<Endpoint> = endpoints.iter().map(|it| endpoint(*it)).collect();
+    endpoints.sort_by_key(|it| it.id);
+    Bundle {
+        service: ServiceId::new(service),
+        name: format!("service-{service}"),
+        version: BundleVersion::new(version),
+        previous,
+        addresses: vec![address(service, 443)],
+        endpoints,
+        routes: vec![RouteRule {
+            method: None,
+            path_prefix: "/".to_owned(),
+            class: RequestClass::Short,
+            retry: RetrySafety::Idempotent,
+            timeout_ms: Millis::new(1_000),
+        }],
+        sharing: Sharing {
+            short_reserve_percent: 50,
+            retry_budget_percent: 10,
+            cold_start_ramp_ms: Millis::new(1_000),
+            body_max_bytes: ByteSize::new(1_000),
+        },
+        leaving: Leaving {
+            drain_timeout_ms: Millis::new(1_000),
+        },
+    }
+}
+
+fn endpoint(id: u32) -> Endpoint {
+    Endpoint {
+        id: EndpointId::new(id),
+        zone: "a".parse().expect("a zone's name"),
+        tunnel_address: address(id, 1),
+        control_address: address(id, 2),
+        upstream_address: address(id, 3),
+        slots: Slots::new(1),
+        weight: Weight::new(100),
+        is_leaving: false,
+    }
+}
+
+fn address(host: u32, port: u16) -> SocketAddr {
+    let [.., last] = host.to_be_bytes();
+    SocketAddr::from(([10, 0, 0, last], port))
+}
--- /dev/null
+++ b/crates/spec/tests/spread_runs.rs
@@ -0,0 +1,184 @@
+//! Random runs of several stores that read, exchange, lose and restart.
+
+use bundle::{
+    Bundle, Endpoint, KeySet, Leaving, RequestClass, RetrySafety, RouteRule, SecretKey, Sharing,
+    Source, Store, digest, sign,
+};
+use units::{BundleDigest, BundleVersion, ByteSize, EndpointId, Millis, ServiceId, Slots, Weight};
+
+const PROCESSES: usize = 4;
+const SERVICES: u8 = 2;
+const VERSIONS: u8 = 4;
+
+/// One thing that happens; indexes are taken modulo what exists.
+#[derive(Debug, Clone, Copy, bolero::TypeGenerator)]
+enum Step {
+    /// A process reads a document from the platform, however old.
+    Read { process: u8, document: u8 },
+    /// A process sends its answer to another's vector; it arrives at some later step.
+    Send { from: u8, to: u8 },
+    /// A message in flight arrives, perhaps again.
+    Arrive { message: u8 },
+    /// A process loses everything and asks another before it goes on.
+    Restart { process: u8, asked: u8 },
+}
+
+#[test]
+fn random_spread() {
+    let documents = documents();
+    bolero::check!()
+        .with_iterations(400)
+        .with_max_len(256)
+        .with_type::<Vec<Step>>()
+        .for_each(|steps| run(&documents, steps));
+}
+
+fn run(documents: &[Vec<u8>], steps: &[Step]) {
+    let empty = || Store::new(KeySet::new(vec![operator().public()]));
+    let mut stores: Vec<Store> = (0..PROCESSES).map(|_| empty()).collect();
+    let mut messages: Vec<(usize, ServiceId, Vec<u8>)> = Vec::new();
+    for step in steps {
+        match *step {
+            Step::Read { process, document } => {
+                let envelope = &documents[usize::from(document) % documents.len()];
+                // The store itself asserts that it never goes back.
+                drop(stores[index(process)].offer(Source::Platform, envelope));
+            }
+            Step::Send { from, to } => {
+                let vector = stores[index(to)].version_vector();
+                let newer = stores[index(from)].newer_than(&vector);
+                messages.extend(
+                    newer
+                        .into_iter()
+                        .map(|(held, bytes)| (index(to), held.service, bytes.to_vec())),
+                );
+            }
+            Step::Arrive { message } if !messages.is_empty() => {
+                let (to, service, bytes) = &messages[usize::from(message) % messages.len()];
+                drop(stores[*to].offer_from_peer(*service, bytes));
+            }
+            Step::Arrive { .. } => {}
+            Step::Restart { process, asked } => {
+                let (process, asked) = (index(process), index(asked));
+                if process != asked {
+                    stores[process] = empty();
+                    exchange(&mut stores, asked, process);
+                    assert_eq!(
+                        stores[process].summary(None),
+                        stores[asked].summary(None),
+                        "a start takes over all that the asked process holds"
+                    );
+                }
+            }
+        }
+    }
+    check_convergence(&mut stores);
+}
+
+fn check_convergence(stores: &mut [Store]) {
+    for _ in 0..PROCESSES {
+        for to in 0..PROCESSES {
+            for from in 0..PROCESSES {
+                exchange(stores, from, to);
+            }
+        }
+    }
+    for store in &stores[1..] {
+        assert_eq!(store.summary(None), stores[0].summary(None));
+        assert!(
+            routed(store) == routed(&stores[0]),
+            "the same documents route alike"
+        );
+    }
+}
+
+/// What a store routes by now; what it held before may differ between processes.
+fn routed(store: &Store) -> Vec<Bundle> {
+    let (view, _) = store.view();
+    view.iter().map(|it| it.current.bundle.clone()).collect()
+}
+
+fn exchange(stores: &mut [Store], from: usize, to: usize) {
+    let newer = stores[from].newer_than(&stores[to].version_vector());
+    for (held, bytes) in newer {
+        let res = stores[to].offer_from_peer(held.service, &bytes);
+        assert!(
+            from == to || res.is_ok(),
+            "a newer bundle in force goes in force"
+        );
+    }
+}
+
+fn index(raw: u8) -> usize {
+    usize::from(raw) % PROCESSES
+}
+
+/// Every version of every service as two documents, each on top of either document before it.
+fn documents() -> Vec<Vec<u8>> {
+    let mut envelopes = Vec::new();
+    for service in 1..=SERVICES {
+        let mut before: Vec<Option<BundleDigest>> = vec![None];
+        for version in 1..=VERSIONS {
+            let mut digests = Vec::new();
+            for (fork, previous) in [0, 1].into_iter().zip(before.iter().cycle()) {
+                let text = text(service, version, fork, *previous);
+                digests.push(Some(digest(&text)));
+                envelopes.push(sign(&text, &operator()));
+            }
+            before = digests;
+        }
+    }
+    envelopes
+}
+
+/// Both services use the endpoint ids 1 to 4, so that they claim each other's.
+fn text(service: u8, version: u8, fork: u8, previous: Option<BundleDigest>) -> String {
+    let mut ids = vec![service * 10, 1 + (version + fork + service) % 4];
+    ids.sort_unstable();
+    let bundle = Bundle {
+        service: ServiceId::new(u32::from(service)),
+        name: format!("service-{service}-{fork}"),
+        version: BundleVersion::new(u64::from(version)),
+        previous,
+        addresses: vec![address(service, 443)],
+        endpoints: ids.into_iter().map(endpoint).collect(),
+        routes: vec![RouteRule {
+            method: None,
+            path_prefix: "/".to_owned(),
+            class: RequestClass::Short,
+            retry: RetrySafety::Idempotent,
+            timeout_ms: Millis::new(1_000),
+        }],
+        sharing: Sharing {
+            short_reserve_percent: 50,
+            retry_budget_percent: 10,
+            cold_start_ramp_ms: Millis::new(1_000),
+            body_max_bytes: ByteSize::new(1_000),
+        },
+        leaving: Leaving {
+            drain_timeout_ms: Millis::new(1_000),
+        },
+    };
+    serde_json::to_string(&bundle).unwrap()
+}
+
+fn endpoint(id: u8) -> Endpoint {
+    Endpoint {
+        id: EndpointId::new(u32::from(id)),
+        zone: "a".parse().unwrap(),
+        tunnel_address: address(id, 1),
+        control_address: address(id, 2),
+        upstream_address: address(id, 3),
+        slots: Slots::new(1),
+        weight: Weight::new(100),
+        is_leaving: false,
+    }
+}
+
+fn address(host: u8, port: u16) -> std::net::SocketAddr {
+    std::net::SocketAddr::from(([10, 0, 0, host], port))
+}
+
+fn operator() -> SecretKey {
+    SecretKey::new([1; 32])
+}
