Bench: counts converted for figures in one place

Cause: casts of counts to floats drew lint warnings in the bundle benches. Change: one function in `figure` converts them.

--- a/crates/bench/src/benches/bundles.rs
+++ b/crates/bench/src/benches/bundles.rs
@@ -15,7 +15,7 @@
 use crate::{
     controllers::{ControllerFleet, ControllerPlan, Report, Spread, now_us},
     error::{BenchError, Result},
-    figure::{Figure, Options},
+    figure::{Figure, Options, block_on, floats},
 };
 
 const NAME: &str = "bundles";
@@ -41,6 +41,9 @@
 /// Longest time until a change must be in force everywhere.
 const TARGET_MS: f64 = 5_000.0;
 
+/// Milliseconds of a second.
+const MS_PER_SECOND: f64 = 1_000.0;
+
 /// Time left after the last change of a phase.
 const PATIENCE: Duration = Duration::from_secs(6);
 
@@ -56,9 +59,7 @@
 
 /// Runs the bench.
 fn run(options: &Options) -> Result<Vec<Figure>> {
-    tokio::runtime::Runtime::new()
-        .map_err(|err| BenchError::setup("starting the runtime", &err))?
-        .block_on(measure(options))
+    block_on(measure(options))
 }
 
 async fn measure(options: &Options) -> Result<Vec<Figure>> {
@@ -229,7 +230,10 @@
         .iter()
         .map(|(publication, at_us)| {
             let in_force_us = holdings.in_force_everywhere_us(*publication)?;
-            Some(in_force_us.saturating_sub(*at_us) as f64 / 1_000.0)
+            Some(
+                Duration::from_micros(in_force_us.saturating_sub(*at_us)).as_secs_f64()
+                    * MS_PER_SECOND,
+            )
         })
         .collect()
 }
@@ -258,7 +262,7 @@
         let median = ours.get(ours.len() / 2).copied().unwrap_or(f64::MAX);
         let percent = |of: &[Option<f64>]| {
             let timely = of.iter().flatten().filter(|it| **it <= TARGET_MS).count();
-            timely as f64 * 100.0 / of.len() as f64
+            floats(timely) * 100.0 / floats(of.len())
         };
         let (ours_percent, baseline_percent) = (percent(&self.ours), percent(&self.baseline));
         vec![
@@ -295,7 +299,7 @@
         figure(
             metric.to_owned(),
             "reverts",
-            (self.ours as f64, Some(self.baseline as f64)),
+            (floats(self.ours), Some(floats(self.baseline))),
             Some(0.0),
             Some(self.ours == 0),
             options,
--- a/crates/bench/src/benches/platform_calls.rs
+++ b/crates/bench/src/benches/platform_calls.rs
@@ -11,7 +11,7 @@
 use crate::{
     controllers::{ControllerFleet, ControllerPlan, Spread},
     error::{BenchError, Result},
-    figure::{Figure, Options},
+    figure::{Figure, Options, block_on, floats},
 };
 
 const NAME: &str = "platform-calls";
@@ -46,7 +46,7 @@
 /// Calls of one fleet during the run.
 #[derive(Debug, Clone, Copy)]
 struct Calls {
-    size: f64,
+    size: usize,
     per_second: f64,
     per_change_and_process: f64,
 }
@@ -60,9 +60,7 @@
 
 /// Runs the bench.
 fn run(options: &Options) -> Result<Vec<Figure>> {
-    tokio::runtime::Runtime::new()
-        .map_err(|err| BenchError::setup("starting the runtime", &err))?
-        .block_on(measure(options))
+    block_on(measure(options))
 }
 
 async fn measure(options: &Options) -> Result<Vec<Figure>> {
@@ -75,7 +73,7 @@
     let middle = SIZES[SIZES.len() / 2];
     let mut baseline = Measured::start(middle, 31, Spread::WatchOnly, options).await?;
     eprintln!("platform-calls: {CHANGES} changes, one every {interval:?}");
-    let before: Vec<u64> = ours.iter().map(Measured::total).collect();
+    let before: Vec<usize> = ours.iter().map(Measured::total).collect();
     let baseline_before = baseline.total();
     for turn in 0..CHANGES {
         for it in ours.iter_mut().chain([&mut baseline]) {
@@ -119,15 +117,15 @@
         })
     }
 
-    fn total(&self) -> u64 {
-        self.platform.calls().total()
+    fn total(&self) -> usize {
+        usize::try_from(self.platform.calls().total()).unwrap_or(usize::MAX)
     }
 
-    fn calls(&self, before: u64, seconds: f64) -> Calls {
-        let made = (self.total() - before) as f64;
-        let size = self.size as f64;
+    fn calls(&self, before: usize, seconds: f64) -> Calls {
+        let made = floats(self.total() - before);
+        let size = floats(self.size);
         Calls {
-            size,
+            size: self.size,
             per_second: made / seconds,
             per_change_and_process: made / f64::from(CHANGES) / size,
         }
