--- a/crates/bench/src/benches.rs
+++ b/crates/bench/src/benches.rs
@@ -3,6 +3,7 @@
 mod bundles;
 mod datagrams;
 mod imbalance;
+mod liveness;
 mod platform_calls;
 mod publisher;
 
@@ -23,6 +24,7 @@
     bundles::BENCH,
     datagrams::BENCH,
     imbalance::BENCH,
+    liveness::BENCH,
     platform_calls::BENCH,
 ];
 
--- /dev/null
+++ b/crates/bench/src/loopback/heartbeat.rs
@@ -0,0 +1,142 @@
+//! The baseline: every balancer sends every agent heartbeats and drops it after a silence.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use rand::{SeedableRng as _, rngs::StdRng};
+use tokio::net::UdpSocket;
+
+use super::{Faults, Loopback, Switches, link, mix};
+use crate::error::{BenchError, Result};
+
+/// Time between two heartbeats to one agent.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// Silence after which an agent is dropped: three heartbeats.
+const TIMEOUT_MS: u64 = 1_500;
+
+/// Heartbeats of every balancer to every agent, under the same faults as the fleet's own datagrams.
+#[derive(Debug)]
+pub(crate) struct Heartbeats {
+    started: Instant,
+    /// When each agent last answered each balancer, in milliseconds since `started`.
+    heard_ms: Vec<Arc<Vec<AtomicU64>>>,
+}
+
+impl Heartbeats {
+    /// Starts heartbeats beside a fleet; they end with the runtime.
+    pub(crate) async fn start(fleet: &Loopback, seed: u64) -> Result<Self> {
+        let mut addresses = Vec::new();
+        for (idx, agent) in fleet.agents.iter().enumerate() {
+            let io = bind().await?;
+            addresses.push(io.local_addr().map_err(|err| failed(&err))?);
+            let rng = StdRng::seed_from_u64(mix(seed, idx, 4));
+            let (switches, faults) = (Arc::clone(&agent.switches), Arc::clone(&fleet.faults));
+            tokio::spawn(echo(io, switches, faults, rng));
+        }
+        let mut heartbeats = Self {
+            started: Instant::now(),
+            heard_ms: Vec::new(),
+        };
+        let addresses = Arc::new(addresses);
+        for idx in 0..fleet.balancers.len() {
+            let rng = StdRng::seed_from_u64(mix(seed, idx, 5));
+            let addresses = Arc::clone(&addresses);
+            heartbeats
+                .watch(addresses, Arc::clone(&fleet.faults), rng)
+                .await?;
+        }
+        Ok(heartbeats)
+    }
+
+    async fn watch(
+        &mut self,
+        addresses: Arc<Vec<SocketAddr>>,
+        faults: Arc<Faults>,
+        rng: StdRng,
+    ) -> Result<()> {
+        let io = Arc::new(bind().await?);
+        let heard: Vec<_> = addresses.iter().map(|_it| AtomicU64::new(0)).collect();
+        let heard = Arc::new(heard);
+        self.heard_ms.push(Arc::clone(&heard));
+        tokio::spawn(send(Arc::clone(&io), addresses, faults, rng));
+        tokio::spawn(receive(io, heard, self.started));
+        Ok(())
+    }
+
+    /// Returns whether new work may go to an agent.
+    pub(crate) fn uses(&self, balancer: usize, agent: usize) -> bool {
+        let heard_ms = self.heard_ms[balancer][agent].load(Ordering::Relaxed);
+        since(self.started).saturating_sub(heard_ms) < TIMEOUT_MS
+    }
+}
+
+async fn echo(io: UdpSocket, switches: Arc<Switches>, faults: Arc<Faults>, mut rng: StdRng) {
+    let mut buffer = [0; 8];
+    loop {
+        link::wait_while_paused(&switches).await;
+        let Ok((len, from)) = io.recv_from(&mut buffer).await else {
+            continue;
+        };
+        link::wait_while_paused(&switches).await;
+        if switches.is_dead.load(Ordering::Relaxed) {
+            return;
+        }
+        if !link::is_lost(&faults, &mut rng) {
+            // A full socket loses the datagram, as a network would.
+            drop(io.try_send_to(&buffer[..len], from));
+        }
+    }
+}
+
+async fn send(
+    io: Arc<UdpSocket>,
+    addresses: Arc<Vec<SocketAddr>>,
+    faults: Arc<Faults>,
+    mut rng: StdRng,
+) {
+    let mut ticks = tokio::time::interval(INTERVAL);
+    loop {
+        ticks.tick().await;
+        for (idx, address) in addresses.iter().enumerate() {
+            if link::is_lost(&faults, &mut rng) {
+                continue;
+            }
+            let idx = u64::try_from(idx).unwrap_or_default();
+            drop(io.try_send_to(&idx.to_be_bytes(), *address));
+        }
+    }
+}
+
+async fn receive(io: Arc<UdpSocket>, heard_ms: Arc<Vec<AtomicU64>>, started: Instant) {
+    let mut buffer = [0; 8];
+    loop {
+        if io.recv_from(&mut buffer).await.is_err() {
+            continue;
+        }
+        let idx = usize::try_from(u64::from_be_bytes(buffer)).unwrap_or(usize::MAX);
+        if let Some(it) = heard_ms.get(idx) {
+            it.store(since(started), Ordering::Relaxed);
+        }
+    }
+}
+
+async fn bind() -> Result<UdpSocket> {
+    UdpSocket::bind("127.0.0.1:0")
+        .await
+        .map_err(|err| failed(&err))
+}
+
+fn failed(err: &std::io::Error) -> BenchError {
+    BenchError::setup("opening a socket on loopback", err)
+}
+
+fn since(started: Instant) -> u64 {
+    u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/bench/src/loopback/link.rs
@@ -0,0 +1,152 @@
+//! Sockets that lose, hold back and count datagrams.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use control::{PeerLink, PeerPacket, PeerSend};
+use flow::tunnel::{KeyRing as _, PEER_OVERHEAD_BYTES, decode_peer, encode_peer};
+use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
+use tokio::{net::UdpSocket, sync::mpsc};
+use units::ServiceId;
+
+use super::{Faults, Keys, Switches};
+use crate::error::{BenchError, Result};
+
+/// Bytes of IP and UDP headers.
+const HEADER_BYTES: u64 = 28;
+
+/// How often a paused process looks whether it may go on.
+const PAUSE_STEP: Duration = Duration::from_millis(2);
+
+/// Largest datagram received.
+const DATAGRAM_MAX_BYTES: usize = 2_048;
+
+/// Datagrams that may wait for their reader.
+const QUEUE_MAX: usize = 4_096;
+
+/// A bound socket of one process.
+#[derive(Debug)]
+pub(super) struct Socket {
+    io: Arc<UdpSocket>,
+    address: SocketAddr,
+    switches: Arc<Switches>,
+    faults: Arc<Faults>,
+    keys: Arc<Keys>,
+}
+
+impl Socket {
+    pub(super) async fn bind(
+        switches: &Arc<Switches>,
+        faults: &Arc<Faults>,
+        keys: &Arc<Keys>,
+    ) -> Result<Self> {
+        let failed = |err| BenchError::setup("opening a socket on loopback", &err);
+        let io = UdpSocket::bind("127.0.0.1:0")
+            .await
+            .map_err(|err: std::io::Error| failed(err))?;
+        let address = io.local_addr().map_err(failed)?;
+        Ok(Self {
+            io: Arc::new(io),
+            address,
+            switches: Arc::clone(switches),
+            faults: Arc::clone(faults),
+            keys: Arc::clone(keys),
+        })
+    }
+
+    pub(super) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Starts to receive, and returns both directions.
+    pub(super) fn link(self, seed: u64) -> PeerLink<LossySend> {
+        let (queue, incoming) = mpsc::channel(QUEUE_MAX);
+        let sender = LossySend {
+            io: Arc::clone(&self.io),
+            switches: Arc::clone(&self.switches),
+            faults: Arc::clone(&self.faults),
+            keys: Arc::clone(&self.keys),
+            rng: Mutex::new(StdRng::seed_from_u64(seed)),
+        };
+        tokio::spawn(self.receive(queue));
+        PeerLink { incoming, sender }
+    }
+
+    async fn receive(self, queue: mpsc::Sender<PeerPacket>) {
+        let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
+        loop {
+            wait_while_paused(&self.switches).await;
+            let Ok((len, from)) = self.io.recv_from(&mut buffer).await else {
+                continue;
+            };
+            // The pause may have begun while the socket was waited for.
+            wait_while_paused(&self.switches).await;
+            if self.switches.is_dead.load(Ordering::Relaxed) {
+                return;
+            }
+            count(&self.switches, len);
+            let Ok(Some((scope, payload))) = decode_peer(&buffer[..len], &*self.keys) else {
+                continue;
+            };
+            let packet = PeerPacket {
+                from,
+                scope,
+                payload: Bytes::copy_from_slice(payload),
+            };
+            if queue.send(packet).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Sends datagrams and loses some.
+#[derive(Debug)]
+pub(super) struct LossySend {
+    io: Arc<UdpSocket>,
+    switches: Arc<Switches>,
+    faults: Arc<Faults>,
+    keys: Arc<Keys>,
+    rng: Mutex<StdRng>,
+}
+
+impl PeerSend for LossySend {
+    fn send_peer(&self, to: SocketAddr, scope: ServiceId, payload: &[u8]) {
+        let Some(keys) = self.keys.keys(scope) else {
+            return;
+        };
+        let mut datagram = vec![0; PEER_OVERHEAD_BYTES + payload.len()];
+        let Ok(len) = encode_peer(scope, keys, payload, &mut datagram) else {
+            return;
+        };
+        count(&self.switches, len);
+        let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
+        if is_lost(&self.faults, &mut rng) {
+            return;
+        }
+        drop(rng);
+        // A full socket loses the datagram, as a network would.
+        drop(self.io.try_send_to(&datagram[..len], to));
+    }
+}
+
+/// Draws whether a datagram is lost.
+pub(super) fn is_lost(faults: &Faults, rng: &mut StdRng) -> bool {
+    rng.random_range(0..100) < faults.loss_percent.load(Ordering::Relaxed)
+}
+
+/// Waits until the process is no longer paused.
+pub(super) async fn wait_while_paused(switches: &Switches) {
+    while switches.is_paused.load(Ordering::Relaxed) {
+        tokio::time::sleep(PAUSE_STEP).await;
+    }
+}
+
+fn count(switches: &Switches, len: usize) {
+    let bytes = HEADER_BYTES + u64::try_from(len).unwrap_or_default();
+    switches.bytes.fetch_add(bytes, Ordering::Relaxed);
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -10,6 +10,7 @@
 mod flags;
 mod fleet;
 mod load;
+mod loopback;
 
 use std::process::ExitCode;
 
