Agent: hand-off between agents, and answers kept for repeats

With long-lived connections an agent could be full beside idle ones. A request not yet started, whose body is there whole (up to 64 KiB), is now offered to a random peer with clearly more free slots, or to any with a free slot while it waits. The offer is fenced: its number and both runs are named, the callee decides once, an unclear offer of an at-most-once request is outcome-unknown. Loads are asked for (two random agents each 20 ms) only while an agent is at least half busy.

A started at-most-once run goes on when its caller goes away, and answers up to 64 KiB are kept, so a repeat gets the answer of the run instead of a shrug.

--- a/crates/admission/src/handoff.rs
+++ b/crates/admission/src/handoff.rs
@@ -201,9 +201,14 @@
     /// Peers whose load was not heard lately aren't chosen. A peer that claims more than it has
     /// draws one request for each exchange, until its refusal counts it as full.
     pub fn choose(&mut self, now_ms: Millis, random: [u64; 2]) -> Option<Agent> {
+        self.choose_above(now_ms, random, 0)
+    }
+
+    /// Chooses as [`Self::choose`] among the peers with more than `floor` free slots.
+    pub fn choose_above(&mut self, now_ms: Millis, random: [u64; 2], floor: u32) -> Option<Agent> {
         let is_fresh = |it: &Peer| now_ms.since(it.heard_ms) <= LOAD_AGE_MAX_MS;
         let free: Vec<_> = (0..self.peers.len())
-            .filter(|idx| is_fresh(&self.peers[*idx]) && self.peers[*idx].free > 0)
+            .filter(|idx| is_fresh(&self.peers[*idx]) && self.peers[*idx].free > floor)
             .collect();
         let sampled = random.map(|it| pick(&free, it));
         let idx = sampled
--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -25,8 +25,9 @@
     config::Config,
     counters::Counters,
     endpoint,
-    filter::{Admit, Chain, Deadline, Parse, ReadStart, Replay, Route},
+    filter::{Admit, Chain, Deadline, Entry, Parse, ReadStart, Replay, Route},
     gate::Gate,
+    handoff::{Callee, HandOff},
     once::Keys,
     peers::Peers,
     request::Core,
@@ -40,9 +41,6 @@
 /// Longest time for closed connections to tell their callers.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The chain of this agent.
-type Filters = Chain<Parse, Chain<Route, Chain<Deadline, Chain<ReadStart, Chain<Replay, Admit>>>>>;
-
 /// A running agent.
 #[derive(Debug)]
 pub struct Agent {
@@ -59,7 +57,7 @@
 struct Parts {
     config: Arc<Config>,
     in_force: Arc<ArcSwap<InForce>>,
-    core: Arc<Core<Filters>>,
+    core: Arc<Core<Entry>>,
     keys: Arc<Keys>,
     gate: Arc<Gate>,
     load: Arc<LoadCell>,
@@ -159,9 +157,33 @@
             endpoint: config.endpoint,
             incarnation: config.incarnation,
         };
-        let keys = Arc::new(Keys::new(config.service, me, &in_force.load(), peers));
+        let keys = Arc::new(Keys::new(
+            config.service,
+            me,
+            Arc::clone(&in_force),
+            Arc::clone(&peers),
+        ));
+        let route = Route {
+            in_force: Arc::clone(&in_force),
+        };
+        let replay = Replay {
+            keys: Arc::clone(&keys),
+        };
+        let admit = Admit {
+            gate: Arc::clone(&gate),
+        };
+        let handoff = HandOff::new(
+            me,
+            config.service,
+            route.clone(),
+            replay,
+            admit,
+            peers,
+            Arc::clone(&counters),
+        );
         let core = Arc::new(Core {
-            chain: filters(&in_force, &keys, &gate),
+            entry: Chain(Parse, Chain(route, Chain(Deadline, ReadStart))),
+            handoff: Arc::new(handoff),
             client,
             counters: Arc::clone(&counters),
         });
@@ -205,6 +227,7 @@
             service: self.parts.config.service,
             keys: Arc::clone(&self.parts.keys),
             gate: Arc::clone(&self.parts.gate),
+            callee: Callee::new(Arc::clone(&self.parts.core)),
         });
     }
 
@@ -287,6 +310,8 @@
         tasks.spawn(follow::run(parts.clone()));
         let gate = Arc::clone(&parts.gate);
         tasks.spawn(async move { gate.tick().await });
+        let handoff = Arc::clone(&parts.core.handoff);
+        tasks.spawn(async move { handoff.ask_loads().await });
         let client = Arc::clone(&parts.core.client);
         tasks.spawn(async move { client.probe().await });
         Self {
@@ -356,20 +381,6 @@
     }
 }
 
-fn filters(in_force: &Arc<ArcSwap<InForce>>, keys: &Arc<Keys>, gate: &Arc<Gate>) -> Filters {
-    let route = Route {
-        in_force: Arc::clone(in_force),
-    };
-    let replay = Replay {
-        keys: Arc::clone(keys),
-    };
-    let admit = Admit {
-        gate: Arc::clone(gate),
-    };
-    let last = Chain(ReadStart, Chain(replay, admit));
-    Chain(Parse, Chain(route, Chain(Deadline, last)))
-}
-
 fn peer_tls(config: &Config) -> Result<Option<ClientTlsConfig>, StartError> {
     let tls = config.peer_tls.as_ref().map(control::client_tls);
     tls.transpose()
--- a/crates/agent/src/agent/follow.rs
+++ b/crates/agent/src/agent/follow.rs
@@ -85,7 +85,6 @@
         parts.set_phase(Phase::Leaving);
         return;
     };
-    parts.keys.adopt(&parts.in_force.load());
     parts.gate.reconfigure(own.admission);
     parts.core.client.set_address(own.upstream_address);
     parts.set_phase(own.phase);
--- a/crates/agent/src/calls.rs
+++ b/crates/agent/src/calls.rs
@@ -2,17 +2,27 @@
 
 pub(crate) mod convert;
 
-use std::sync::{Arc, OnceLock};
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use tonic::{Request, Response, Status};
 use units::ServiceId;
 use wire::requests::{
-    FenceReply, FenceRequest, GrantReply, GrantRequest, HandOffReply, HandOffRequest, LoadReply,
-    LoadRequest,
+    AnswerReply, AnswerRequest, FenceReply, FenceRequest, GrantReply, GrantRequest, HandOffRequest,
+    LoadReply, LoadRequest,
     requests_server::{Requests, RequestsServer},
 };
 
-use crate::{gate::Gate, once::Keys};
+use crate::{
+    gate::Gate,
+    handoff::{Callee, Replies},
+    once::Keys,
+};
+
+/// Longest wait for the answer of a run under way.
+const ANSWER_WAIT_MAX: Duration = Duration::from_mins(1);
 
 /// Serves the calls of the other agents of the service.
 ///
@@ -29,6 +39,7 @@
     pub(crate) service: ServiceId,
     pub(crate) keys: Arc<Keys>,
     pub(crate) gate: Arc<Gate>,
+    pub(crate) callee: Callee,
 }
 
 impl RequestCalls {
@@ -58,14 +69,15 @@
 
 #[tonic::async_trait]
 impl Requests for RequestCalls {
-    type HandOffStream = futures_util::stream::Empty<Result<HandOffReply, Status>>;
+    type HandOffStream = Replies;
 
     async fn hand_off(
         &self,
         request: Request<HandOffRequest>,
     ) -> Result<Response<Self::HandOffStream>, Status> {
-        self.parts(request.get_ref().service)?;
-        Err(Status::unimplemented("requests aren't handed off"))
+        let request = request.into_inner();
+        let parts = self.parts(request.service)?;
+        Ok(Response::new(parts.callee.consider(request).await))
     }
 
     async fn grant(&self, request: Request<GrantRequest>) -> Result<Response<GrantReply>, Status> {
@@ -84,6 +96,21 @@
         Ok(Response::new(convert::fence_reply_message(&reply)))
     }
 
+    async fn answer(
+        &self,
+        request: Request<AnswerRequest>,
+    ) -> Result<Response<AnswerReply>, Status> {
+        let request = request.into_inner();
+        let parts = self.parts(request.service)?;
+        let (agent, key) = convert::answer_of(&request).ok_or_else(malformed)?;
+        if agent != parts.keys.me() {
+            return Ok(Response::new(AnswerReply::default()));
+        }
+        let wait = Duration::from_millis(request.wait_ms).min(ANSWER_WAIT_MAX);
+        let answer = parts.keys.own_answer(key, wait).await;
+        Ok(Response::new(convert::answer_reply(answer)))
+    }
+
     async fn load(&self, request: Request<LoadRequest>) -> Result<Response<LoadReply>, Status> {
         let parts = self.parts(request.get_ref().service)?;
         let reply = convert::load_reply(parts.keys.me(), parts.gate.load());
--- a/crates/agent/src/calls/convert.rs
+++ b/crates/agent/src/calls/convert.rs
@@ -1,12 +1,18 @@
 //! Messages of the calls between agents and what they stand for.
 
+use std::time::{Duration, Instant};
+
 use admission::{
     Load,
+    handoff::OfferId,
     once::{Agent, Ask, Attempt, FenceReply, FenceRequest, PastRun, RequestKey, RunState, Verdict},
 };
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, Uri};
 use units::{BundleVersion, EndpointId, Incarnation, Millis, ServiceId};
 use wire::requests as msg;
 
+use crate::{filter::Exchange, once::KeptAnswer, upstream::CallerBody};
+
 pub(crate) fn grant_request(service: ServiceId, ask: &Ask) -> msg::GrantRequest {
     msg::GrantRequest {
         service: service.get(),
@@ -144,6 +150,136 @@
     }
 }
 
+pub(crate) fn load(reply: msg::LoadReply) -> Option<(Agent, Load)> {
+    let load = Load {
+        limit: reply.limit,
+        running: reply.running,
+        waiting: reply.waiting,
+        free_short: reply.free_short,
+        free_long: reply.free_long,
+    };
+    Some((agent(reply.agent?), load))
+}
+
+pub(crate) fn answer_request(
+    service: ServiceId,
+    agent: Agent,
+    key: RequestKey,
+    wait: Duration,
+) -> msg::AnswerRequest {
+    msg::AnswerRequest {
+        service: service.get(),
+        key: key.as_bytes().to_vec(),
+        agent: Some(agent_id(agent)),
+        wait_ms: Millis::from_duration(wait).get(),
+    }
+}
+
+/// Returns whose run's answer is asked for, and its key.
+pub(crate) fn answer_of(request: &msg::AnswerRequest) -> Option<(Agent, RequestKey)> {
+    Some((agent(request.agent?), key(&request.key)?))
+}
+
+pub(crate) fn answer_reply(answer: Option<KeptAnswer>) -> msg::AnswerReply {
+    let Some(answer) = answer else {
+        return msg::AnswerReply::default();
+    };
+    msg::AnswerReply {
+        head: Some(msg::AnswerHead {
+            status: answer.status.as_u16().into(),
+            headers: fields(&answer.headers),
+        }),
+        body: answer.body.into(),
+    }
+}
+
+pub(crate) fn kept_answer(reply: msg::AnswerReply) -> Option<KeptAnswer> {
+    let (head, ()) = head(&reply.head?)?.into_parts();
+    Some(KeptAnswer {
+        status: head.status,
+        headers: head.headers,
+        body: reply.body.into(),
+    })
+}
+
+pub(crate) fn hand_off(
+    service: ServiceId,
+    origin: Agent,
+    callee: Agent,
+    offer: OfferId,
+    exchange: &Exchange,
+) -> msg::HandOffRequest {
+    let left = exchange.deadline.saturating_duration_since(Instant::now());
+    let authority = exchange.uri.authority().map_or("", |it| it.as_str());
+    let path = exchange.uri.path_and_query().map_or("/", |it| it.as_str());
+    msg::HandOffRequest {
+        service: service.get(),
+        origin: Some(agent_id(origin)),
+        offer: offer.get(),
+        callee: Some(agent_id(callee)),
+        deadline_ms_left: Millis::from_duration(left).get(),
+        method: exchange.method.as_str().to_owned(),
+        authority: authority.to_owned(),
+        path: path.to_owned(),
+        headers: fields(&exchange.headers),
+        body: exchange.body.whole().unwrap_or_default().into(),
+    }
+}
+
+/// Returns who made an offer, and to whom.
+pub(crate) fn parties(request: &msg::HandOffRequest) -> Option<(Agent, Agent)> {
+    Some((agent(request.origin?), agent(request.callee?)))
+}
+
+pub(crate) const fn offer_id(request: &msg::HandOffRequest) -> OfferId {
+    OfferId::new(request.offer)
+}
+
+pub(crate) fn exchange(request: msg::HandOffRequest, deadline: Instant) -> Option<Exchange> {
+    let uri = Uri::builder()
+        .scheme("https")
+        .authority(request.authority)
+        .path_and_query(request.path)
+        .build()
+        .ok()?;
+    let method = request.method.parse().ok()?;
+    let headers = header_map(&request.headers)?;
+    let body = CallerBody::from_whole(request.body.into());
+    Some(Exchange::handed(method, uri, headers, body, deadline))
+}
+
+pub(crate) fn answer_head(head: &Response<()>) -> msg::AnswerHead {
+    msg::AnswerHead {
+        status: head.status().as_u16().into(),
+        headers: fields(head.headers()),
+    }
+}
+
+pub(crate) fn head(head: &msg::AnswerHead) -> Option<Response<()>> {
+    let mut response = Response::new(());
+    let status = u16::try_from(head.status).ok()?;
+    *response.status_mut() = StatusCode::from_u16(status).ok()?;
+    *response.headers_mut() = header_map(&head.headers)?;
+    Some(response)
+}
+
+fn fields(headers: &HeaderMap) -> Vec<msg::Header> {
+    let fields = headers.iter().map(|(name, value)| msg::Header {
+        name: name.as_str().to_owned(),
+        value: value.as_bytes().to_vec(),
+    });
+    fields.collect()
+}
+
+fn header_map(fields: &[msg::Header]) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(fields.len());
+    for field in fields {
+        let name = HeaderName::from_bytes(field.name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_bytes(&field.value).ok()?);
+    }
+    Some(headers)
+}
+
 fn agent_id(agent: Agent) -> msg::AgentId {
     msg::AgentId {
         endpoint: agent.endpoint.get(),
--- a/crates/agent/src/connection.rs
+++ b/crates/agent/src/connection.rs
@@ -84,7 +84,7 @@
 }
 
 /// Reads a request's head and serves it.
-async fn take<F: Filter>(
+async fn take<F: Filter + 'static>(
     core: Arc<Core<F>>,
     resolver: RequestResolver<Connection, Bytes>,
     ends: Ends,
--- a/crates/agent/src/counters.rs
+++ b/crates/agent/src/counters.rs
@@ -65,6 +65,14 @@
     requests_refused,
     /// Requests that were handed to the upstream.
     requests_started,
+    /// Requests that another agent took.
+    handoffs_taken,
+    /// Offers that another agent refused.
+    handoffs_refused,
+    /// Offers that were neither taken nor refused in time.
+    handoffs_unclear,
+    /// Requests taken from other agents.
+    handoffs_served,
     /// Requests whose whole answer was sent and acknowledged.
     requests_answered,
     /// Requests given up because the caller cancelled or went away.
--- a/crates/agent/src/filter.rs
+++ b/crates/agent/src/filter.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     gate::Slot,
-    once::Ticket,
+    once::{KeptAnswer, Ticket},
     problem::{Fate, Problem},
     streams::Receiving,
     upstream::CallerBody,
@@ -64,10 +64,28 @@
     pub(crate) body_max_bytes: u64,
 }
 
+/// What every request passes before it is decided where it runs.
+pub(crate) type Entry = Chain<Parse, Chain<Route, Chain<Deadline, ReadStart>>>;
+
+/// Why a request does not go on.
+#[derive(Debug)]
+pub(crate) enum Stop {
+    /// It is refused.
+    Problem(Problem),
+    /// An earlier attempt ran, and its answer is known.
+    Kept(KeptAnswer),
+}
+
+impl From<Problem> for Stop {
+    fn from(problem: Problem) -> Self {
+        Self::Problem(problem)
+    }
+}
+
 /// One step of the chain.
 pub(crate) trait Filter: Send + Sync {
     /// Lets a request pass or refuses it; a refused request never reaches the upstream.
-    fn admit(&self, exchange: &mut Exchange) -> impl Future<Output = Result<(), Problem>> + Send;
+    fn admit(&self, exchange: &mut Exchange) -> impl Future<Output = Result<(), Stop>> + Send;
 }
 
 /// Two filters, one after the other.
@@ -75,7 +93,7 @@
 pub(crate) struct Chain<A, B>(pub(crate) A, pub(crate) B);
 
 impl<A: Filter, B: Filter> Filter for Chain<A, B> {
-    async fn admit(&self, exchange: &mut Exchange) -> Result<(), Problem> {
+    async fn admit(&self, exchange: &mut Exchange) -> Result<(), Stop> {
         self.0.admit(exchange).await?;
         self.1.admit(exchange).await
     }
@@ -102,6 +120,28 @@
         }
     }
 
+    /// Restores a request that another agent handed off.
+    pub(crate) fn handed(
+        method: Method,
+        uri: Uri,
+        headers: HeaderMap,
+        body: CallerBody,
+        deadline: Instant,
+    ) -> Self {
+        Self {
+            method,
+            uri,
+            headers,
+            arrived: Instant::now(),
+            receiving: None,
+            rule: Rule::NONE,
+            deadline,
+            body,
+            ticket: None,
+            slot: None,
+        }
+    }
+
     /// Returns the number of the attempt, `None` if the caller gave no valid one.
     pub(crate) fn attempt(&self) -> Option<Attempt> {
         let Some(text) = self.text(ATTEMPT_HEADER) else {
--- a/crates/agent/src/filter/admit.rs
+++ b/crates/agent/src/filter/admit.rs
@@ -6,9 +6,9 @@
 use http::StatusCode;
 use units::Millis;
 
-use super::{Exchange, Filter};
+use super::{Exchange, Filter, Stop};
 use crate::{
-    gate::{Ask, Gate, Refused},
+    gate::{Ask, Gate, Refused, Slot},
     problem::Problem,
 };
 
@@ -19,17 +19,28 @@
 }
 
 impl Filter for Admit {
-    async fn admit(&self, exchange: &mut Exchange) -> Result<(), Problem> {
+    async fn admit(&self, exchange: &mut Exchange) -> Result<(), Stop> {
+        let ask = self.ask(exchange);
+        let slot = self.gate.enter(ask).await.map_err(|it| problem(&it))?;
+        exchange.slot = Some(slot);
+        Ok(())
+    }
+}
+
+impl Admit {
+    /// Takes a slot if one is free for the request now.
+    pub(crate) fn try_enter(&self, exchange: &Exchange) -> Option<Slot> {
+        self.gate.try_enter(self.ask(exchange))
+    }
+
+    fn ask(&self, exchange: &Exchange) -> Ask {
         let priority = exchange.text("priority").map(Priority::parse);
         let left = exchange.deadline.saturating_duration_since(Instant::now());
-        let ask = Ask {
+        Ask {
             class: class_of(exchange.rule.class, priority.unwrap_or_default()),
             route: exchange.rule.index,
             deadline_ms: self.gate.now().plus(Millis::from_duration(left)),
-        };
-        let slot = self.gate.enter(ask).await.map_err(|it| problem(&it))?;
-        exchange.slot = Some(slot);
-        Ok(())
+        }
     }
 }
 
--- a/crates/agent/src/filter/deadline.rs
+++ b/crates/agent/src/filter/deadline.rs
@@ -3,7 +3,7 @@
 use http::StatusCode;
 use units::Millis;
 
-use super::{Exchange, Filter};
+use super::{Exchange, Filter, Stop};
 use crate::problem::Problem;
 
 /// By which a caller shortens the route's timeout, in milliseconds.
@@ -14,13 +14,13 @@
 pub(crate) struct Deadline;
 
 impl Filter for Deadline {
-    async fn admit(&self, exchange: &mut Exchange) -> Result<(), Problem> {
+    async fn admit(&self, exchange: &mut Exchange) -> Result<(), Stop> {
         let mut timeout_ms = exchange.rule.timeout_ms;
         if exchange.headers.contains_key(TIMEOUT_HEADER) {
             let asked = exchange.text(TIMEOUT_HEADER);
             let Some(asked_ms) = asked.and_then(|it| it.parse().ok()).map(Millis::new) else {
                 let detail = "`lovagehall-timeout-ms` must be a whole number of milliseconds";
-                return Err(Problem::not_run(StatusCode::BAD_REQUEST, detail));
+                return Err(Problem::not_run(StatusCode::BAD_REQUEST, detail).into());
             };
             timeout_ms = timeout_ms.min(asked_ms);
         }
--- a/crates/agent/src/filter/parse.rs
+++ b/crates/agent/src/filter/parse.rs
@@ -2,7 +2,7 @@
 
 use http::{Method, StatusCode, header};
 
-use super::{Exchange, Filter};
+use super::{Exchange, Filter, Stop};
 use crate::problem::Problem;
 
 /// Longest path with query, in bytes.
@@ -19,8 +19,8 @@
 pub(crate) struct Parse;
 
 impl Filter for Parse {
-    async fn admit(&self, exchange: &mut Exchange) -> Result<(), Problem> {
-        check(exchange).map_err(|(status, detail)| Problem::not_run(status, detail))
+    async fn admit(&self, exchange: &mut Exchange) -> Result<(), Stop> {
+        check(exchange).map_err(|(status, detail)| Problem::not_run(status, detail).into())
     }
 }
 
--- a/crates/agent/src/filter/read_start.rs
+++ b/crates/agent/src/filter/read_start.rs
@@ -2,7 +2,7 @@
 
 use http::StatusCode;
 
-use super::{Exchange, Filter};
+use super::{Exchange, Filter, Stop};
 use crate::{
     problem::Problem,
     upstream::{BodyFault, CallerBody},
@@ -13,7 +13,7 @@
 pub(crate) struct ReadStart;
 
 impl Filter for ReadStart {
-    async fn admit(&self, exchange: &mut Exchange) -> Result<(), Problem> {
+    async fn admit(&self, exchange: &mut Exchange) -> Result<(), Stop> {
         let announced_bytes = exchange.announced_bytes();
         let max_bytes = exchange.rule.body_max_bytes;
         let receiving = exchange.receiving.take();
@@ -24,15 +24,15 @@
             Ok(Ok(body)) => body,
             Ok(Err(BodyFault::TooLarge)) => {
                 let detail = "the body is too large; send less";
-                return Err(Problem::not_run(StatusCode::PAYLOAD_TOO_LARGE, detail));
+                return Err(Problem::not_run(StatusCode::PAYLOAD_TOO_LARGE, detail).into());
             }
             Ok(Err(BodyFault::Length | BodyFault::Broken)) => {
                 let detail = "the body is not as long as announced; send it whole";
-                return Err(Problem::not_run(StatusCode::BAD_REQUEST, detail));
+                return Err(Problem::not_run(StatusCode::BAD_REQUEST, detail).into());
             }
             Err(_elapsed) => {
                 let detail = "no body came before the deadline; send it sooner";
-                return Err(Problem::not_run(StatusCode::REQUEST_TIMEOUT, detail));
+                return Err(Problem::not_run(StatusCode::REQUEST_TIMEOUT, detail).into());
             }
         };
         Ok(())
--- a/crates/agent/src/filter/replay.rs
+++ b/crates/agent/src/filter/replay.rs
@@ -7,7 +7,7 @@
 use http::StatusCode;
 use units::Millis;
 
-use super::{Exchange, Filter};
+use super::{Exchange, Filter, Stop};
 use crate::{
     once::{Attempted, Keys, Ticket, unix_now},
     problem::Problem,
@@ -35,7 +35,7 @@
 }
 
 impl Filter for Replay {
-    async fn admit(&self, exchange: &mut Exchange) -> Result<(), Problem> {
+    async fn admit(&self, exchange: &mut Exchange) -> Result<(), Stop> {
         if exchange.rule.retry == RetrySafety::Idempotent {
             return Ok(());
         }
@@ -49,9 +49,16 @@
             exchange.ticket = Some(ticket);
             return Ok(());
         }
+        if let Ok(Some(Verdict::Ran(agent, _))) = verdict {
+            let key = attempted.key;
+            let asking = self.keys.answer_of(agent, key, exchange.deadline);
+            if let Some(answer) = asking.await {
+                return Err(Stop::Kept(answer));
+            }
+        }
         let is_promised = ticket.abandon();
         let is_first = attempted.attempt == Attempt::FIRST;
-        Err(problem(verdict.ok().flatten(), is_first && is_promised))
+        Err(problem(verdict.ok().flatten(), is_first && is_promised).into())
     }
 }
 
--- a/crates/agent/src/filter/route.rs
+++ b/crates/agent/src/filter/route.rs
@@ -6,23 +6,23 @@
 use bundle::{InForce, RouteRule};
 use http::StatusCode;
 
-use super::{Exchange, Filter, Rule};
+use super::{Exchange, Filter, Rule, Stop};
 use crate::problem::Problem;
 
 /// Applies the first rule whose method and path prefix match.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Route {
     pub(crate) in_force: Arc<ArcSwap<InForce>>,
 }
 
 impl Filter for Route {
-    async fn admit(&self, exchange: &mut Exchange) -> Result<(), Problem> {
+    async fn admit(&self, exchange: &mut Exchange) -> Result<(), Stop> {
         let in_force = self.in_force.load();
         let bundle = &in_force.current.bundle;
         let found = bundle.routes.iter().position(|it| matches(it, exchange));
         let Some(index) = found else {
             let detail = "the service has no such route; check method and path";
-            return Err(Problem::not_run(StatusCode::NOT_FOUND, detail));
+            return Err(Problem::not_run(StatusCode::NOT_FOUND, detail).into());
         };
         let rule = &bundle.routes[index];
         exchange.rule = Rule {
@@ -34,7 +34,7 @@
         };
         if exchange.announced_bytes().unwrap_or(0) > exchange.rule.body_max_bytes {
             let detail = "the body is too large; send less";
-            return Err(Problem::not_run(StatusCode::PAYLOAD_TOO_LARGE, detail));
+            return Err(Problem::not_run(StatusCode::PAYLOAD_TOO_LARGE, detail).into());
         }
         Ok(())
     }
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -162,6 +162,21 @@
         }
     }
 
+    /// Takes a slot if one is free for the request now.
+    #[must_use]
+    pub fn try_enter(self: &Arc<Self>, ask: Ask) -> Option<Slot> {
+        let mut place = self.take_place(ask);
+        let Ok(Verdict::Start) = place.decided.try_recv() else {
+            return None;
+        };
+        place.is_kept = true;
+        Some(Slot {
+            gate: Arc::clone(self),
+            id: place.id,
+            signal: Signal::Cancelled,
+        })
+    }
+
     fn take_place(self: &Arc<Self>, ask: Ask) -> Place {
         let (verdict, decided) = oneshot::channel();
         let mut inner = self.lock();
--- /dev/null
+++ b/crates/agent/src/handoff/loads.rs
@@ -0,0 +1,135 @@
+//! Loads of the other agents, asked for while this one is busy.
+
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use admission::{Load, handoff::PeerLoads, once::Agent};
+use bundle::RequestClass;
+use rand::seq::IndexedRandom;
+use units::{EndpointId, Millis};
+use wire::requests::LoadRequest;
+
+use super::HandOff;
+use crate::calls::convert;
+
+/// Time between questions.
+const ASK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Agents asked at once.
+const ASKED: usize = 2;
+
+/// Longest wait for a load.
+const ASK_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Loads of the other agents, from recent exchanges.
+#[derive(Debug)]
+pub(crate) struct Loads {
+    inner: Mutex<Inner>,
+    started: Instant,
+}
+
+/// Free slots for each class; they differ by the reserve for short work.
+#[derive(Debug, Default)]
+struct Inner {
+    short: PeerLoads,
+    long: PeerLoads,
+}
+
+impl Default for Loads {
+    fn default() -> Self {
+        Self {
+            inner: Mutex::default(),
+            started: Instant::now(),
+        }
+    }
+}
+
+impl Loads {
+    /// Chooses an agent with more than `floor` slots free for the class.
+    pub(crate) fn choose(&self, class: RequestClass, floor: u32) -> Option<Agent> {
+        let now = self.now();
+        let random = rand::random();
+        let mut inner = self.lock();
+        match class {
+            RequestClass::Short => inner.short.choose_above(now, random, floor),
+            RequestClass::Long => inner.long.choose_above(now, random, floor),
+        }
+    }
+
+    /// Takes in what an agent told.
+    pub(crate) fn hear(&self, agent: Agent, load: Load) {
+        let now = self.now();
+        let mut inner = self.lock();
+        inner.short.hear(now, agent, load);
+        let long = Load {
+            free_short: load.free_long,
+            ..load
+        };
+        inner.long.hear(now, agent, long);
+    }
+
+    /// Notes that an agent refused or gave no answer.
+    pub(crate) fn lower(&self, endpoint: EndpointId) {
+        let now = self.now();
+        let mut inner = self.lock();
+        inner.short.lower(now, endpoint);
+        inner.long.lower(now, endpoint);
+    }
+
+    fn now(&self) -> Millis {
+        Millis::from_duration(self.started.elapsed())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl HandOff {
+    /// Asks random agents for their loads while this one is busy, for ever.
+    pub(crate) async fn ask_loads(&self) {
+        let mut interval = tokio::time::interval(ASK_INTERVAL);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            if !self.is_busy() {
+                continue;
+            }
+            let others = self.others();
+            let asked = others.choose_multiple(&mut rand::rng(), ASKED);
+            let asks: Vec<_> = asked.map(|it| self.ask_load(*it)).collect();
+            futures_util::future::join_all(asks).await;
+        }
+    }
+
+    /// Tells whether requests may soon have to wait here.
+    fn is_busy(&self) -> bool {
+        let load = self.admit.gate.load();
+        load.waiting > 0 || load.running * 2 >= load.limit
+    }
+
+    /// Returns the other endpoints that the bundle in force names and that don't leave.
+    fn others(&self) -> Vec<EndpointId> {
+        let in_force = self.route.in_force.load();
+        let endpoints = in_force.current.bundle.endpoints.iter();
+        let others = endpoints.filter(|it| !it.is_leaving && it.id != self.me.endpoint);
+        others.map(|it| it.id).collect()
+    }
+
+    async fn ask_load(&self, endpoint: EndpointId) {
+        let Some(mut client) = self.peers.client(endpoint) else {
+            return;
+        };
+        let request = LoadRequest {
+            service: self.service.get(),
+        };
+        let reply = tokio::time::timeout(ASK_TIMEOUT, client.load(request)).await;
+        let told = reply.ok().and_then(Result::ok);
+        match told.and_then(|it| convert::load(it.into_inner())) {
+            Some((agent, load)) => self.loads.hear(agent, load),
+            None => self.loads.lower(endpoint),
+        }
+    }
+}
--- a/crates/agent/src/once.rs
+++ b/crates/agent/src/once.rs
@@ -1,23 +1,28 @@
 //! At most once at work: grants from the owner of a key, fences, and starts.
 
+mod answers;
 mod ticket;
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use admission::once::{
     Agent, Ask, FenceReply, FenceRequest, Once, RequestKey, Step, Verdict, View,
 };
+use arc_swap::ArcSwap;
 use bundle::{Accepted, InForce};
 use futures_util::future::join_all;
 use units::{EndpointId, Millis, ServiceId};
 
 use crate::{calls::convert, peers::Peers};
 
+pub(crate) use answers::{KEPT_BODY_MAX_BYTES, KeptAnswer};
 pub(crate) use ticket::{Attempted, Run, Ticket};
 
+use answers::Answers;
+
 /// Longest wait for one agent's answer to a fence.
 const FENCE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -28,7 +33,9 @@
 #[derive(Debug)]
 pub(crate) struct Keys {
     service: ServiceId,
+    in_force: Arc<ArcSwap<InForce>>,
     state: Mutex<Once>,
+    answers: Answers,
     peers: Arc<Peers>,
 }
 
@@ -37,22 +44,19 @@
     pub(crate) fn new(
         service: ServiceId,
         me: Agent,
-        in_force: &InForce,
+        in_force: Arc<ArcSwap<InForce>>,
         peers: Arc<Peers>,
     ) -> Self {
-        let state = Once::new(me, unix_now(), view(in_force));
+        let state = Once::new(me, unix_now(), view(&in_force.load()));
         Self {
             service,
+            in_force,
             state: Mutex::new(state),
+            answers: Answers::default(),
             peers,
         }
     }
 
-    /// Takes over a newer bundle's endpoints.
-    pub(crate) fn adopt(&self, in_force: &InForce) {
-        self.lock().adopt(unix_now(), view(in_force));
-    }
-
     /// Returns this agent.
     pub(crate) fn me(&self) -> Agent {
         self.lock().me()
@@ -98,6 +102,28 @@
         deciding.await.unwrap_or(Verdict::Unknown)
     }
 
+    /// Returns the answer of an earlier attempt, waiting for it while that runs.
+    pub(crate) async fn answer_of(
+        &self,
+        agent: Agent,
+        key: RequestKey,
+        until: Instant,
+    ) -> Option<KeptAnswer> {
+        let wait = until.saturating_duration_since(Instant::now());
+        if agent == self.me() {
+            return self.own_answer(key, wait).await;
+        }
+        let mut client = self.peers.client(agent.endpoint)?;
+        let request = convert::answer_request(self.service, agent, key, wait);
+        let reply = tokio::time::timeout(wait, client.answer(request)).await;
+        convert::kept_answer(reply.ok()?.ok()?.into_inner())
+    }
+
+    /// Returns the answer of an attempt that ran here.
+    pub(crate) async fn own_answer(&self, key: RequestKey, wait: Duration) -> Option<KeptAnswer> {
+        self.answers.wait_for(key, wait).await
+    }
+
     /// Answers another owner's fence.
     pub(crate) fn fence(&self, request: &FenceRequest) -> FenceReply {
         self.lock().fence(unix_now(), request)
@@ -126,8 +152,14 @@
         convert::fence_reply(&reply.ok()?.ok()?.into_inner())
     }
 
+    /// Returns the state with the bundle in force adopted.
     fn lock(&self) -> MutexGuard<'_, Once> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let in_force = self.in_force.load();
+        if in_force.current.bundle.version > state.version() {
+            state.adopt(unix_now(), view(&in_force));
+        }
+        state
     }
 }
 
--- a/crates/agent/src/once/ticket.rs
+++ b/crates/agent/src/once/ticket.rs
@@ -5,7 +5,7 @@
 use admission::once::{Attempt, NotStarted, RequestKey};
 use units::Millis;
 
-use super::Keys;
+use super::{KeptAnswer, Keys};
 
 /// An attempt of a non-idempotent request, as its caller names it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,6 +46,7 @@
             first_sent_ms,
         } = self.attempted;
         self.keys.lock().start(key, attempt, first_sent_ms)?;
+        self.keys.answers.open(key);
         Ok(Run {
             keys: self.keys,
             key,
@@ -63,8 +64,16 @@
     }
 }
 
+impl Run {
+    /// Keeps the answer for repeats.
+    pub(crate) fn keep(&self, answer: KeptAnswer) {
+        self.keys.answers.keep(self.key, answer);
+    }
+}
+
 impl Drop for Run {
     fn drop(&mut self) {
         self.keys.lock().finish(self.key);
+        self.keys.answers.close(self.key);
     }
 }
--- a/crates/agent/src/upstream/body.rs
+++ b/crates/agent/src/upstream/body.rs
@@ -10,17 +10,21 @@
     task::{Context, Poll, ready},
 };
 
-use bytes::{Buf, Bytes};
+use bytes::{Buf, Bytes, BytesMut};
 use h3::server::RequestStream;
 use hyper::body::{Body, Frame, SizeHint};
 
 use crate::streams::Receiving;
 
-/// A request's body; nothing of it is kept beyond the chunk on its way.
+/// Bodies up to this size are read whole before the request is admitted, so that a slow sender of a
+/// small body holds no slot and its request can be handed off.
+const SMALL_MAX_BYTES: usize = 64 * 1024;
+
+/// A request's body; nothing of it is kept beyond its start and the chunk on its way.
 #[derive(Default)]
 pub(crate) struct CallerBody {
-    /// The chunk that was read to learn whether there is a body.
-    first: Option<Bytes>,
+    /// What was read before the request was admitted; never empty.
+    start: Option<Bytes>,
     /// `None` once the body has ended.
     rest: Option<RequestStream<Receiving, Bytes>>,
     /// Length announced by the caller.
@@ -46,29 +50,51 @@
 pub(crate) struct FaultCell(AtomicU8);
 
 impl CallerBody {
-    /// Reads the first chunk, so that a request without body is known as such.
+    /// Creates a body that is there whole.
+    pub(crate) fn from_whole(body: Bytes) -> Self {
+        let bytes = body.len() as u64;
+        Self {
+            start: (!body.is_empty()).then_some(body),
+            announced_bytes: Some(bytes),
+            max_bytes: bytes,
+            ..Self::default()
+        }
+    }
+
+    /// Reads the body's start: a small one whole, of a large one enough to know that it is.
     pub(crate) async fn read_start(
-        mut stream: RequestStream<Receiving, Bytes>,
+        stream: RequestStream<Receiving, Bytes>,
         announced_bytes: Option<u64>,
         max_bytes: u64,
     ) -> Result<Self, BodyFault> {
-        let received = stream.recv_data().await;
-        let first = received
-            .map_err(|_gone| BodyFault::Broken)?
-            .map(|mut it| it.copy_to_bytes(it.remaining()));
-        let body = Self {
-            rest: first.is_some().then_some(stream),
-            first,
+        let mut body = Self {
+            rest: Some(stream),
             announced_bytes,
             max_bytes,
             ..Self::default()
         };
-        if body.rest.is_none() {
-            body.check_end()?;
+        let mut start = BytesMut::new();
+        while start.len() < SMALL_MAX_BYTES {
+            let next = std::future::poll_fn(|cx| body.poll_next(cx)).await;
+            let Some(chunk) = next.transpose()? else {
+                break;
+            };
+            start.extend_from_slice(&chunk);
         }
+        // What was read is passed on, and counted, once more.
+        body.passed_bytes = 0;
+        body.start = (!start.is_empty()).then(|| start.freeze());
         Ok(body)
     }
 
+    /// Returns the body if it is there whole.
+    pub(crate) fn whole(&self) -> Option<Bytes> {
+        match self.rest {
+            None => Some(self.start.clone().unwrap_or_default()),
+            Some(_) => None,
+        }
+    }
+
     /// Returns where the body leaves its fault.
     pub(crate) fn fault_cell(&self) -> Arc<FaultCell> {
         Arc::clone(&self.fault)
@@ -81,7 +107,7 @@
         }
     }
 
-    fn pass(&mut self, chunk: Bytes) -> Result<Frame<Bytes>, BodyFault> {
+    fn pass(&mut self, chunk: Bytes) -> Result<Bytes, BodyFault> {
         self.passed_bytes += chunk.len() as u64;
         let is_longer = |it| self.passed_bytes > it;
         if self.announced_bytes.is_some_and(is_longer) {
@@ -90,11 +116,11 @@
         if is_longer(self.max_bytes) {
             return Err(BodyFault::TooLarge);
         }
-        Ok(Frame::data(chunk))
+        Ok(chunk)
     }
 
-    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
-        if let Some(chunk) = self.first.take() {
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyFault>>> {
+        if let Some(chunk) = self.start.take() {
             return Poll::Ready(Some(self.pass(chunk)));
         }
         let Some(rest) = &mut self.rest else {
@@ -134,11 +160,11 @@
         if let Some(Err(fault)) = &next {
             self.fault.set(*fault);
         }
-        Poll::Ready(next)
+        Poll::Ready(next.map(|it| it.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.first.is_none() && self.rest.is_none()
+        self.start.is_none() && self.rest.is_none()
     }
 
     fn size_hint(&self) -> SizeHint {
