--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod once;
 pub mod ownership;
+pub mod simulation;
 pub mod spread;
--- /dev/null
+++ b/crates/spec/tests/simulation.rs
@@ -0,0 +1,31 @@
+//! Randomised runs of the request decisions.
+
+use spec::simulation::{Faults, run};
+use units::Millis;
+
+/// Simulated time of each run.
+const LENGTH_MS: Millis = Millis::new(60_000);
+
+#[test]
+fn random_faults() {
+    bolero::check!()
+        .with_type::<u64>()
+        .with_iterations(40)
+        .for_each(|seed| {
+            let report = run(*seed, LENGTH_MS, Faults::all());
+            let report = report.unwrap_or_else(|broken| panic!("seed {seed}: {broken:?}"));
+            assert!(
+                report.runs > 0 && report.unknown > 0,
+                "seed {seed} tries too little: {report:?}"
+            );
+        });
+}
+
+#[test]
+fn no_faults() {
+    for seed in 0..5 {
+        let report = run(seed, LENGTH_MS, Faults::none()).unwrap();
+        assert_eq!(report.unknown, 0);
+        assert!(report.answered > 1_000, "{report:?}");
+    }
+}
