At most once: run only where later settlements ask

Now an owner grants only to agents of its bundle; a settlement among everyone counts only for keys first sent after the bundle before the present one was in force everywhere; an owner's memory counts only while it owned the key without a break; and a fenced agent whose owner table forgot says so.

--- a/crates/admission/src/once.rs
+++ b/crates/admission/src/once.rs
@@ -34,6 +34,9 @@
 /// Largest difference allowed between the clocks of callers and agents.
 pub const CLOCK_SKEW_MAX_MS: Millis = Millis::new(2000);
 
+/// Longest time that an agent may go on with a bundle after a newer one is in force elsewhere.
+pub const BUNDLE_LAG_MAX_MS: Millis = Millis::new(10_000);
+
 /// The key of a non-idempotent request, a digest of service and `Idempotency-Key`.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestKey([u8; 16]);
@@ -168,9 +171,10 @@
     /// Decides, as owner, on an attempt.
     pub fn grant(&mut self, now_ms: Millis, ask: Ask) -> Step {
         self.forget_old(now_ms);
-        if self.ownership.owner_of(ask.key) != self.me.endpoint
-            || ask.version.get().abs_diff(self.version().get()) > 1
-        {
+        let is_owner = self.ownership.owner_of(ask.key) == self.me.endpoint;
+        let is_near = ask.version.get().abs_diff(self.version().get()) <= 1;
+        // Only agents that later settlements ask may run a key.
+        if !is_owner || !is_near || !self.ownership.view().names(ask.asker.endpoint) {
             return Step::Reply(Verdict::NotOwner {
                 version: self.version(),
             });
@@ -204,10 +208,15 @@
         self.forget_old(now_ms);
         let (past, prior_fence) = self.runner.fence(request);
         let claim = self.owner.fence(request);
+        let is_forgotten = past == PastRun::NotRun && !claim.is_complete;
         FenceReply {
             agent: self.me,
             version: self.version(),
-            past,
+            past: if is_forgotten {
+                PastRun::TooYoung
+            } else {
+                past
+            },
             prior_fence,
             granted: claim.granted,
             is_superseded: claim.is_superseded,
@@ -274,8 +283,9 @@
     }
 
     fn conclude(&mut self, settle: Settle) -> Step {
+        let since_ms = self.ownership.view_since_ms().plus(BUNDLE_LAG_MAX_MS);
         self.owner
-            .conclude(settle, self.me.endpoint, self.ownership.view())
+            .conclude(settle, self.me.endpoint, self.ownership.view(), since_ms)
     }
 
     fn forget_old(&mut self, now_ms: Millis) {
--- a/crates/admission/src/once/owner.rs
+++ b/crates/admission/src/once/owner.rs
@@ -156,6 +156,8 @@
 pub(super) struct Claim {
     pub(super) granted: Option<(Agent, Attempt)>,
     pub(super) is_superseded: bool,
+    /// Whether the table knows of every grant it made for the key.
+    pub(super) is_complete: bool,
 }
 
 /// What is remembered of one key.
@@ -169,6 +171,8 @@
     ran: Option<(Agent, Attempt)>,
     /// Whether attempt `high` is being settled here.
     is_settling: bool,
+    /// Whether the table reached back to the first attempt when the record was made.
+    is_complete: bool,
 }
 
 /// Grants of attempts by the owner of a key.
@@ -214,10 +218,13 @@
         if entry.first_sent_ms != ask.first_sent_ms {
             return Begin::Reply(Verdict::Unknown);
         }
-        // The grant says who alone may have run the key only while no other attempt was asked
-        // for since.
+        // The grant says who alone may have run the key only while no other agent owned it and no
+        // other attempt was asked for since.
+        let is_unbroken = ask.first_sent_ms > owned_since_ms;
         let scope = match record.granted {
-            Some((agent, attempt)) if attempt == record.high => Scope::Granted(agent, attempt),
+            Some((agent, attempt)) if attempt == record.high && is_unbroken => {
+                Scope::Granted(agent, attempt)
+            }
             _ => Scope::Everyone,
         };
         record.high = ask.attempt;
@@ -240,6 +247,7 @@
             granted: is_first.then_some((ask.asker, ask.attempt)),
             ran: None,
             is_settling: !is_first,
+            is_complete: self.records.covers(ask.first_sent_ms),
         };
         self.records.insert(ask.key, ask.first_sent_ms, record);
         if is_first {
@@ -262,18 +270,21 @@
 
     /// Takes in another owner's settlement of the key.
     pub(super) fn fence(&mut self, request: &FenceRequest) -> Claim {
+        let is_complete = self.records.covers(request.first_sent_ms);
         let Some(entry) = self.records.get_mut(request.key) else {
             let record = Record {
                 high: request.below,
                 granted: None,
                 ran: None,
                 is_settling: false,
+                is_complete,
             };
             self.records
                 .insert(request.key, request.first_sent_ms, record);
             return Claim {
                 granted: None,
                 is_superseded: false,
+                is_complete,
             };
         };
         let record = &mut entry.value;
@@ -286,6 +297,7 @@
             return Claim {
                 granted,
                 is_superseded: true,
+                is_complete: record.is_complete,
             };
         }
         record.high = request.below;
@@ -293,11 +305,18 @@
         Claim {
             granted,
             is_superseded: false,
+            is_complete: record.is_complete,
         }
     }
 
     /// Decides on an attempt by the replies that came.
-    pub(super) fn conclude(&mut self, mut settle: Settle, me: EndpointId, view: &View) -> Step {
+    pub(super) fn conclude(
+        &mut self,
+        mut settle: Settle,
+        me: EndpointId,
+        view: &View,
+        since_ms: Millis,
+    ) -> Step {
         let ask = settle.ask;
         // A record that made room for newer ones took the settlement with it.
         let Some(entry) = self.records.get_mut(ask.key) else {
@@ -307,7 +326,12 @@
         if record.high != ask.attempt || !record.is_settling {
             return Step::Reply(Verdict::Superseded);
         }
-        let outcome = outcome_of(&settle, view);
+        let is_complete = record.is_complete && ask.first_sent_ms > since_ms;
+        let outcome = match outcome_of(&settle, view) {
+            // Agents of older bundles may have run the key, or this one granted it and forgot.
+            Outcome::NoneRan if settle.scope == Scope::Everyone && !is_complete => Outcome::Unknown,
+            outcome => outcome,
+        };
         match outcome {
             Outcome::Ran(agent, attempt) => {
                 record.ran = Some((agent, attempt));
--- a/crates/admission/src/once/ownership.rs
+++ b/crates/admission/src/once/ownership.rs
@@ -46,6 +46,11 @@
         all
     }
 
+    /// Returns whether an endpoint is of the bundle in force.
+    pub(super) fn names(&self, endpoint: EndpointId) -> bool {
+        self.current.binary_search(&endpoint).is_ok()
+    }
+
     /// Returns the endpoints that may own a key: of both bundles, so that agents with either
     /// bundle reach every owner. Falls back to the current ones if the bundles share none.
     fn owners(&self) -> Vec<EndpointId> {
@@ -71,6 +76,10 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(super) struct Ownership {
     view: View,
+    /// When the bundle in force was adopted here.
+    current_since_ms: Millis,
+    /// Since when only the bundle in force and the one before it applied here.
+    view_since_ms: Millis,
     /// Oldest first, at least one, at most [`ERAS_MAX`]; neighbours differ in their owners.
     eras: Vec<Era>,
 }
@@ -81,7 +90,12 @@
             owners: view.owners(),
             since_ms,
         }];
-        Self { view, eras }
+        Self {
+            view,
+            current_since_ms: since_ms,
+            view_since_ms: since_ms,
+            eras,
+        }
     }
 
     pub(super) const fn version(&self) -> BundleVersion {
@@ -92,10 +106,22 @@
         &self.view
     }
 
+    /// Returns since when only the bundle in force and the one before it applied here.
+    pub(super) const fn view_since_ms(&self) -> Millis {
+        self.view_since_ms
+    }
+
     pub(super) fn adopt(&mut self, view: View, since_ms: Millis) {
         if view.version <= self.view.version {
             return;
         }
+        let is_next = view.version.get() == self.view.version.get() + 1;
+        self.view_since_ms = if is_next {
+            self.current_since_ms
+        } else {
+            since_ms
+        };
+        self.current_since_ms = since_ms;
         let owners = view.owners();
         self.view = view;
         if self.present().owners == owners {
--- a/crates/bench/src/benches.rs
+++ b/crates/bench/src/benches.rs
@@ -4,8 +4,10 @@
 mod datagrams;
 mod imbalance;
 mod liveness;
+mod message_order;
 mod platform_calls;
 mod publisher;
+mod randomised;
 
 use crate::{
     error::{BenchError, Result},
@@ -25,7 +27,9 @@
     datagrams::BENCH,
     imbalance::BENCH,
     liveness::BENCH,
+    message_order::BENCH,
     platform_calls::BENCH,
+    randomised::BENCH,
 ];
 
 /// Runs the named bench, or lists all when no name is given.
--- a/crates/spec/src/once/world.rs
+++ b/crates/spec/src/once/world.rs
@@ -17,8 +17,8 @@
 
 /// When the agents started, the key was first sent, and everything after it happens.
 const START_MS: Millis = Millis::new(0);
-const FIRST_SENT_MS: Millis = Millis::new(10_000);
-const NOW_MS: Millis = Millis::new(20_000);
+const FIRST_SENT_MS: Millis = Millis::new(100_000);
+const NOW_MS: Millis = Millis::new(200_000);
 
 /// One rule broken on purpose, for which the search must find a counterexample.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
--- a/crates/spec/src/simulation.rs
+++ b/crates/spec/src/simulation.rs
@@ -184,7 +184,7 @@
 
     fn start(&mut self) {
         // Agents know nothing of keys sent before their horizon.
-        self.queue.push(self.now_ms + 5_000, Event::NewKey);
+        self.queue.push(self.now_ms + 15_000, Event::NewKey);
         if self.faults.change_mean_ms.is_some() {
             for change in [Event::Restart, Event::Pause, Event::Part, Event::Roll] {
                 self.schedule_change(change);
