Demo: time line, and callers that renew a key only when nothing ran

Cause: 12 to 16 % of at-most-once requests ended as outcome-unknown: a refusal of the first attempt (the key's owner started lately) was repeated under the same key, which a young owner cannot settle. Change: callers do as the refusal says: after not-run on a first attempt they take a new key, after a timeout they repeat the attempt; the demo counts double runs by request, whatever the key, and writes the time line of all processes with lovagectl.

--- a/crates/bench/src/demo/report.rs
+++ b/crates/bench/src/demo/report.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use stand_ins::upstream;
-
 use crate::{
     error::{BenchError, Result},
     fleet::Fleet,
@@ -35,6 +33,10 @@
     println!("wrong answers         {}", violations.wrong_answers);
     println!("misrouted requests    {}", violations.misrouted_requests);
     println!("purchases run twice   {}", violations.run_twice);
+    println!(
+        "time line             {}",
+        fleet.write_timeline()?.display()
+    );
     println!("settings and logs     {}", fleet.dir());
     if violations.is_none() {
         println!("every promise held");
@@ -104,7 +106,7 @@
         broken_flows: tallies.iter().map(|it| it.broken).sum(),
         wrong_answers: tallies.iter().map(|it| it.wrong).sum(),
         misrouted_requests: misrouted(fleet),
-        run_twice: upstream::keys_run_twice(&fleet.upstreams).len(),
+        run_twice: run_twice(fleet),
     }
 }
 
@@ -125,6 +127,20 @@
     count
 }
 
+/// Requests that must run at most once and ran more often, whatever key they came under.
+fn run_twice(fleet: &Fleet) -> usize {
+    let mut request_ids = Vec::new();
+    for upstream in &fleet.upstreams {
+        let runs = upstream.runs();
+        let keyed = runs.into_iter().filter(|it| !it.key.is_empty());
+        request_ids.extend(keyed.map(|it| it.request_id));
+    }
+    request_ids.sort_unstable();
+    let runs = request_ids.len();
+    request_ids.dedup();
+    runs - request_ids.len()
+}
+
 #[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
 fn peak_to_mean(counts: &[usize]) -> f64 {
     let sum: usize = counts.iter().sum();
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -14,6 +14,7 @@
     fs,
     net::SocketAddr,
     path::PathBuf,
+    process::Command,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -173,6 +174,29 @@
         self.files.dir()
     }
 
+    /// Writes the time line of every process as text and picture; returns the text's path.
+    pub(crate) fn write_timeline(&self) -> Result<PathBuf> {
+        let (settings_path, json) = self.files.operator(&self.plan, self.agents.len())?;
+        fs::write(&settings_path, json)
+            .map_err(|err| BenchError::setup("writing the operators' settings", &err))?;
+        let text_path = settings_path.with_file_name("timeline.txt");
+        let picture_path = settings_path.with_file_name("timeline.svg");
+        for (format, path) in [("text", &text_path), ("svg", &picture_path)] {
+            let status = Command::new(self.program.with_file_name("lovagectl"))
+                .args(["timeline", "--format", format, "--settings"])
+                .arg(&settings_path)
+                .arg("--out")
+                .arg(path)
+                .status()
+                .map_err(|err| BenchError::setup("running lovagectl", &err))?;
+            // A process that can't be reached is named in the time line and in the exit status.
+            if !path.exists() {
+                return Err(BenchError::setup("writing the time line", &status));
+            }
+        }
+        Ok(text_path)
+    }
+
     /// Waits until `service_idx` answers a connection through the balancers routed now.
     pub(crate) async fn wait_until_service_answers(&self, service_idx: usize) -> Result<()> {
         let caller = self.caller()?;
--- a/crates/bench/src/fleet/settings_files.rs
+++ b/crates/bench/src/fleet/settings_files.rs
@@ -5,7 +5,10 @@
 use bundle::PublicKey;
 use flow::key::{FleetKey, Secret};
 use serde::Serialize;
-use settings::{AgentSettings, BalancerSettings, SecretKey, SettingsError, SharedKey};
+use settings::{
+    AgentSettings, BalancerSettings, OperatorSettings, ProcessAddress, SecretKey, SettingsError,
+    SharedKey,
+};
 use units::{InstanceId, KeyIndex, Millis, ParseUnitError};
 
 use super::{
@@ -116,6 +119,29 @@
         self.file(&name, &settings)
     }
 
+    /// Path and text of the operators' settings.
+    pub(crate) fn operator(&self, plan: &FleetPlan, agents: usize) -> Result<(PathBuf, String)> {
+        let mut processes = Vec::with_capacity(plan.balancers + agents);
+        for idx in 0..plan.balancers {
+            processes.push(ProcessAddress {
+                instance: instance(&format!("balancer-{idx}"))?,
+                control_address: self.addresses.balancer_control(idx),
+            });
+        }
+        for idx in 0..agents {
+            processes.push(ProcessAddress {
+                instance: instance(&format!("agent-{idx}"))?,
+                control_address: self.addresses.agent_control(idx),
+            });
+        }
+        let settings = OperatorSettings {
+            processes,
+            tls: self.certificates.process.clone(),
+            operator_keys: vec![self.operator.clone()],
+        };
+        self.file("operator", &settings)
+    }
+
     fn seeds(
         &self,
         seeds: std::ops::Range<usize>,
--- a/crates/bench/src/load/caller_loop.rs
+++ b/crates/bench/src/load/caller_loop.rs
@@ -16,8 +16,11 @@
 /// Longest time a caller waits for one answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Most attempts of one request.
-const ATTEMPTS_MAX: u32 = 6;
+/// Most attempts under one key.
+const ATTEMPTS_MAX: u32 = 3;
+
+/// Most keys that a request uses after the first.
+const RENEWALS_MAX: u32 = 6;
 
 /// First pause before an attempt is repeated; it doubles each time.
 const BACKOFF: Duration = Duration::from_millis(50);
@@ -79,22 +82,18 @@
         let mut pause = BACKOFF;
         loop {
             let outcome = self.attempt(&keyed, connection, tally).await;
-            let may_repeat = match &outcome {
-                Outcome::NotRun => true,
-                Outcome::Timeout | Outcome::Broken(_) => {
+            match &outcome {
+                // A later attempt that did not run tells nothing of the first.
+                Outcome::NotRun if keyed.attempt == 1 && keyed.renewals < RENEWALS_MAX => {
+                    keyed.renew();
+                }
+                Outcome::NotRun | Outcome::Timeout if keyed.attempt < ATTEMPTS_MAX => {
                     *connection = None;
-                    true
+                    keyed.attempt += 1;
                 }
-                Outcome::Whole | Outcome::Unknown | Outcome::Wrong(_) => false,
-            };
-            if matches!(outcome, Outcome::Broken(_)) {
-                // A broken flow counts even if a later attempt succeeds.
-                return outcome;
-            }
-            if !may_repeat || keyed.attempt == ATTEMPTS_MAX {
-                return outcome;
+                // A broken flow counts, so it is not hidden behind a later attempt.
+                _ => return outcome,
             }
-            keyed.attempt += 1;
             tokio::time::sleep(pause).await;
             pause *= 2;
         }
@@ -124,8 +123,8 @@
         let outcome = if self.work.is_keyed {
             keyed.attempt(&self.work, open, CALL_TIMEOUT).await
         } else {
-            let call = self.work.call(&keyed.key).with_timeout(CALL_TIMEOUT);
-            classify(&self.work, &keyed.key, open.request(call).await)
+            let call = self.work.call(&keyed.request_id).with_timeout(CALL_TIMEOUT);
+            classify(&self.work, &keyed.request_id, open.request(call).await)
         };
         if outcome == Outcome::NotRun {
             // An agent that leaves refuses new requests on old connections.
--- a/crates/bench/src/load/purchases.rs
+++ b/crates/bench/src/load/purchases.rs
@@ -18,27 +18,40 @@
 /// A request that must run at most once.
 #[derive(Debug, Clone)]
 pub(crate) struct KeyedRequest {
-    pub(crate) key: String,
+    /// Same for every attempt, whatever the key.
+    pub(crate) request_id: String,
+    /// Names the attempts of which one may run.
+    key: String,
+    /// Attempts under this key, 1 for the first.
     pub(crate) attempt: u32,
+    /// Keys used before this one; nothing ran under any of them.
+    pub(crate) renewals: u32,
     first_sent_ms: u128,
 }
 
 impl KeyedRequest {
     /// Makes a request whose first attempt is sent now.
-    pub(crate) fn new(key: String) -> Self {
-        let since_epoch = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
+    pub(crate) fn new(request_id: String) -> Self {
         Self {
-            key,
+            key: request_id.clone(),
+            request_id,
             attempt: 1,
-            first_sent_ms: since_epoch.as_millis(),
+            renewals: 0,
+            first_sent_ms: unix_now_ms(),
         }
     }
 
+    /// Starts over with a new key, after an answer that nothing ran under the present one.
+    pub(crate) fn renew(&mut self) {
+        self.renewals += 1;
+        self.key = format!("{}.{}", self.request_id, self.renewals);
+        self.attempt = 1;
+        self.first_sent_ms = unix_now_ms();
+    }
+
     /// The call of the current attempt.
     pub(crate) fn call(&self, work: &Work, timeout: Duration) -> Call {
-        work.call(&self.key)
+        work.call(&self.request_id)
             .with_header(KEY_HEADER, &self.key)
             .with_header(ATTEMPT_HEADER, &self.attempt.to_string())
             .with_header(FIRST_SENT_HEADER, &self.first_sent_ms.to_string())
@@ -53,6 +66,11 @@
         timeout: Duration,
     ) -> Outcome {
         let res = connection.request(self.call(work, timeout)).await;
-        classify(work, &self.key, res)
+        classify(work, &self.request_id, res)
     }
 }
+
+fn unix_now_ms() -> u128 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.unwrap_or_default().as_millis()
+}
