Fleets of one bench take different addresses

Cause: a second fleet in one bench process failed with an address in use, since the first one's listeners end only after it. Change: each fleet takes a block of loopback addresses of its own.

--- a/crates/bench/src/fleet/addresses.rs
+++ b/crates/bench/src/fleet/addresses.rs
@@ -1,6 +1,9 @@
 //! Loopback addresses: one per process, with fixed ports.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::atomic::{AtomicU32, Ordering},
+};
 
 /// Port of tunnel datagrams.
 const TUNNEL_PORT: u16 = 7_000;
@@ -14,6 +17,18 @@
 /// First port of the services' addresses.
 pub(super) const SERVICE_PORT: u16 = 4_430;
 
+/// Blocks of loopback addresses that fleets use.
+const BLOCKS: u32 = 200;
+
+/// Second byte of the first block.
+const FIRST_BLOCK: u8 = 20;
+
+/// Blocks between those of two processes with consecutive ids.
+const BLOCKS_PER_PROCESS: u32 = 7;
+
+/// Fleets that this process started.
+static FLEETS: AtomicU32 = AtomicU32::new(0);
+
 /// Hands out one loopback address per process of one fleet.
 ///
 /// Fleets with different `block`s never share an address.
@@ -24,9 +39,13 @@
 }
 
 impl AddressPlan {
-    /// Picks the block from the process id, so that fleets run side by side.
+    /// Picks the block from the process id and the fleets before, so that fleets run side by side.
     pub(crate) fn new() -> Self {
-        let block = u8::try_from(std::process::id() % 200).unwrap_or_default() + 20;
+        let before = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let number = std::process::id()
+            .wrapping_mul(BLOCKS_PER_PROCESS)
+            .wrapping_add(before);
+        let block = u8::try_from(number % BLOCKS).unwrap_or_default() + FIRST_BLOCK;
         Self { block }
     }
 
