Agent: a request that can't start here tries up to three agents at once

One refused offer sent the request back to wait 10 ms for the next look, which is as long as short work runs. The callee's answer to an offer now carries its load, up to three agents are tried, and the next look comes after 4 ms.

--- a/crates/agent/src/handoff.rs
+++ b/crates/agent/src/handoff.rs
@@ -37,7 +37,10 @@
 const MARGIN_SLOTS: u32 = 2;
 
 /// Time between looks for a free slot elsewhere while a request waits.
-const LOOK_INTERVAL: Duration = Duration::from_millis(10);
+const LOOK_INTERVAL: Duration = Duration::from_millis(4);
+
+/// Agents tried at once for one request that can't start here.
+const TRIES_MAX: u32 = 3;
 
 /// Decides where a request runs.
 #[derive(Debug)]
@@ -89,10 +92,12 @@
     ///
     /// A request whose body is still under way stays here.
     pub(crate) async fn place(&self, exchange: &mut Exchange) -> Result<Offered, Stop> {
+        let class = exchange.rule.class;
         let mut may_offer = exchange.body.whole().is_some();
         let mut callee = may_offer.then(|| self.better_place(exchange)).flatten();
         loop {
-            if let Some(to) = callee.take() {
+            let mut tries = 0;
+            while let Some(to) = callee.take() {
                 let (reply, answer) = self.offer(exchange, to).await;
                 if let Some(answer) = answer {
                     return Ok(Offered::Elsewhere(Box::new(answer)));
@@ -102,6 +107,10 @@
                     AfterOffer::Forget | AfterOffer::TakeBack => {}
                 }
                 may_offer &= reply == OfferReply::Refused;
+                tries += 1;
+                if may_offer && tries < TRIES_MAX && self.free(class) == 0 {
+                    callee = self.loads.choose(class, 0);
+                }
             }
             // A granted request stays: its grant names this agent.
             if !may_offer || exchange.rule.retry == RetrySafety::AtMostOnce {
@@ -109,7 +118,6 @@
                 self.admit.admit(exchange).await?;
                 return Ok(Offered::Here);
             }
-            let class = exchange.rule.class;
             tokio::select! {
                 admitted = self.admit.admit(exchange) => {
                     admitted?;
@@ -122,12 +130,7 @@
 
     /// Returns an agent with clearly more room, counting one slot of it as taken.
     fn better_place(&self, exchange: &Exchange) -> Option<Agent> {
-        let load = self.admit.gate.load();
-        let free = match exchange.rule.class {
-            RequestClass::Short => load.free_short,
-            RequestClass::Long => load.free_long,
-        };
-        let floor = match (free, exchange.rule.retry) {
+        let floor = match (self.free(exchange.rule.class), exchange.rule.retry) {
             (0, _) => 0,
             // Its offer may end unclear, so it is made only in need.
             (_, RetrySafety::AtMostOnce) => return None,
@@ -136,6 +139,15 @@
         self.loads.choose(exchange.rule.class, floor)
     }
 
+    /// Returns how many requests of a class could start here now.
+    fn free(&self, class: RequestClass) -> u32 {
+        let load = self.admit.gate.load();
+        match class {
+            RequestClass::Short => load.free_short,
+            RequestClass::Long => load.free_long,
+        }
+    }
+
     /// Waits until another agent seems to have a free slot.
     async fn free_elsewhere(&self, class: RequestClass) -> Agent {
         loop {
--- a/crates/agent/src/handoff/offer.rs
+++ b/crates/agent/src/handoff/offer.rs
@@ -15,7 +15,8 @@
 use tokio::sync::mpsc;
 use tonic::{Status, Streaming};
 use wire::requests::{
-    AnswerEnd, HandOffReply, HandOffRequest, Refused, Taken, hand_off_reply::Part as Message,
+    AnswerEnd, HandOffReply, HandOffRequest, LoadReply, Refused, Taken,
+    hand_off_reply::Part as Message,
 };
 
 use super::HandOff;
@@ -47,8 +48,11 @@
         };
         let reply = tokio::time::timeout(OFFER_TIMEOUT, offering).await;
         match reply.ok().flatten() {
-            Some((Message::Taken(_), answer)) => {
+            Some((Message::Taken(taken), answer)) => {
                 self.counters.handoffs_taken.add_one();
+                if let Some((agent, load)) = taken.load.and_then(convert::load) {
+                    self.loads.hear(agent, load);
+                }
                 (OfferReply::Taken, Some(answer))
             }
             Some((Message::Refused(refused), _answer)) => {
@@ -126,9 +130,13 @@
     }
 
     fn refuse(&self) -> Replies {
+        let load = Some(self.load());
+        Replies::new(Message::Refused(Refused { load }), None)
+    }
+
+    fn load(&self) -> LoadReply {
         let handoff = &self.core.handoff;
-        let load = convert::load_reply(handoff.me, handoff.admit.gate.load());
-        Replies::new(Message::Refused(Refused { load: Some(load) }), None)
+        convert::load_reply(handoff.me, handoff.admit.gate.load())
     }
 
     fn start(&self, exchange: Exchange) -> Replies {
@@ -143,7 +151,8 @@
                 () = watched.cancelled() => (),
             }
         });
-        Replies::new(Message::Taken(Taken {}), Some(parts))
+        let load = Some(self.load());
+        Replies::new(Message::Taken(Taken { load }), Some(parts))
     }
 }
 
--- a/crates/bench/src/benches.rs
+++ b/crates/bench/src/benches.rs
@@ -1,7 +1,9 @@
 //! Every bench by name; one module a bench.
 
 mod bundles;
+mod crest;
 mod datagrams;
+mod headofline;
 mod imbalance;
 mod liveness;
 mod message_order;
@@ -24,7 +26,9 @@
 /// Every bench, sorted by name.
 const BENCHES: &[Entry] = &[
     bundles::BENCH,
+    crest::BENCH,
     datagrams::BENCH,
+    headofline::BENCH,
     imbalance::BENCH,
     liveness::BENCH,
     message_order::BENCH,
--- a/crates/bench/src/load/open_loop.rs
+++ b/crates/bench/src/load/open_loop.rs
@@ -16,6 +16,9 @@
     fleet::{Fleet, SERVICE_NAME},
 };
 
+/// Time that a caller waits beyond the deadline it told, for an answer on its way.
+const SLACK: Duration = Duration::from_millis(500);
+
 /// Connections that share one socket.
 const CONNECTIONS_PER_SOCKET: usize = 16;
 
@@ -156,6 +159,11 @@
             .attempt(&arrival.work, connection, arrival.timeout)
             .await;
     }
-    let call = arrival.work.call(request_id).with_timeout(arrival.timeout);
+    let timeout_ms = arrival.timeout.as_millis().to_string();
+    let call = arrival
+        .work
+        .call(request_id)
+        .with_header("lovagehall-timeout-ms", &timeout_ms)
+        .with_timeout(arrival.timeout + SLACK);
     classify(&arrival.work, request_id, connection.request(call).await)
 }
--- a/crates/stand-ins/src/upstream.rs
+++ b/crates/stand-ins/src/upstream.rs
@@ -12,7 +12,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use tokio::{net::TcpListener, task::JoinHandle};
@@ -22,6 +22,12 @@
 pub use ledger::{Run, RunEnd};
 pub use serve::{ANSWER_BYTES_HEADER, REQUEST_ID_HEADER, RUN_TIME_HEADER};
 
+/// Longest wait for an address in use to become free.
+const BIND_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time between attempts to bind.
+const BIND_STEP: Duration = Duration::from_millis(20);
+
 /// A running upstream; it ends when dropped.
 #[derive(Debug)]
 pub struct Upstream {
@@ -71,7 +77,7 @@
         slots: Slots,
         behavior: Behavior,
     ) -> std_io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
+        let listener = bind(address).await?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared::new(slots, behavior));
         let accepting = tokio::spawn(serve::accept(listener, Arc::clone(&shared)));
@@ -201,6 +207,21 @@
     }
 }
 
+/// Binds an address that a dropped upstream may still be about to give back.
+async fn bind(address: SocketAddr) -> std_io::Result<TcpListener> {
+    let began = Instant::now();
+    loop {
+        match TcpListener::bind(address).await {
+            Err(err)
+                if err.kind() == std_io::ErrorKind::AddrInUse && began.elapsed() < BIND_TIMEOUT =>
+            {
+                tokio::time::sleep(BIND_STEP).await;
+            }
+            bound => return bound,
+        }
+    }
+}
+
 /// Locks a mutex whose holders never leave half a change behind.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
