--- a/crates/bench/src/benches.rs
+++ b/crates/bench/src/benches.rs
@@ -1,6 +1,7 @@
 //! Every bench by name; one module a bench.
 
 mod bundles;
+mod control;
 mod crest;
 mod datagrams;
 mod headofline;
@@ -26,6 +27,7 @@
 /// Every bench, sorted by name.
 const BENCHES: &[Entry] = &[
     bundles::BENCH,
+    control::BENCH,
     crest::BENCH,
     datagrams::BENCH,
     headofline::BENCH,
--- /dev/null
+++ b/crates/bench/src/benches/control/usage.rs
@@ -0,0 +1,30 @@
+//! Processor time and memory of this process.
+
+use std::fs;
+
+/// Ticks a second of the times in `/proc/self/stat`.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Size of a page in bytes.
+const PAGE_BYTES: f64 = 4_096.0;
+
+/// Position of the user time after the program's name in `/proc/self/stat`.
+const USER_TIME_FIELD: usize = 11;
+
+/// Returns the processor time used by all threads, in seconds.
+pub(super) fn processor_seconds() -> f64 {
+    let text = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    // The name may hold spaces; it ends with the last parenthesis.
+    let rest = text.rsplit(')').next().unwrap_or_default();
+    let ticks = rest.split_whitespace().skip(USER_TIME_FIELD).take(2);
+    let ticks = ticks.filter_map(|it| it.parse::<f64>().ok());
+    ticks.sum::<f64>() / TICKS_PER_SECOND
+}
+
+/// Returns the memory resident in bytes.
+pub(super) fn resident_bytes() -> f64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1);
+    let pages = pages.and_then(|it| it.parse::<f64>().ok());
+    pages.unwrap_or_default() * PAGE_BYTES
+}
--- a/crates/bench/src/figure.rs
+++ b/crates/bench/src/figure.rs
@@ -50,6 +50,23 @@
     pub(crate) seed: u64,
 }
 
+impl Figure {
+    /// Adds the baseline's figure.
+    #[must_use]
+    pub(crate) fn with_baseline(mut self, baseline: f64) -> Self {
+        self.baseline = Some(baseline);
+        self
+    }
+
+    /// Adds the target, which `ours` must not exceed.
+    #[must_use]
+    pub(crate) fn with_target(mut self, target: f64) -> Self {
+        self.target = Some(target);
+        self.met = Some(self.ours <= target);
+        self
+    }
+}
+
 /// Runs a bench's future on a runtime of its own.
 pub(crate) fn block_on<T>(bench: impl Future<Output = Result<T>>) -> Result<T> {
     let runtime = tokio::runtime::Runtime::new()
@@ -62,3 +79,12 @@
 pub(crate) fn floats(count: usize) -> f64 {
     count as f64
 }
+
+/// Converts a number of bytes or milliseconds for use in a ratio.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "the numbers stay far below 2^52"
+)]
+pub(crate) fn float(value: u64) -> f64 {
+    value as f64
+}
