control: unanswered tunnel traffic has an agent checked

Cause: after a zone's failure the last balancers learnt of its agents by exchanges only, up to 4.8 s later at 310 balancers. Change: a balancer that sends to an agent for 500 ms with nothing back checks it by itself, within the budget of second looks, since answers may come back through other balancers. Conclusion: a balancer that uses a dead agent needs no word from others; a test holds it with one balancer and no watcher's report.

--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -12,7 +12,7 @@
 
 use arc_swap::ArcSwap;
 use flow::{
-    table::{EndpointCell, Liveness},
+    table::{EndpointCell, Liveness, Traffic},
     tunnel::Load,
 };
 use membership::{AgentSpec, Condition, Introduction, MemberId, Members, Output, decode, encode};
@@ -31,6 +31,9 @@
 /// Time between two ticks of the protocol.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Time for which datagrams to an agent may go unanswered before it is checked.
+const UNANSWERED_MS: Millis = Millis::new(500);
+
 /// What the members controller needs to know at start.
 #[derive(Debug, Clone)]
 pub struct MembersConfig {
@@ -262,7 +265,48 @@
 /// An agent with the traffic last seen of it.
 struct Watched {
     link: AgentLink,
-    answered: u64,
+    traffic: Traffic,
+    /// Since when datagrams sent to it have had no answer.
+    unanswered_since: Option<Millis>,
+}
+
+impl Watched {
+    fn new(link: AgentLink) -> Self {
+        Self {
+            traffic: link.cell.traffic(),
+            link,
+            unanswered_since: None,
+        }
+    }
+
+    /// Looks at the traffic since the last time.
+    fn look(&mut self, now: Millis) -> Evidence {
+        let traffic = self.link.cell.traffic();
+        let before = std::mem::replace(&mut self.traffic, traffic);
+        if traffic.answered != before.answered {
+            self.unanswered_since = None;
+            return Evidence::Answered;
+        }
+        if traffic.sent == before.sent {
+            return Evidence::Nothing;
+        }
+        let since = *self.unanswered_since.get_or_insert(now);
+        if now.since(since) < UNANSWERED_MS {
+            return Evidence::Nothing;
+        }
+        self.unanswered_since = None;
+        Evidence::Unanswered
+    }
+}
+
+/// What the traffic with an agent says of its life.
+enum Evidence {
+    /// Something came back.
+    Answered,
+    /// Nothing came back for a while, though something was sent all the time.
+    Unanswered,
+    /// Neither.
+    Nothing,
 }
 
 impl<S: PeerSend> Actor for Controller<S> {
@@ -349,13 +393,15 @@
         }
     }
 
-    /// Takes answers on the tunnels as evidence, so that busy agents need no probes.
+    /// Takes answers on the tunnels as evidence, so that busy agents need no probes, and has agents
+    /// checked that give none, so that a balancer that sends needs no word from others.
     fn read_traffic(&mut self, now: Millis) {
         for it in &mut self.agents {
-            let answered = it.link.cell.traffic().answered;
-            if answered != it.answered {
-                it.answered = answered;
-                self.core.heard(now, MemberId::Agent(it.link.spec.endpoint));
+            let id = MemberId::Agent(it.link.spec.endpoint);
+            match it.look(now) {
+                Evidence::Answered => self.core.heard(now, id),
+                Evidence::Unanswered => self.core.unanswered(now, id),
+                Evidence::Nothing => {}
             }
         }
     }
@@ -364,11 +410,7 @@
         agents.sort_by_key(|it| it.spec.endpoint);
         let specs: Vec<_> = agents.iter().map(|it| it.spec).collect();
         self.core.set_agents(now, &specs);
-        let watched = |link: AgentLink| Watched {
-            answered: link.cell.traffic().answered,
-            link,
-        };
-        self.agents = agents.into_iter().map(watched).collect();
+        self.agents = agents.into_iter().map(Watched::new).collect();
         self.is_view_stale = true;
     }
 
--- a/crates/control/tests/members_controller.rs
+++ b/crates/control/tests/members_controller.rs
@@ -138,3 +138,23 @@
     .await;
     assert!(!agents[0].1.balancers().is_empty());
 }
+
+/// A balancer that sends to a dead agent finds out by itself, though it may not be a watcher.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unanswered_traffic() {
+    let (address, dropped) = udp_link(&[SERVICE]).await;
+    drop(dropped);
+    let dead = AgentSpec {
+        endpoint: EndpointId::new(1),
+        service: SERVICE,
+        address,
+    };
+    let living = agents(1).await;
+    let balancers = balancers(1, &[living[0].0, dead]).await;
+    let is_out = || {
+        balancers[0].cells[1].note_sent();
+        balancers[0].cells[1].liveness() != Liveness::Alive
+    };
+    wait_for("the dead agent is out", is_out).await;
+    assert_eq!(balancers[0].cells[0].liveness(), Liveness::Alive);
+}
--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -17,7 +17,7 @@
     pub suspect_probe_interval_ms: Millis,
     /// Time between the probes of a member that only others suspected.
     pub second_look_interval_ms: Millis,
-    /// Sustained rate of such probes a second.
+    /// Sustained rate of such probes, and of checks for unanswered datagrams, a second.
     pub second_looks_per_second: u64,
     /// Time between the probes of a dead member, before jitter.
     pub revive_interval_ms: Millis,
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -275,6 +275,15 @@
         self.verify(now, id, None);
     }
 
+    /// Takes datagrams that went unanswered for a while as a reason to check a member.
+    ///
+    /// Answers may come back through other balancers, so this is weak evidence and has a budget.
+    pub fn unanswered(&mut self, now: Millis, id: MemberId) {
+        if self.second_look_budget.take(now, 1) {
+            self.verify(now, id, None);
+        }
+    }
+
     /// Takes no new work from now on and tells the fleet.
     pub fn leave(&mut self, now: Millis) {
         self.is_leaving = true;
