--- a/crates/lovagectl/src/certificates.rs
+++ b/crates/lovagectl/src/certificates.rs
@@ -2,11 +2,12 @@
 
 use std::path::Path;
 
+use control::PROCESS_NAME;
 use rcgen::{
     BasicConstraints, CertificateParams, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
     KeyUsagePurpose,
 };
-use settings::{PROCESS_NAME, ProcessTls};
+use settings::ProcessTls;
 
 use crate::{
     error::{CtlError, Result},
--- a/crates/lovagectl/src/collect.rs
+++ b/crates/lovagectl/src/collect.rs
@@ -4,7 +4,7 @@
 
 use control::{PeerTls, client_tls};
 use futures_util::future::join_all;
-use settings::{OperatorSettings, PROCESS_NAME, ProcessAddress, ProcessTls};
+use settings::{OperatorSettings, ProcessAddress, ProcessTls};
 use timeline::{Collected, Entry, Stamp, Unreachable};
 use tonic::transport::{Channel, Endpoint};
 use units::Millis;
@@ -121,12 +121,8 @@
     tls: &ProcessTls,
     process: &ProcessAddress,
 ) -> std::result::Result<InspectClient<Channel>, String> {
-    let config = client_tls(&PeerTls {
-        ca_pem: tls.ca_pem.clone(),
-        certificate_pem: tls.certificate_pem.clone(),
-        key_pem: tls.key_pem.clone(),
-        server_name: PROCESS_NAME.to_owned(),
-    });
+    let tls = tls.clone();
+    let config = client_tls(&PeerTls::new(tls.ca_pem, tls.certificate_pem, tls.key_pem));
     let config = config.map_err(|err| err.to_string())?;
     let endpoint = Endpoint::from_shared(format!("https://{}", process.control_address))
         .and_then(|it| it.connect_timeout(CONNECT_TIMEOUT).tls_config(config))
--- a/crates/lovagectl/tests/fleet_views.rs
+++ b/crates/lovagectl/tests/fleet_views.rs
@@ -12,7 +12,7 @@
 };
 use program::{Folder, run, run_well};
 use serde_json::json;
-use settings::{PROCESS_NAME, ProcessTls};
+use settings::ProcessTls;
 use timeline::{BundleSource, Event, Note, Recorder, Timeline};
 use tokio::{net::TcpListener, runtime::Runtime};
 use tonic::transport::{Server, server::TcpIncoming};
@@ -62,12 +62,11 @@
 ) -> SocketAddr {
     let listener = runtime.block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
     let address = listener.local_addr().unwrap();
-    let config = server_tls(&PeerTls {
-        ca_pem: tls.ca_pem.clone(),
-        certificate_pem: tls.certificate_pem.clone(),
-        key_pem: tls.key_pem.clone(),
-        server_name: PROCESS_NAME.to_owned(),
-    });
+    let config = server_tls(&PeerTls::new(
+        tls.ca_pem.clone(),
+        tls.certificate_pem.clone(),
+        tls.key_pem.clone(),
+    ));
     let calls = InspectCalls::server(name.parse().unwrap(), recorder, Balancer(name));
     let server = Server::builder().tls_config(config.unwrap()).unwrap();
     let incoming = TcpIncoming::from(listener);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -14,7 +14,7 @@
 pub use balancer::BalancerSettings;
 pub use error::SettingsError;
 pub use operator::{OperatorSettings, ProcessAddress};
-pub use parts::{CallerTls, PROCESS_NAME, ProcessTls, SecretKey, SharedKey};
+pub use parts::{CallerTls, ProcessTls, SecretKey, SharedKey};
 
 use serde::de::DeserializeOwned;
 
--- a/crates/settings/src/parts.rs
+++ b/crates/settings/src/parts.rs
@@ -72,9 +72,6 @@
     pub key: SecretKey,
 }
 
-/// Name in every process's certificate, by which processes know one another.
-pub const PROCESS_NAME: &str = "process.lovagehall";
-
 /// Certificates for calls between processes, in PEM.
 #[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
