Benches purchases and drain on real processes

The promises of at most once and of leaving had no measurement. purchases lets callers buy while agents are killed, paused and out of reach and packets are dropped, doubled and late, beside callers that never or always retry; what ran is counted from what the upstreams saw, over all keys of a purchase. drain measures the last new work at an endpoint that the bundle marks as leaving and at one whose agent is stopped.

--- a/crates/bench/src/benches.rs
+++ b/crates/bench/src/benches.rs
@@ -4,12 +4,14 @@
 mod control;
 mod crest;
 mod datagrams;
+mod drain;
 mod headofline;
 mod imbalance;
 mod liveness;
 mod message_order;
 mod platform_calls;
 mod publisher;
+mod purchases;
 mod randomised;
 
 use crate::{
@@ -30,11 +32,13 @@
     control::BENCH,
     crest::BENCH,
     datagrams::BENCH,
+    drain::BENCH,
     headofline::BENCH,
     imbalance::BENCH,
     liveness::BENCH,
     message_order::BENCH,
     platform_calls::BENCH,
+    purchases::BENCH,
     randomised::BENCH,
 ];
 
--- a/crates/bench/src/load/purchases.rs
+++ b/crates/bench/src/load/purchases.rs
@@ -21,7 +21,7 @@
     /// Same for every attempt, whatever the key.
     pub(crate) request_id: String,
     /// Names the attempts of which one may run.
-    key: String,
+    pub(crate) key: String,
     /// Attempts under this key, 1 for the first.
     pub(crate) attempt: u32,
     /// Keys used before this one; nothing ran under any of them.
