Agent: broken connections to the upstream, and retries under the budget

Silence of a connection with a request on it was left to the deadline. The kernel now asks for signs of life and gives up after 1.5 to 2 s, so a path that lost track of the connection is found while the request waits.

A request that may run more than once, whose body is there whole, is sent again when its connection breaks before the answer, at most twice, under the service's budget, with backoff and the upstream's Retry-After honoured. An at-most-once request is answered as unknown. The test closed_connection causes both.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -31,6 +31,7 @@
     once::Keys,
     peers::Peers,
     request::Core,
+    retries::Retries,
     tunnel::{Identity, Links, LoadCell, PeerDatagram, Shared, SocketParts, TunnelSocket},
     upstream::Client,
 };
@@ -185,6 +186,7 @@
             entry: Chain(Parse, Chain(route, Chain(Deadline, ReadStart))),
             handoff: Arc::new(handoff),
             client,
+            retries: Retries::new(own.retry_budget_percent),
             counters: Arc::clone(&counters),
         });
         let parts = Parts {
--- a/crates/agent/src/agent/follow.rs
+++ b/crates/agent/src/agent/follow.rs
@@ -23,6 +23,7 @@
     pub(super) version: BundleVersion,
     pub(super) upstream_address: SocketAddr,
     pub(super) admission: Config,
+    pub(super) retry_budget_percent: u8,
     pub(super) phase: Phase,
 }
 
@@ -40,6 +41,7 @@
             admission: Config::new(own.slots)
                 .with_short_reserve_percent(sharing.short_reserve_percent)
                 .with_cold_start_ramp_ms(sharing.cold_start_ramp_ms),
+            retry_budget_percent: sharing.retry_budget_percent,
             phase: if own.is_leaving {
                 Phase::Leaving
             } else {
@@ -86,6 +88,7 @@
         return;
     };
     parts.gate.reconfigure(own.admission);
+    parts.core.retries.set_percent(own.retry_budget_percent);
     parts.core.client.set_address(own.upstream_address);
     parts.set_phase(own.phase);
     let is_newer = parts.version.send_if_modified(|it| {
--- a/crates/agent/src/counters.rs
+++ b/crates/agent/src/counters.rs
@@ -87,7 +87,7 @@
     upstream_silent,
     /// Attempts to connect to the upstream that failed.
     upstream_connect_failed,
-    /// Requests sent again since the first attempt provably did not reach the upstream.
+    /// Requests sent again: no byte had been written, or they may run more than once.
     upstream_retries,
     /// Answers by which the upstream shed load.
     upstream_shed,
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -14,6 +14,7 @@
 mod problem;
 mod relay;
 mod request;
+mod retries;
 mod sink;
 mod streams;
 mod tunnel;
--- a/crates/agent/src/relay.rs
+++ b/crates/agent/src/relay.rs
@@ -1,8 +1,9 @@
 //! A request with a slot: to the upstream, and its answer to a sink.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use admission::Signal;
+use bundle::RetrySafety;
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
@@ -15,7 +16,7 @@
     problem::Problem,
     request::Core,
     sink::{Gone, Sink, send_problem},
-    upstream::{Answered, BodyFault, CallerBody, SendError},
+    upstream::{Answered, BodyFault, CallerBody, Link, SendError},
 };
 
 /// Tells the upstream how many milliseconds are left until nobody waits for its answer.
@@ -97,16 +98,13 @@
     head: &mut Head,
 ) -> Result<(), Failure> {
     let mut slot = exchange.slot.take();
-    let body = std::mem::take(&mut exchange.body);
-    let fault = body.fault_cell();
-    let request = upstream_request(exchange, body);
     let unreachable = |_failed| core.unreachable(exchange);
     let link = core.client.link().await.map_err(unreachable)?;
     // Noted before a byte is sent, so that no other attempt of the key runs beside this one.
     let run = start(exchange)?;
-    let sent = core.client.send(link, request).await;
-    let mut answered = sent.map_err(|err| core.send_failure(err, fault.get()))?;
-    let signal = core.signal(answered.response.status());
+    core.retries.fresh();
+    let mut answered = core.send(exchange, link).await?;
+    let signal = core.signal(&answered.response);
     let response = caller_response(&answered.response);
     *head = Head::Sent;
     sink.head(response.clone()).await?;
@@ -168,6 +166,33 @@
 }
 
 impl<F> Core<F> {
+    /// Sends a request and returns the answer's head.
+    ///
+    /// One that may run more than once is sent again if its connection breaks.
+    async fn send(&self, exchange: &mut Exchange, link: Link) -> Result<Answered, Failure> {
+        let is_idempotent = exchange.rule.retry == RetrySafety::Idempotent;
+        let again = exchange.body.whole().filter(|_whole| is_idempotent);
+        let body = std::mem::take(&mut exchange.body);
+        let fault = body.fault_cell();
+        let first = self.client.send(link, upstream_request(exchange, body));
+        let mut sent = first.await;
+        let mut retry = 1;
+        while let (Err(SendError::Unknown), Some(body)) = (&sent, &again) {
+            if !self.retries.take(retry, exchange.deadline).await {
+                break;
+            }
+            self.counters.upstream_retries.add_one();
+            let body = CallerBody::from_whole(body.clone());
+            let request = upstream_request(exchange, body);
+            sent = match self.client.link().await {
+                Ok(link) => self.client.send(link, request).await,
+                Err(_unreachable) => break,
+            };
+            retry += 1;
+        }
+        sent.map_err(|err| self.send_failure(err, fault.get()))
+    }
+
     /// Refuses a request whose upstream takes no connection.
     fn unreachable(&self, exchange: &mut Exchange) -> Failure {
         let problem = exchange.settle_refusal(unreachable());
@@ -199,19 +224,28 @@
     }
 
     /// Returns what an answer says about the upstream's load.
-    fn signal(&self, status: StatusCode) -> Signal {
+    fn signal<B>(&self, response: &Response<B>) -> Signal {
         let is_shed = matches!(
-            status,
+            response.status(),
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
         );
         if !is_shed {
             return Signal::Answered;
         }
         self.counters.upstream_shed.add_one();
+        if let Some(retry_after) = retry_after(response.headers()) {
+            self.retries.push_back(retry_after);
+        }
         Signal::Shed
     }
 }
 
+/// Returns the wait that an answer asks for, in whole seconds; dates are not read.
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    text.parse().ok().map(Duration::from_secs)
+}
+
 /// Marks an at-most-once attempt as started.
 fn start(exchange: &mut Exchange) -> Result<Option<Run>, Failure> {
     let Some(ticket) = exchange.ticket.take() else {
--- a/crates/agent/src/request.rs
+++ b/crates/agent/src/request.rs
@@ -12,6 +12,7 @@
     handoff::{HandOff, Offered, forward_remote},
     problem::Problem,
     relay,
+    retries::Retries,
     sink::{Answering, Gone, PartSink, Sink, WhenGone, forward, send_kept, send_problem},
     streams::{Bidi, Ended, StreamEnd},
     upstream::Client,
@@ -24,6 +25,7 @@
     pub(crate) entry: F,
     pub(crate) handoff: Arc<HandOff>,
     pub(crate) client: Arc<Client>,
+    pub(crate) retries: Retries,
     pub(crate) counters: Arc<Counters>,
 }
 
--- a/crates/agent/src/upstream.rs
+++ b/crates/agent/src/upstream.rs
@@ -5,4 +5,4 @@
 mod probe;
 
 pub(crate) use body::{BodyFault, CallerBody};
-pub(crate) use client::{Answered, Client, SendError};
+pub(crate) use client::{Answered, Client, Link, SendError};
--- a/crates/agent/src/upstream/client.rs
+++ b/crates/agent/src/upstream/client.rs
@@ -9,6 +9,7 @@
 use http::{Request, Response};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::AbortHandle};
 
 use super::CallerBody;
@@ -20,6 +21,18 @@
 /// How long after its last sign of life an idle connection is trusted with a request.
 const PROVEN_FOR: Duration = Duration::from_secs(1);
 
+/// Quiet time after which the kernel asks the other end for a sign of life.
+const KEEP_ALIVE_AFTER: Duration = Duration::from_secs(1);
+
+/// Time between the kernel's questions.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Unanswered questions after which the connection is lost.
+const KEEP_ALIVE_RETRIES: u32 = 1;
+
+/// Longest time for which sent bytes may stay unacknowledged.
+const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(1500);
+
 /// Idle connections kept; more than any endpoint has slots in use.
 const IDLE_MAX: usize = 64;
 
@@ -170,8 +183,7 @@
         let stream = connected
             .map_err(|_elapsed| SendError::NotSent)?
             .map_err(|_failed| SendError::NotSent)?;
-        // Without it small requests wait for acknowledgements.
-        let _ = stream.set_nodelay(true);
+        tune(&stream);
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|_failed| SendError::NotSent)?;
@@ -199,3 +211,18 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Makes the kernel find a connection that something on the way has lost track of.
+///
+/// A failure leaves the kernel's own, much longer times.
+fn tune(stream: &TcpStream) {
+    // Without it small requests wait for acknowledgements.
+    let _ = stream.set_nodelay(true);
+    let socket = SockRef::from(stream);
+    let keep_alive = TcpKeepalive::new()
+        .with_time(KEEP_ALIVE_AFTER)
+        .with_interval(KEEP_ALIVE_INTERVAL)
+        .with_retries(KEEP_ALIVE_RETRIES);
+    let _ = socket.set_tcp_keepalive(&keep_alive);
+    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX));
+}
--- a/crates/agent/tests/silent_upstream.rs
+++ b/crates/agent/tests/silent_upstream.rs
@@ -9,7 +9,7 @@
 use fixture::{Fixture, soon, until};
 use http::StatusCode;
 use stand_ins::{
-    caller::{Call, CallerConnection},
+    caller::{Answer, Call, CallerConnection},
     upstream::{Behavior, Upstream},
 };
 use units::Slots;
@@ -60,6 +60,38 @@
     check_answered(&fixture.connect().await).await;
 }
 
+/// A request that may run twice survives its connection's end; a purchase is never repeated.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn closed_connection() {
+    let fixture = Fixture::start(1, Behavior::new()).await;
+    let connection = fixture.connect().await;
+    for _earning in 0..10 {
+        check_answered(&connection).await;
+    }
+    let answer = soon(run_and_close(&fixture, &connection, Call::get("/fit"))).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(fixture.upstream.runs_of("closed"), 2);
+
+    tokio::time::sleep(std::time::Duration::from_millis(2100)).await;
+    let purchase = Call::post("/purchase").with_header("idempotency-key", "k1");
+    let answer = soon(run_and_close(&fixture, &connection, purchase)).await;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert!(String::from_utf8_lossy(&answer.body).contains("outcome-unknown"));
+    assert_eq!(fixture.upstream.runs_of("closed"), 3);
+}
+
+/// Closes the upstream's connections while a call runs.
+async fn run_and_close(fixture: &Fixture, connection: &CallerConnection, call: Call) -> Answer {
+    let call = call
+        .with_header("x-request-id", "closed")
+        .with_header("x-run-time-ms", "300");
+    let closing = async {
+        until(|| fixture.upstream.busy() == 1).await;
+        fixture.upstream.close_open_connections();
+    };
+    tokio::join!(connection.request(call), closing).0.unwrap()
+}
+
 async fn check_answered(connection: &CallerConnection) {
     let answer = soon(connection.request(Call::get("/fit"))).await.unwrap();
     assert_eq!(answer.status, StatusCode::OK);
--- a/crates/stand-ins/src/upstream.rs
+++ b/crates/stand-ins/src/upstream.rs
@@ -15,7 +15,7 @@
     time::{Duration, Instant},
 };
 
-use tokio::{net::TcpListener, task::JoinHandle};
+use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
 use units::{Millis, Slots};
 
 pub use behavior::{Behavior, ColdStart, Stragglers};
@@ -53,6 +53,8 @@
     connections: AtomicU64,
     /// Connections numbered below this one are silent.
     silent_below: AtomicU64,
+    /// Connections numbered below this one are closed.
+    closed_below: watch::Sender<u64>,
     behavior: Mutex<Behavior>,
     runs: Mutex<Vec<Run>>,
 }
@@ -105,6 +107,12 @@
         self.shared.silent_below.store(accepted, Ordering::SeqCst);
     }
 
+    /// Closes every connection that is open now, whatever runs on it; new ones work.
+    pub fn close_open_connections(&self) {
+        let accepted = self.shared.connections.load(Ordering::SeqCst);
+        self.shared.closed_below.send_replace(accepted);
+    }
+
     /// Returns every run so far, in the order they began.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -197,6 +205,7 @@
             busy_peak: AtomicUsize::new(0),
             connections: AtomicU64::new(0),
             silent_below: AtomicU64::new(0),
+            closed_below: watch::Sender::new(0),
             behavior: Mutex::new(behavior),
             runs: Mutex::new(Vec::new()),
         }
--- a/crates/stand-ins/src/upstream/serve.rs
+++ b/crates/stand-ins/src/upstream/serve.rs
@@ -57,11 +57,14 @@
         stream,
         shared: Arc::clone(&shared),
     };
+    let mut closed = shared.closed_below.subscribe();
     let answer = service_fn(move |request| answer(request, Arc::clone(&shared)));
-    // A peer that goes away is part of the play.
-    let _ = http1::Builder::new()
-        .serve_connection(TokioIo::new(stream), answer)
-        .await;
+    let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), answer);
+    tokio::select! {
+        // A peer that goes away is part of the play.
+        _ended = serving => (),
+        _closed = closed.wait_for(|it| number < *it) => (),
+    }
 }
 
 async fn answer(request: Request<Incoming>, shared: Arc<Shared>) -> Result<Answer, Infallible> {
