bench: flows held open through changes; two faults it found

`cargo xtask bench flows` opens 10,000 flows over both users' deployments with every datagram sprayed over four balancers, kills and replaces the balancers one by one, drains and returns every upstream of the token ledger and rolls bundles between. The baseline, the flow's hash modulo the number of endpoints, is computed for the same flows and changes.

A draining agent's last datagram of a connection went through the balancer that had just died; QUIC never repeats it, and the caller's next packet met an agent that had forgotten the connection. A leaving agent now sends every datagram through two balancers. Also, a stopping balancer counted only callers' datagrams as traffic and could end while agents still sent answers through it.

--- a/crates/agent/src/tunnel.rs
+++ b/crates/agent/src/tunnel.rs
@@ -189,7 +189,24 @@
             load: self.load.get(),
             opening: None,
         };
-        OUTBOX.with_borrow_mut(|out| self.send_wrapped(&header, transmit, balancer, out))
+        OUTBOX.with_borrow_mut(|out| self.send_wrapped(&header, transmit, balancer, out))?;
+        if header.load.is_leaving {
+            self.send_again(&header, transmit, balancer);
+        }
+        Ok(())
+    }
+
+    /// Sends a leaving agent's datagrams through a second balancer too.
+    ///
+    /// A connection's last datagram is never repeated by QUIC. If it goes to a balancer that has
+    /// just died, the caller keeps a connection of which nobody knows, and its next packet is
+    /// answered by a reset.
+    fn send_again(&self, header: &Header, transmit: &Transmit<'_>, first: SocketAddr) {
+        let Some(second) = self.links.next().filter(|it| *it != first) else {
+            return;
+        };
+        // The first copy is on its way; losing this one is no more than a lost datagram.
+        let _ = OUTBOX.with_borrow_mut(|out| self.send_wrapped(header, transmit, second, out));
     }
 
     fn send_wrapped(
--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -22,7 +22,7 @@
     pub tunnel_buffer_bytes: ByteSize,
     /// Longest time that datagrams are still forwarded after a stop was asked for.
     pub drain_timeout_ms: Millis,
-    /// Time without datagrams from callers after which a stop is complete.
+    /// Time without datagrams from callers and agents after which a stop is complete.
     pub quiet_ms: Millis,
     /// Most datagrams from peers that wait to be read.
     pub peer_queue_max: usize,
--- a/crates/balancer/src/datapath.rs
+++ b/crates/balancer/src/datapath.rs
@@ -189,7 +189,7 @@
         Ok((socket, self.tasks.spawn(serving)))
     }
 
-    /// Keeps forwarding until callers' datagrams cease or the time is over.
+    /// Keeps forwarding until callers' datagrams and agents' answers cease or the time is over.
     async fn drain(mut self) -> DrainReport {
         self.shared.is_ready.store(false, Ordering::Relaxed);
         let config = &self.shared.config;
@@ -197,9 +197,12 @@
             config.drain_timeout_ms.to_duration(),
             config.quiet_ms.to_duration(),
         );
-        let count = || self.shared.counters.get(Counter::CallerDatagrams);
-        let (start, first) = (Instant::now(), count());
-        let (mut last, mut last_at) = (first, start);
+        let counters = &self.shared.counters;
+        let callers = || counters.get(Counter::CallerDatagrams);
+        // Agents send answers here for a while after they last heard of this balancer.
+        let all = || callers() + counters.get(Counter::Answers);
+        let (start, first) = (Instant::now(), callers());
+        let (mut last, mut last_at) = (all(), start);
         let end = loop {
             if last_at.elapsed() >= quiet {
                 break DrainEnd::Quiet;
@@ -208,13 +211,13 @@
                 break DrainEnd::TimedOut;
             }
             tokio::time::sleep(TABLE_CHECK_INTERVAL).await;
-            let now = count();
+            let now = all();
             if now != last {
                 (last, last_at) = (now, Instant::now());
             }
         };
         let report = DrainReport {
-            datagrams: last - first,
+            datagrams: callers() - first,
             elapsed_ms: Millis::from_duration(start.elapsed()),
             end,
         };
--- a/crates/bench/src/benches.rs
+++ b/crates/bench/src/benches.rs
@@ -5,6 +5,7 @@
 mod crest;
 mod datagrams;
 mod drain;
+mod flows;
 mod headofline;
 mod imbalance;
 mod liveness;
@@ -33,6 +34,7 @@
     crest::BENCH,
     datagrams::BENCH,
     drain::BENCH,
+    flows::BENCH,
     headofline::BENCH,
     imbalance::BENCH,
     liveness::BENCH,
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -233,6 +233,14 @@
         Ok(())
     }
 
+    /// Waits until a balancer that was started again holds what it serves.
+    pub(crate) async fn wait_until_balancer_holds(&self, idx: usize) -> Result<()> {
+        let probe = StatusProbe::new(&self.certificates.process)?;
+        let address = self.addresses.balancer_control(idx);
+        self.wait_until_holding(&probe, address, self.bundles.len())
+            .await
+    }
+
     async fn wait_until_holding(
         &self,
         probe: &StatusProbe,
--- a/crates/flow/src/rendezvous.rs
+++ b/crates/flow/src/rendezvous.rs
@@ -34,6 +34,12 @@
         Self(xxh3_64(&input[..18 + dcid.len()]))
     }
 
+    /// Returns the hash.
+    #[must_use]
+    pub const fn hash(self) -> u64 {
+        self.0
+    }
+
     /// Wraps a hash made elsewhere.
     #[must_use]
     pub const fn from_hash(hash: u64) -> Self {
