--- a/crates/bench/src/benches.rs
+++ b/crates/bench/src/benches.rs
@@ -14,6 +14,7 @@
 mod publisher;
 mod purchases;
 mod randomised;
+mod silence;
 
 use crate::{
     error::{BenchError, Result},
@@ -42,6 +43,7 @@
     platform_calls::BENCH,
     purchases::BENCH,
     randomised::BENCH,
+    silence::BENCH,
 ];
 
 /// Runs the named bench, or lists all when no name is given.
--- /dev/null
+++ b/crates/bench/src/benches/silence.rs
@@ -0,0 +1,205 @@
+//! Connections to the upstreams that go silent for good while new ones work.
+
+use std::{
+    io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use rand::{SeedableRng as _, rngs::StdRng};
+use stand_ins::upstream::{Behavior, Upstream};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
+use units::{Millis, Slots};
+
+use super::Entry;
+use crate::{
+    error::{BenchError, Result},
+    figure::{Figure, Options, block_on, floats},
+    fleet::{Fleet, FleetPlan},
+    load::{Arrival, OpenLoop, Outcome, WORKS, Work, poisson},
+};
+
+/// This bench, as the list names it.
+pub(super) const BENCH: Entry = Entry {
+    name: "silence",
+    about: "silenced connections to upstreams replaced, beside a connection that is just kept",
+    run,
+};
+
+/// Longest time until an endpoint works again that is asked for.
+const TARGET: Duration = Duration::from_secs(2);
+
+/// Share of all slots that is busy.
+const LOAD: f64 = 0.4;
+
+/// Time each request holds a slot.
+const RUN_TIME_MS: Millis = Millis::new(20);
+
+/// Time for which each caller waits.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time between two silences, and before the first.
+const INTERVAL: Duration = Duration::from_secs(4);
+
+/// Connections that stay open for the whole run.
+const CONNECTIONS: usize = 40;
+
+/// Balancers in the fleet.
+const BALANCERS: usize = 3;
+
+/// Time between two requests of the baseline.
+const BASELINE_STEP: Duration = Duration::from_millis(50);
+
+fn run(options: &Options) -> Result<Vec<Figure>> {
+    block_on(measure(options))
+}
+
+/// A moment at which an upstream's open connections went silent, on the upstream's clock.
+#[derive(Debug, Clone, Copy)]
+struct Silence {
+    upstream_idx: usize,
+    at: Millis,
+}
+
+async fn measure(options: &Options) -> Result<Vec<Figure>> {
+    let plan = FleetPlan::ledger(BALANCERS);
+    let slots = plan.services[0].endpoints * usize::from(plan.services[0].slots.get());
+    let fleet = Fleet::start(plan, options.seed).await?;
+    let callers = OpenLoop::connect(&fleet, 0, CONNECTIONS, options.seed).await?;
+    let length = Duration::from_secs(options.seconds).max(INTERVAL * 2);
+    let arrivals = arrivals(slots, length, options.seed);
+    let (finished, silences, baseline) = tokio::join!(
+        callers.run(&arrivals),
+        silence_all(&fleet, length),
+        kept_connection(length),
+    );
+    let baseline = baseline.map_err(|err| BenchError::setup("running the baseline", &err))?;
+    let waits: Vec<_> = silences.iter().map(|it| wait_of(&fleet, *it)).collect();
+    let longest = waits.iter().max().copied().unwrap_or_default();
+    let condemned = waits.iter().filter(|it| **it > TARGET).count();
+    let broken = finished
+        .iter()
+        .filter(|it| matches!(it.outcome, Outcome::Broken(_) | Outcome::Wrong(_)));
+    let broken = broken.count();
+    eprintln!(
+        "{} silences, {} requests, {broken} broken",
+        silences.len(),
+        finished.len()
+    );
+    let figure = |metric: &str, unit, ours: f64, baseline, target: f64| Figure {
+        bench: "silence",
+        metric: metric.to_owned(),
+        unit,
+        ours,
+        baseline,
+        target: Some(target),
+        met: Some(ours <= target),
+        seed: options.seed,
+    };
+    Ok(vec![
+        figure(
+            "longest time until an upstream with silenced connections worked again",
+            "s",
+            longest.as_secs_f64(),
+            Some(baseline.as_secs_f64()),
+            TARGET.as_secs_f64(),
+        ),
+        figure(
+            "healthy upstreams without work after their connections went silent",
+            "upstreams",
+            floats(condemned),
+            None,
+            0.0,
+        ),
+        figure(
+            "broken flows and answers",
+            "requests",
+            floats(broken),
+            None,
+            0.0,
+        ),
+    ])
+}
+
+fn arrivals(slots: usize, length: Duration, seed: u64) -> Vec<Arrival> {
+    let work = Work {
+        service_idx: 0,
+        run_time_ms: RUN_TIME_MS,
+        ..WORKS[0]
+    };
+    let per_second = floats(slots) * LOAD / RUN_TIME_MS.to_duration().as_secs_f64();
+    let mut rng = StdRng::seed_from_u64(seed);
+    let times = poisson(&mut rng, per_second, Duration::ZERO, length);
+    times
+        .into_iter()
+        .map(|at| Arrival {
+            at,
+            work,
+            timeout: TIMEOUT,
+        })
+        .collect()
+}
+
+/// Silences every upstream's connections again and again, with time left to recover at the end.
+async fn silence_all(fleet: &Fleet, length: Duration) -> Vec<Silence> {
+    let began = Instant::now();
+    let mut silences = Vec::new();
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        if began.elapsed() + TARGET > length {
+            return silences;
+        }
+        for (upstream_idx, upstream) in fleet.upstreams.iter().enumerate() {
+            let at = upstream.now();
+            upstream.silence_open_connections();
+            silences.push(Silence { upstream_idx, at });
+        }
+    }
+}
+
+/// Time from a silence until the next run began, which a silenced connection can't carry.
+fn wait_of(fleet: &Fleet, silence: Silence) -> Duration {
+    let runs = fleet.upstreams[silence.upstream_idx].runs();
+    let later = runs.iter().map(|it| it.begun_ms);
+    let next = later.filter(|it| *it > silence.at).min();
+    next.map_or(Duration::MAX / 4, |it| it.since(silence.at).to_duration())
+}
+
+/// The baseline: asks over one kept connection; returns the time from its silence until the next
+/// answer or the end of the run.
+async fn kept_connection(length: Duration) -> io::Result<Duration> {
+    let upstream = Upstream::start(Slots::new(2), Behavior::new()).await?;
+    let asking = ask_for_ever(upstream.address());
+    let silencing = async {
+        tokio::time::sleep(INTERVAL).await;
+        upstream.silence_open_connections();
+        let at = upstream.now();
+        tokio::time::sleep(length.saturating_sub(INTERVAL)).await;
+        let runs = upstream.runs();
+        let next = runs.iter().map(|it| it.begun_ms).find(|it| *it > at);
+        next.unwrap_or_else(|| upstream.now())
+            .since(at)
+            .to_duration()
+    };
+    tokio::select! {
+        ended = asking => ended.map(|()| Duration::ZERO),
+        waited = silencing => Ok(waited),
+    }
+}
+
+async fn ask_for_ever(address: SocketAddr) -> io::Result<()> {
+    let mut stream = TcpStream::connect(address).await?;
+    let mut answer = vec![0; 4096];
+    loop {
+        stream
+            .write_all(b"GET /balances HTTP/1.1\r\nhost: upstream\r\n\r\n")
+            .await?;
+        if stream.read(&mut answer).await? == 0 {
+            return Ok(());
+        }
+        tokio::time::sleep(BASELINE_STEP).await;
+    }
+}
