Agent: bad datagrams at the tunnel socket; a leaving agent hands off

bad_datagrams sends 6,000 random, wrapped and damaged datagrams to a running agent: it drops, counts and serves on, and resets nothing.

An agent that leaves with idle slots asked nobody for loads and so refused what a peer could have run. StartError has a module of its own.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -1,10 +1,11 @@
 //! The agent's life: start, serving, graceful stop.
 
 mod accept;
+mod error;
 mod follow;
 
 use std::{
-    fmt, io,
+    io,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -18,7 +19,7 @@
     task::{AbortHandle, JoinSet},
 };
 use tonic::transport::ClientTlsConfig;
-use units::{BundleVersion, EndpointId, Millis};
+use units::{BundleVersion, Millis};
 
 use crate::{
     calls::{CallParts, RequestCalls},
@@ -36,6 +37,8 @@
     upstream::Client,
 };
 
+pub use error::StartError;
+
 /// Events that may wait for a slow subscriber.
 const EVENTS_MAX: usize = 256;
 
@@ -106,15 +109,6 @@
     pub took_ms: Millis,
 }
 
-/// Why an agent could not start.
-#[derive(Debug)]
-pub enum StartError {
-    /// The bundle in force doesn't name the endpoint.
-    NotInBundle(EndpointId),
-    /// The tunnel socket or the certificate is unusable.
-    Endpoint(io::Error),
-}
-
 impl Agent {
     /// Starts an agent that serves by the bundle in force.
     ///
@@ -393,22 +387,3 @@
     let code = h3::error::Code::H3_NO_ERROR.value();
     quinn::VarInt::from_u64(code).expect("HTTP/3 codes fit")
 }
-
-impl fmt::Display for StartError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::NotInBundle(endpoint) => write!(
-                f,
-                "the bundle in force names no endpoint {endpoint}; publish one that does or \
-                 correct the agent's settings"
-            ),
-            Self::Endpoint(err) => write!(
-                f,
-                "the agent can't open its endpoint ({err}); check tunnel address, certificate \
-                 and key"
-            ),
-        }
-    }
-}
-
-impl std::error::Error for StartError {}
--- a/crates/agent/src/handoff/loads.rs
+++ b/crates/agent/src/handoff/loads.rs
@@ -104,10 +104,10 @@
         }
     }
 
-    /// Tells whether requests may soon have to wait here.
+    /// Tells whether requests may soon have to wait here, or can't start since the agent leaves.
     fn is_busy(&self) -> bool {
         let load = self.admit.gate.load();
-        load.waiting > 0 || load.running * 2 >= load.limit
+        load.free_short == 0 || load.waiting > 0 || load.running * 2 >= load.limit
     }
 
     /// Returns the other endpoints that the bundle in force names and that don't leave.
--- /dev/null
+++ b/crates/agent/tests/bad_datagrams.rs
@@ -0,0 +1,87 @@
+//! Whatever arrives at the tunnel socket, the agent drops, counts and serves on.
+
+#[path = "fixture/fixture.rs"]
+mod fixture;
+
+use std::{
+    net::{SocketAddr, UdpSocket},
+    time::Duration,
+};
+
+use fixture::{ENDPOINT, Fixture, INCARNATION, SERVICE, keys, soon, until};
+use flow::tunnel::{Ecn, Header, Kind, Load, OPENING_OVERHEAD_BYTES, encode};
+use http::StatusCode;
+use stand_ins::{caller::Call, upstream::Behavior};
+use units::BundleVersion;
+
+/// Datagrams of each run.
+const ITERATIONS: usize = 2000;
+
+/// Room for any datagram made here.
+const DATAGRAM_BYTES: usize = 2048;
+
+#[test]
+fn random_bytes() {
+    check(<[u8]>::to_vec);
+}
+
+#[test]
+fn random_payload() {
+    check(tunnelled);
+}
+
+#[test]
+fn damaged_header() {
+    check(|bytes| {
+        let mut datagram = tunnelled(b"payload");
+        let place = usize::from(bytes.first().copied().unwrap_or(0)) % datagram.len();
+        datagram[place] ^= bytes.get(1).copied().unwrap_or(1).max(1);
+        let len = bytes.get(2).map_or(datagram.len(), |it| usize::from(*it));
+        datagram.truncate(len.max(1));
+        datagram
+    });
+}
+
+/// Sends what `make` makes of random bytes, then makes a call.
+fn check(make: fn(&[u8]) -> Vec<u8>) {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let fixture = runtime.block_on(Fixture::start(1, Behavior::new()));
+    let address = fixture.agent.tunnel_address().unwrap();
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    bolero::check!()
+        .with_iterations(ITERATIONS)
+        .with_max_len(64)
+        .for_each(|bytes: &[u8]| send(&socket, address, &make(bytes)));
+    runtime.block_on(async {
+        let counters = fixture.agent.counters();
+        until(|| counters.dropped_malformed.get() + counters.dropped_unknown_flow.get() > 0).await;
+        let connection = fixture.connect().await;
+        let answer = soon(connection.request(Call::get("/fit"))).await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(counters.resets_sent.get(), 0);
+    });
+}
+
+fn send(socket: &UdpSocket, to: SocketAddr, datagram: &[u8]) {
+    socket.send_to(datagram, to).unwrap();
+    // Leaves the agent time to take some: a full socket would just lose them.
+    std::thread::sleep(Duration::from_micros(20));
+}
+
+fn tunnelled(payload: &[u8]) -> Vec<u8> {
+    let header = Header {
+        kind: Kind::ToAgent,
+        service: SERVICE,
+        endpoint: ENDPOINT,
+        incarnation: INCARNATION,
+        bundle_version: BundleVersion::new(1),
+        caller: "127.0.0.1:9".parse().unwrap(),
+        local: "127.0.0.1:4433".parse().unwrap(),
+        ecn: Ecn::default(),
+        load: Load::default(),
+        opening: None,
+    };
+    let mut out = [0; OPENING_OVERHEAD_BYTES + DATAGRAM_BYTES];
+    let len = encode(&header, &keys(), payload, &mut out).unwrap();
+    out[..len].to_vec()
+}
