membership: islands of balancers that start together join by their seeds

Cause: a balancer that knew anyone never asked a seed again. With 32 balancers started at once, each knew 1 to 4 others minutes later, so bundles reached none beyond, and 98 services were served in an old version after a rolling restart.

Change: for 10 s after the start every second exchange of claims goes to a seed, four times as often; later one in 32.

--- a/crates/membership/src/members/tick.rs
+++ b/crates/membership/src/members/tick.rs
@@ -1,5 +1,7 @@
 //! What a balancer does as time passes.
 
+use std::net::SocketAddr;
+
 use rand::Rng as _;
 use units::Millis;
 
@@ -33,6 +35,18 @@
 /// Time after which a probe that the budget did not allow is tried again, before jitter.
 const DEFER_MS: u64 = 100;
 
+/// Time after the start in which a balancer may know an island of the fleet alone.
+const JOINING_MS: Millis = Millis::new(10_000);
+
+/// How many times as often a balancer exchanges claims while joining.
+const JOINING_SPEED: u64 = 4;
+
+/// Exchanges of which one goes to a seed, while joining.
+const JOINING_SYNCS_PER_SEED: u32 = 2;
+
+/// Exchanges of which one goes to a seed, later; seeds are few and get them from all.
+const SYNCS_PER_SEED: u32 = 32;
+
 impl Members {
     /// Does what is due; call about every 50 ms.
     pub fn tick(&mut self, now: Millis, out: &mut Vec<Output>) {
@@ -336,17 +350,15 @@
         }
     }
 
-    /// Exchanges claims with one random balancer, or with a seed while none is known.
+    /// Exchanges claims with one random balancer, or now and then with a seed.
     fn sync(&mut self, now: Millis, out: &mut Vec<Output>) {
         if now < self.sync_due_ms {
             return;
         }
-        let interval_ms = self.config.sync_interval_ms.get();
+        let interval_ms = self.sync_interval_ms(now);
         let wait_ms = interval_ms + self.rng.random_range(0..=interval_ms / 5);
         self.sync_due_ms = now.plus(Millis::new(wait_ms));
-        let partner = self.random_balancers(1, None).pop();
-        let seed_idx = self.rng.random_range(0..self.seeds.len().max(1));
-        let Some(to) = partner.or_else(|| self.seeds.get(seed_idx).copied()) else {
+        let Some(to) = self.sync_partner(now) else {
             return;
         };
         let known = self.table.iter().filter(|it| it.id.is_balancer()).count();
@@ -358,6 +370,32 @@
         out.push(send(to, message));
     }
 
+    fn sync_interval_ms(&self, now: Millis) -> u64 {
+        let interval_ms = self.config.sync_interval_ms.get();
+        if now < JOINING_MS {
+            return interval_ms / JOINING_SPEED;
+        }
+        interval_ms
+    }
+
+    /// Picks a balancer known, or a seed while none is known and now and then.
+    ///
+    /// Balancers that start together may know only each other; the seeds join such islands.
+    fn sync_partner(&mut self, now: Millis) -> Option<SocketAddr> {
+        let syncs_per_seed = if now < JOINING_MS {
+            JOINING_SYNCS_PER_SEED
+        } else {
+            SYNCS_PER_SEED
+        };
+        let seed_idx = self.rng.random_range(0..self.seeds.len().max(1));
+        let seed = self.seeds.get(seed_idx).copied();
+        let known = self.random_balancers(1, None).pop();
+        if self.rng.random_ratio(1, syncs_per_seed) {
+            return seed.or(known);
+        }
+        known.or(seed)
+    }
+
     /// Returns claims about exceptional members of the parts asked for, up to a length.
     ///
     /// Takes the parts in random order and each part's members in random order.
--- /dev/null
+++ b/crates/membership/tests/joining.rs
@@ -0,0 +1,60 @@
+//! Balancers that start together and know only each other still reach their seeds.
+
+use std::net::SocketAddr;
+
+use membership::{
+    Claim, Config, Introduction, Kind, MemberId, Members, Message, Output, Scope, Version,
+};
+use units::{Incarnation, Millis};
+
+fn address(idx: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, idx], 7_000))
+}
+
+fn introduction(idx: u8) -> Introduction {
+    Introduction {
+        name: format!("b-{idx}").parse().unwrap(),
+        address: address(idx),
+        control_address: address(idx),
+    }
+}
+
+/// A gossip in which a balancer introduces itself.
+fn hello(idx: u8) -> Message {
+    let id = MemberId::balancer(&introduction(idx).name);
+    let claim = Claim {
+        id,
+        version: Version::new(Incarnation::new(1), 0),
+        is_suspect: false,
+        is_leaving: false,
+        age_ms: Millis::new(0),
+        introduction: Some(introduction(idx)),
+    };
+    Message {
+        kind: Kind::Gossip,
+        sender: id,
+        claims: vec![claim],
+    }
+}
+
+#[test]
+fn seeds_after_meeting() {
+    let mut out = Vec::new();
+    let start = Millis::new(0);
+    let incarnation = Incarnation::new(1);
+    let mut members = Members::new(Config::new(), introduction(1), incarnation, 7, start)
+        .with_seeds(vec![address(3)]);
+    members.handle(start, address(2), Scope::Fleet, hello(2), &mut out);
+    for tick in 0..200 {
+        members.tick(Millis::new(tick * 50), &mut out);
+    }
+    let syncs_to = |to: SocketAddr| {
+        let is_sync = |it: &&Output| {
+            matches!(it, Output::Send { to: sent, message, .. }
+                if *sent == to && matches!(message.kind, Kind::Sync { .. }))
+        };
+        out.iter().filter(is_sync).count()
+    };
+    assert!(syncs_to(address(3)) > 0, "an island asks its seeds");
+    assert!(syncs_to(address(2)) > 0, "and balancers it knows");
+}
