Control: a start asks again as peers become known, and tells all partners

Change: a start asks again after a change of the peers or a growing rest, at most 3 s, until one that serves has answered. An acceptance is told to all six partners in place of three; a watch rests half as long.

--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -179,9 +179,9 @@
         Self {
             exchange_interval_ms,
             partner_count: 6,
-            push_count: 3,
+            push_count: 6,
             partner_rotation_ms: Millis::new(30_000),
-            peers_start_ms: Millis::new(1_500),
+            peers_start_ms: Millis::new(3_000),
             platform_start_ms: Millis::new(2_000),
             call_timeout_ms: Millis::new(1_000),
             read_timeout_ms: Millis::new(2_000),
--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -1,6 +1,6 @@
 //! Starting the controllers, and what the other parts of the process see of them.
 
-use std::{fmt, net::SocketAddr, sync::Arc};
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use bundle::{Held, InForce, Refusal, index::InstanceList};
 use bytes::Bytes;
@@ -19,6 +19,9 @@
     spread::{BundleCalls, Spread, SpreadArgs, SpreadMsg, TlsError, client_tls},
 };
 
+/// Time until peers are asked again at the start; twice as long each time.
+const ASK_REST: Duration = Duration::from_millis(250);
+
 /// What the other parts of the process see of the controllers; clones are the same.
 #[derive(Debug, Clone)]
 pub struct Handle {
@@ -189,7 +192,9 @@
 /// Asks peers, then the platform, then agents if no peer knew anything; then the start is over.
 async fn first_pass(handle: Handle) {
     let timing = handle.shared.timing;
-    let peers_answered = ask(&handle, SpreadMsg::AskPeers, timing.peers_start_ms).await;
+    let bound = timing.peers_start_ms.to_duration();
+    let res = tokio::time::timeout(bound, ask_peers(&handle)).await;
+    let has_served = res.unwrap_or(false);
     let (reply, first_pass) = oneshot::channel();
     if let Some(platform) = &handle.platform {
         drop(platform.cast(PlatformMsg::Begin(reply)));
@@ -198,12 +203,43 @@
             drop(tokio::time::timeout(bound, first_pass).await);
         }
     }
-    if !peers_answered {
-        ask(&handle, SpreadMsg::AskAgents, timing.peers_start_ms).await;
+    if !has_served {
+        ask(&handle, SpreadMsg::AskAgents, timing.platform_start_ms).await;
     }
     handle.shared.is_ready.send_replace(true);
 }
 
+/// Asks peers again and again until one that serves has answered; `false` if there are none.
+///
+/// Those known at first may be starting too; the others become known meanwhile.
+async fn ask_peers(handle: &Handle) -> bool {
+    let mut peers = handle.shared.peers.clone();
+    let mut rest = ASK_REST;
+    loop {
+        if handle.shared.other_peers().is_empty() {
+            return false;
+        }
+        peers.mark_unchanged();
+        if ask(
+            handle,
+            SpreadMsg::AskPeers,
+            handle.shared.timing.peers_start_ms,
+        )
+        .await
+        {
+            return true;
+        }
+        let changed = async {
+            if peers.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        };
+        // A change of the peers or the end of the rest, whatever comes first.
+        drop(tokio::time::timeout(rest, changed).await);
+        rest *= 2;
+    }
+}
+
 async fn ask(
     handle: &Handle,
     message: impl FnOnce(oneshot::Sender<bool>) -> SpreadMsg,
--- a/crates/control/src/platform/pace.rs
+++ b/crates/control/src/platform/pace.rs
@@ -4,7 +4,7 @@
 use units::Millis;
 
 /// Time over which the watches that one change ended begin again, a process.
-const REST_PER_PROCESS_MS: u64 = 50;
+const REST_PER_PROCESS_MS: u64 = 25;
 
 /// Longest time until a watch begins again; under the 10 s in which a change must be in force.
 const REST_MAX_MS: u64 = 8_000;
