Benches: bundles and calls measured on balancer processes

Cause: control processes of the bench stood in for balancers, with the full list of peers in place of seeds and membership.

Change: the two benches run `lovagehall balancer` with four seeds each and read from their time lines what was in force when.

--- /dev/null
+++ b/crates/bench/src/balancers.rs
@@ -0,0 +1,227 @@
+//! Fleets of balancer processes without agents, for what concerns bundles alone.
+
+mod history;
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use bundle::PublicKey;
+use flow::key::Secret;
+use settings::{BalancerSettings, SecretKey, SettingsError, SharedKey};
+use units::{KeyIndex, Millis, ParseUnitError};
+
+use crate::{
+    error::{BenchError, Result},
+    fleet::{Certificates, Process, StatusProbe, program, run_dir},
+};
+
+pub(crate) use self::history::History;
+
+/// Port of every balancer's tunnel socket; each balancer has its own loopback address.
+const TUNNEL_PORT: u16 = 7_000;
+
+/// Port of every balancer's calls.
+const CONTROL_PORT: u16 = 7_001;
+
+/// Balancers that each one is told of at start.
+const SEEDS: usize = 4;
+
+/// Longest time a balancer may take to stop.
+const DRAIN_TIMEOUT_MS: Millis = Millis::new(1_000);
+
+/// Longest time until a balancer serves.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// How often balancers are asked.
+const ASK_STEP: Duration = Duration::from_millis(100);
+
+/// What a fleet of balancers consists of.
+#[derive(Debug, Clone)]
+pub(crate) struct BalancerPlan {
+    /// Number of balancers.
+    pub(crate) count: usize,
+    /// Third byte of the loopback addresses, unlike that of any other fleet of the run.
+    pub(crate) group: u8,
+    /// Address of the platform's service.
+    pub(crate) platform: SocketAddr,
+    /// Key that bundles are signed with.
+    pub(crate) operator: PublicKey,
+    /// Whether balancers know each other.
+    pub(crate) spread: Spread,
+}
+
+/// Whether balancers pass bundles on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Spread {
+    /// Each is told of a few others and learns of the rest from them.
+    Peers,
+    /// Each only watches the platform.
+    WatchOnly,
+}
+
+/// A running fleet of balancers; they end when dropped.
+#[derive(Debug)]
+pub(crate) struct BalancerFleet {
+    plan: BalancerPlan,
+    processes: Vec<Process>,
+    probe: StatusProbe,
+    program: PathBuf,
+}
+
+impl BalancerFleet {
+    /// Starts every balancer and waits until all serve.
+    pub(crate) async fn start(plan: BalancerPlan) -> Result<Self> {
+        let certificates = Certificates::new()?;
+        let mut fleet = Self {
+            probe: StatusProbe::new(&certificates.process)?,
+            processes: Vec::new(),
+            program: program()?,
+            plan,
+        };
+        for idx in 0..fleet.plan.count {
+            let settings = fleet.settings(idx, &certificates)?;
+            let json = serde_json::to_string(&settings)
+                .map_err(|err| BenchError::setup("writing settings", &err))?;
+            let path = run_dir()?.join(format!("{}.json", fleet.name(idx)));
+            let process = Process::start(&fleet.program, "balancer", &path, &json)?;
+            fleet.processes.push(process);
+        }
+        let all: Vec<usize> = (0..fleet.plan.count).collect();
+        fleet.wait_serving(&all).await?;
+        Ok(fleet)
+    }
+
+    /// Returns the name by which the platform tells a balancer.
+    pub(crate) fn reader(&self, idx: usize) -> String {
+        format!("lovagehall/{}", self.name(idx))
+    }
+
+    /// Kills balancers at once, starts them again and waits until they serve.
+    pub(crate) async fn replace(&mut self, idxs: &[usize]) -> Result<()> {
+        for &idx in idxs {
+            self.processes[idx].kill();
+        }
+        for &idx in idxs {
+            self.processes[idx].restart(&self.program)?;
+        }
+        self.wait_serving(idxs).await
+    }
+
+    /// Returns what each balancer of `idxs` put in force in its present run.
+    pub(crate) async fn histories(&self, idxs: &[usize]) -> Result<Vec<History>> {
+        let mut histories = Vec::new();
+        for &idx in idxs {
+            let events = self.probe.events(self.control_address(idx)).await;
+            let Some(events) = events else {
+                let text = format!("balancer {} doesn't tell its time line", self.name(idx));
+                return Err(BenchError::Broken(text));
+            };
+            histories.push(History::new(&events));
+        }
+        Ok(histories)
+    }
+
+    /// Waits until every balancer holds these versions or higher, at most `patience`.
+    pub(crate) async fn wait_holding(&self, versions: &[(u32, u64)], patience: Duration) {
+        let deadline = Instant::now() + patience;
+        for idx in 0..self.plan.count {
+            while Instant::now() < deadline && !self.is_holding(idx, versions).await {
+                tokio::time::sleep(ASK_STEP).await;
+            }
+        }
+    }
+
+    async fn is_holding(&self, idx: usize, versions: &[(u32, u64)]) -> bool {
+        let Some(status) = self.probe.ask(self.control_address(idx)).await else {
+            return false;
+        };
+        versions.iter().all(|(service, version)| {
+            let held = status.services.iter().find(|it| it.service == *service);
+            held.is_some_and(|it| it.version >= *version)
+        })
+    }
+
+    async fn wait_serving(&self, idxs: &[usize]) -> Result<()> {
+        let deadline = Instant::now() + START_TIMEOUT;
+        for &idx in idxs {
+            while !self.serves(idx).await {
+                if Instant::now() > deadline {
+                    let text = format!("balancer {} doesn't serve", self.name(idx));
+                    return Err(BenchError::Broken(text));
+                }
+                tokio::time::sleep(ASK_STEP).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn serves(&self, idx: usize) -> bool {
+        let events = self.probe.events(self.control_address(idx)).await;
+        events.is_some_and(|it| History::new(&it).serves())
+    }
+
+    fn settings(&self, idx: usize, certificates: &Certificates) -> Result<BalancerSettings> {
+        let seeds: Vec<usize> = match self.plan.spread {
+            Spread::Peers => {
+                let others = (1..self.plan.count).map(|it| (idx + it) % self.plan.count);
+                others.take(SEEDS).collect()
+            }
+            Spread::WatchOnly => Vec::new(),
+        };
+        let name = self.name(idx);
+        let instance = name
+            .parse()
+            .map_err(|err: ParseUnitError| BenchError::setup("naming a balancer", &err))?;
+        Ok(BalancerSettings {
+            instance,
+            zone: "a".parse().unwrap_or_default(),
+            tunnel_address: self.address(idx, TUNNEL_PORT),
+            control_address: self.control_address(idx),
+            listen_ip: Some(self.ip(idx)),
+            platform_address: self.plan.platform,
+            peers: seeds.iter().map(|it| self.control_address(*it)).collect(),
+            peer_tunnels: seeds
+                .iter()
+                .map(|it| self.address(*it, TUNNEL_PORT))
+                .collect(),
+            fleet_keys: vec![fleet_key()?],
+            operator_keys: vec![self.plan.operator.clone()],
+            root_keys: Vec::new(),
+            tls: certificates.process.clone(),
+            drain_timeout_ms: DRAIN_TIMEOUT_MS,
+            statsd_address: None,
+        })
+    }
+
+    fn name(&self, idx: usize) -> String {
+        format!("b{}-{idx}", self.plan.group)
+    }
+
+    fn control_address(&self, idx: usize) -> SocketAddr {
+        self.address(idx, CONTROL_PORT)
+    }
+
+    fn address(&self, idx: usize, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip(idx), port)
+    }
+
+    fn ip(&self, idx: usize) -> IpAddr {
+        let block = u8::try_from(std::process::id() % 200).unwrap_or_default() + 20;
+        let host = u8::try_from(idx + 1).unwrap_or(u8::MAX);
+        IpAddr::V4(Ipv4Addr::new(127, block, self.plan.group, host))
+    }
+}
+
+fn fleet_key() -> Result<SharedKey> {
+    let hex = Secret::new([9; 32]).expose_hex();
+    let key: SecretKey = hex
+        .parse()
+        .map_err(|err: SettingsError| BenchError::setup("reading a key", &err))?;
+    Ok(SharedKey {
+        index: KeyIndex::new(0),
+        key,
+    })
+}
--- a/crates/bench/src/benches/bundles.rs
+++ b/crates/bench/src/benches/bundles.rs
@@ -1,19 +1,20 @@
 //! Time from publication to in force on every balancer, and reverts after restarts.
 //!
-//! Each balancer is a process that runs the controllers of `control` without a datagram path. The
-//! baseline is a second fleet of such processes that watch the platform and know no peers.
+//! Balancers are `lovagehall` processes whose time lines tell when what was in force. The baseline is
+//! a second fleet of them that watch the platform and know no peers.
 
-mod holdings;
-
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use stand_ins::platform::{Fault, Platform};
+use units::Millis;
 
-use self::holdings::Holdings;
 use super::Entry;
 use super::publisher::{Publication, Publisher};
 use crate::{
-    controllers::{ControllerFleet, ControllerPlan, Report, Spread, now_us},
+    balancers::{BalancerFleet, BalancerPlan, History, Spread},
     error::{BenchError, Result},
     figure::{Figure, Options, block_on, floats},
 };
@@ -41,8 +42,8 @@
 /// Longest time until a change must be in force everywhere.
 const TARGET_MS: f64 = 5_000.0;
 
-/// Milliseconds of a second.
-const MS_PER_SECOND: f64 = 1_000.0;
+/// Time after a restart in which a lower version would show.
+const AFTER_RESTART: Duration = Duration::from_millis(500);
 
 /// Time left after the last change of a phase.
 const PATIENCE: Duration = Duration::from_secs(6);
@@ -91,12 +92,12 @@
 struct Bench {
     platform: Platform,
     publisher: Publisher,
-    ours: ControllerFleet,
-    baseline: ControllerFleet,
+    ours: BalancerFleet,
+    baseline: BalancerFleet,
     interval: Duration,
     turn: usize,
-    /// Newest version published of each service, by position.
-    newest: Vec<u64>,
+    /// Newest version published of each service.
+    newest: Vec<(u32, u64)>,
 }
 
 /// What a phase of changes measured.
@@ -118,28 +119,27 @@
             .await
             .map_err(|err| BenchError::setup("starting the platform", &err))?;
         let publisher = Publisher::new(SERVICES);
-        let plan = ControllerPlan {
+        let plan = BalancerPlan {
             count: BALANCERS,
             group: 11,
             platform: platform.address(),
             operator: publisher.operator().public(),
             spread: Spread::Peers,
-            seed: options.seed,
         };
-        let watch_only = ControllerPlan {
+        let watch_only = BalancerPlan {
             group: 12,
             spread: Spread::WatchOnly,
             ..plan.clone()
         };
         let interval_ms = options.seconds * 10 * PHASE_PERCENT / CHANGES as u64;
         Ok(Self {
-            ours: ControllerFleet::start(plan).await?,
-            baseline: ControllerFleet::start(watch_only).await?,
+            ours: BalancerFleet::start(plan).await?,
+            baseline: BalancerFleet::start(watch_only).await?,
             platform,
             publisher,
             interval: Duration::from_millis(interval_ms.max(1)),
             turn: 0,
-            newest: vec![0; usize::from(SERVICES)],
+            newest: (1..=u32::from(SERVICES)).map(|it| (it, 0)).collect(),
         })
     }
 
@@ -169,26 +169,18 @@
     async fn phase(&mut self) -> Result<Phase> {
         let mut published = Vec::new();
         for _ in 0..CHANGES {
-            let at_us = now_us();
+            let at_unix_ms = unix_ms();
             let publication = self.publisher.publish(self.turn, &self.platform)?;
-            self.newest[self.turn % usize::from(SERVICES)] = publication.version;
+            self.newest[self.turn % usize::from(SERVICES)].1 = publication.version;
             self.turn += 1;
-            published.push((publication, at_us));
+            published.push((publication, at_unix_ms));
             tokio::time::sleep(self.interval).await;
         }
-        let last: Vec<Publication> = published
-            .iter()
-            .rev()
-            .take(usize::from(SERVICES))
-            .map(|it| it.0)
-            .collect();
-        let (ours, baseline) = tokio::join!(
-            listen(&mut self.ours, &last),
-            listen(&mut self.baseline, &last)
-        );
+        self.ours.wait_holding(&self.newest, PATIENCE).await;
+        let all: Vec<usize> = (0..BALANCERS).collect();
         Ok(Phase {
-            ours: latencies_ms(&published, &ours),
-            baseline: latencies_ms(&published, &baseline),
+            ours: latencies_ms(&published, &self.ours.histories(&all).await?),
+            baseline: latencies_ms(&published, &self.baseline.histories(&all).await?),
         })
     }
 
@@ -201,53 +193,42 @@
         for batch in batches {
             let (ours, baseline) =
                 tokio::join!(self.ours.replace(batch), self.baseline.replace(batch));
-            reverts.ours += count_reverts(&ours?, &self.newest);
-            reverts.baseline += count_reverts(&baseline?, &self.newest);
+            ours.and(baseline)?;
+            tokio::time::sleep(AFTER_RESTART).await;
+            for it in self.ours.histories(batch).await? {
+                reverts.ours += it.reverts(&self.newest);
+            }
+            for it in self.baseline.histories(batch).await? {
+                reverts.baseline += it.reverts(&self.newest);
+            }
         }
         Ok(reverts)
     }
 }
 
-/// Collects reports until every balancer holds the last changes, or patience ends.
-async fn listen(fleet: &mut ControllerFleet, last: &[Publication]) -> Holdings {
-    let mut holdings = Holdings::new(BALANCERS);
-    let collecting = async {
-        while !holdings.all_hold(last) {
-            let Some((idx, report)) = fleet.next_report().await else {
-                return;
-            };
-            holdings.add(idx, report);
-        }
-    };
-    // What arrives later counts as missing.
-    drop(tokio::time::timeout(PATIENCE, collecting).await);
-    holdings
-}
-
 /// Time from each publication until in force everywhere; `None` if it wasn't.
-fn latencies_ms(published: &[(Publication, u64)], holdings: &Holdings) -> Vec<Option<f64>> {
+fn latencies_ms(published: &[(Publication, u64)], histories: &[History]) -> Vec<Option<f64>> {
+    let in_force = |it: &Publication| {
+        let times = histories
+            .iter()
+            .map(|history| history.in_force_at_unix_ms(it.service, it.version));
+        times.collect::<Option<Vec<u64>>>()?.into_iter().max()
+    };
     published
         .iter()
-        .map(|(publication, at_us)| {
-            let in_force_us = holdings.in_force_everywhere_us(*publication)?;
-            Some(
-                Duration::from_micros(in_force_us.saturating_sub(*at_us)).as_secs_f64()
-                    * MS_PER_SECOND,
-            )
+        .map(|(publication, at_unix_ms)| {
+            let passed_ms = in_force(publication)?.saturating_sub(*at_unix_ms);
+            Some(floats(usize::try_from(passed_ms).unwrap_or(usize::MAX)))
         })
         .collect()
 }
 
-fn count_reverts(reports: &[(usize, Report)], newest: &[u64]) -> usize {
-    reports
-        .iter()
-        .filter(|(_, report)| match report {
-            Report::Ready => false,
-            Report::InForce {
-                service, version, ..
-            } => *version < newest[*service as usize - 1],
-        })
-        .count()
+/// Milliseconds since the Unix epoch, on the clock that all processes of the run share.
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Millis::from_duration(since_epoch).get()
 }
 
 impl Phase {
@@ -256,6 +237,7 @@
             let all: Option<Vec<f64>> = of.iter().copied().collect();
             all.map(|it| it.into_iter().fold(0.0, f64::max))
         };
+        // A change that some balancer never put in force has no latency; the largest number fails.
         let ours_max = max(&self.ours).unwrap_or(f64::MAX);
         let mut ours: Vec<f64> = self.ours.iter().flatten().copied().collect();
         ours.sort_by(f64::total_cmp);
--- a/crates/bench/src/benches/platform_calls.rs
+++ b/crates/bench/src/benches/platform_calls.rs
@@ -1,6 +1,6 @@
 //! Calls at the platform's service by the size of the fleet.
 //!
-//! Each balancer is a process that runs the controllers of `control` without a datagram path.
+//! Balancers are `lovagehall` processes; the baseline's know no peers.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -9,7 +9,7 @@
 use super::Entry;
 use super::publisher::Publisher;
 use crate::{
-    controllers::{ControllerFleet, ControllerPlan, Spread},
+    balancers::{BalancerFleet, BalancerPlan, Spread},
     error::{BenchError, Result},
     figure::{Figure, Options, block_on, floats},
 };
@@ -39,7 +39,7 @@
     platform: Platform,
     publisher: Publisher,
     /// Its processes end when this is dropped.
-    _fleet: ControllerFleet,
+    _fleet: BalancerFleet,
     size: usize,
 }
 
@@ -68,10 +68,10 @@
     let mut ours = Vec::new();
     for (group, size) in (21..).zip(SIZES) {
         eprintln!("platform-calls: starting {size} balancers");
-        ours.push(Measured::start(size, group, Spread::Peers, options).await?);
+        ours.push(Measured::start(size, group, Spread::Peers).await?);
     }
     let middle = SIZES[SIZES.len() / 2];
-    let mut baseline = Measured::start(middle, 31, Spread::WatchOnly, options).await?;
+    let mut baseline = Measured::start(middle, 31, Spread::WatchOnly).await?;
     eprintln!("platform-calls: {CHANGES} changes, one every {interval:?}");
     let before: Vec<usize> = ours.iter().map(Measured::total).collect();
     let baseline_before = baseline.total();
@@ -92,7 +92,7 @@
 }
 
 impl Measured {
-    async fn start(size: usize, group: u8, spread: Spread, options: &Options) -> Result<Self> {
+    async fn start(size: usize, group: u8, spread: Spread) -> Result<Self> {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let platform = Platform::start(any)
             .await
@@ -101,16 +101,15 @@
         for turn in 0..usize::from(SERVICES) {
             publisher.publish(turn, &platform)?;
         }
-        let plan = ControllerPlan {
+        let plan = BalancerPlan {
             count: size,
             group,
             platform: platform.address(),
             operator: publisher.operator().public(),
             spread,
-            seed: options.seed,
         };
         Ok(Self {
-            _fleet: ControllerFleet::start(plan).await?,
+            _fleet: BalancerFleet::start(plan).await?,
             platform,
             publisher,
             size,
--- a/crates/bench/src/benches/publisher.rs
+++ b/crates/bench/src/benches/publisher.rs
@@ -68,7 +68,7 @@
         name: format!("service-{service}"),
         version: BundleVersion::new(1),
         previous: None,
-        addresses: vec![address(service, 0, 4_430)],
+        addresses: vec![address(service, 0, 4_430 + u16::from(service))],
         endpoints: (1..=ENDPOINTS).map(|it| endpoint(service, it)).collect(),
         routes: vec![RouteRule {
             method: None,
--- a/crates/bench/src/flags.rs
+++ b/crates/bench/src/flags.rs
@@ -1,7 +1,5 @@
 //! Command line of the bench program.
 
-use std::path::PathBuf;
-
 xflags::xflags! {
     /// The demo and the benches.
     cmd program {
@@ -21,10 +19,5 @@
             /// Length of the run in seconds.
             optional --seconds seconds: u64
         }
-        /// Runs one control process of a bench; benches start it.
-        cmd control-process {
-            /// Settings file that the bench wrote.
-            required settings: PathBuf
-        }
     }
 }
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -30,13 +30,14 @@
 
 use crate::error::{BenchError, Result};
 
+use self::settings_files::SettingsFiles;
 pub(crate) use self::{
     addresses::AddressPlan,
     certificates::{Certificates, SERVICE_NAME},
     plan::FleetPlan,
     process::Process,
+    status::StatusProbe,
 };
-use self::{settings_files::SettingsFiles, status::StatusProbe};
 
 /// Longest time a fleet may take until every process answers.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -310,7 +311,7 @@
 const EMPTY: BundleDigest = BundleDigest::new([0; 32]);
 
 /// Path of the release build beside this program.
-fn program() -> Result<PathBuf> {
+pub(crate) fn program() -> Result<PathBuf> {
     let own = std::env::current_exe()
         .map_err(|err| BenchError::setup("finding the lovagehall program", &err))?;
     let program = own.with_file_name("lovagehall");
--- a/crates/bench/src/fleet/status.rs
+++ b/crates/bench/src/fleet/status.rs
@@ -4,8 +4,12 @@
 
 use control::{PROCESS_NAME, PeerTls, client_tls};
 use settings::ProcessTls;
+use timeline::{Entry, Stamp};
 use tonic::transport::{Channel, ClientTlsConfig, Endpoint};
-use wire::inspect::{StatusReply, StatusRequest, inspect_client::InspectClient};
+use units::Millis;
+use wire::inspect::{
+    StatusReply, StatusRequest, TimelineRequest, inspect_client::InspectClient, timeline_part::Part,
+};
 
 use crate::error::{BenchError, Result};
 
@@ -40,6 +44,24 @@
         Some(reply.into_inner())
     }
 
+    /// Returns the events of the process's time line, if it answers.
+    pub(crate) async fn events(&self, address: SocketAddr) -> Option<Vec<Entry>> {
+        let channel = self.connect(address).await?;
+        let mut client = InspectClient::new(channel);
+        let request = TimelineRequest { since_unix_ms: 0 };
+        let mut parts = client.timeline(request).await.ok()?.into_inner();
+        let mut events = Vec::new();
+        while let Some(part) = parts.message().await.ok()? {
+            if let Some(Part::Event(it)) = part.part {
+                events.push(Entry {
+                    stamp: Stamp::new(Millis::new(it.unix_ms), it.logical),
+                    event: serde_json::from_str(&it.event_json).ok()?,
+                });
+            }
+        }
+        Some(events)
+    }
+
     async fn connect(&self, address: SocketAddr) -> Option<Channel> {
         Endpoint::from_shared(format!("https://{address}"))
             .ok()?
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,8 +2,8 @@
 //!
 //! `cargo xtask demo` and `cargo xtask bench` run this program. It never ships.
 
+mod balancers;
 mod benches;
-mod controllers;
 mod demo;
 mod error;
 mod figure;
@@ -27,7 +27,6 @@
             cmd.name.as_deref(),
             &figure::Options::new(cmd.seed, cmd.seconds),
         ),
-        flags::ProgramCmd::ControlProcess(cmd) => controllers::run(&cmd.settings),
     };
     match res {
         Ok(()) => ExitCode::SUCCESS,
