control: an endpoint back in the bundle gets its known liveness

Cause: a cell outlives the endpoint's place in the bundle, so an endpoint back in it could keep a liveness that nothing held any more. Change: the members controller writes every cell when the agents are set. Conclusion: cells and view agree after each change of bundle.

--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -411,6 +411,12 @@
         let specs: Vec<_> = agents.iter().map(|it| it.spec).collect();
         self.core.set_agents(now, &specs);
         self.agents = agents.into_iter().map(Watched::new).collect();
+        // A cell may be older than what the core holds of an endpoint back in the bundle.
+        for spec in &specs {
+            if let Some(it) = self.core.find(MemberId::Agent(spec.endpoint)) {
+                self.set_cell(spec.endpoint, it.condition, it.is_leaving);
+            }
+        }
         self.is_view_stale = true;
     }
 
@@ -454,7 +460,9 @@
             Condition::Dead => Liveness::Dead,
         });
         let load = cell.load();
-        cell.set_load(Load { is_leaving, ..load });
+        if load.is_leaving != is_leaving {
+            cell.set_load(Load { is_leaving, ..load });
+        }
     }
 
     fn publish(&mut self) {
