--- a/crates/bench/src/benches/liveness.rs
+++ b/crates/bench/src/benches/liveness.rs
@@ -1,7 +1,10 @@
 //! Bench `liveness`: dead agents get no new work soon, healthy ones stay in service.
 //!
 //! Members controllers and responders run in this process over loopback datagrams, beside plain
-//! heartbeats with a timeout under the same faults.
+//! heartbeats with a timeout under the same faults. Real processes then show deaths and pauses
+//! without loss, which they can't be given.
+
+mod real;
 
 use std::{
     sync::atomic::Ordering,
@@ -24,7 +27,10 @@
 const WARM_UP: Duration = Duration::from_secs(3);
 
 /// Part of the run's length that the pauses leave to the other parts.
-const OTHER_PARTS_SECONDS: u64 = 8;
+const OTHER_PARTS_SECONDS: u64 = 24;
+
+/// Shortest time of pauses under loss in a run that is long enough.
+const PAUSES_SECONDS: u64 = 10;
 
 /// Time without faults between the parts.
 const SETTLE: Duration = Duration::from_secs(3);
@@ -76,11 +82,17 @@
     let mut rng = StdRng::seed_from_u64(options.seed);
     eprintln!("liveness: {BALANCERS} balancers, {AGENTS} agents, in process over loopback");
     tokio::time::sleep(WARM_UP).await;
-    let length = Duration::from_secs(options.seconds.saturating_sub(OTHER_PARTS_SECONDS).max(1));
+    let short = options.seconds.min(PAUSES_SECONDS);
+    let seconds = options.seconds.saturating_sub(OTHER_PARTS_SECONDS);
+    let length = Duration::from_secs(seconds.max(short));
     let healthy = watch_healthy(&fleet, &baseline, length, &mut rng).await;
     tokio::time::sleep(SETTLE).await;
     let stops = kill(&fleet, &baseline, &mut rng).await;
-    Ok(figures(options, &healthy, &stops))
+    drop(fleet);
+    let seen = real::measure(options).await?;
+    let mut figures = figures(options, &healthy, &stops);
+    figures.extend(real_figures(options, seen));
+    Ok(figures)
 }
 
 /// Ours and the baseline's, side by side.
@@ -311,6 +323,32 @@
     ]
 }
 
+fn real_figures(options: &Options, seen: real::Seen) -> Vec<Figure> {
+    let figure = |metric: &str, ours| Figure {
+        bench: "liveness",
+        metric: format!("{metric} (real processes)"),
+        unit: "ms",
+        ours: millis(ours),
+        baseline: None,
+        target: None,
+        met: None,
+        seed: options.seed,
+    };
+    vec![
+        figure(
+            "longest time until no balancer sends to a killed agent",
+            seen.stop,
+        )
+        .with_target(STOP_TARGET_MS),
+        figure("longest removal of an agent paused for 2 s", seen.removed)
+            .with_target(millis(REMOVED_MAX)),
+        figure(
+            "longest time until every balancer sends to an agent started again",
+            seen.back,
+        ),
+    ]
+}
+
 fn longest(times: &[Duration]) -> Duration {
     times.iter().copied().max().unwrap_or_default()
 }
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -34,7 +34,7 @@
 pub(crate) use self::{
     addresses::AddressPlan,
     certificates::{Certificates, SERVICE_NAME},
-    plan::FleetPlan,
+    plan::{FleetPlan, endpoint_id},
     process::Process,
     status::StatusProbe,
 };
@@ -170,6 +170,11 @@
         self.plan.endpoints_of(service_idx)
     }
 
+    /// Makes a probe that asks the fleet's processes for their status.
+    pub(crate) fn status_probe(&self) -> Result<StatusProbe> {
+        StatusProbe::new(&self.certificates.process)
+    }
+
     /// The folder of the processes' settings and logs.
     pub(crate) fn dir(&self) -> String {
         self.files.dir()
