Admission: reserve by what short work needs, margin for the answer's way

At 5 slots a burst of long work took four, and one was left for short work that needs 1.4 in the mean. Long work now leaves as many slots as short work held over about the last second, at least the bundle's share. Requests that ended at their deadline came late to the caller; 10 ms of each deadline are now left for the answer's way.

The types that go in and out of the decisions move to a module of their own.

--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -5,12 +5,12 @@
 //! Short work goes first and long work leaves a reserve of slots for it.
 
 mod estimate;
+mod event;
 mod running;
-
-use std::fmt;
+mod slot_use;
 
 use bundle::RequestClass;
-use units::{Millis, Slots};
+use units::Millis;
 
 use crate::{
     concurrency::{Concurrency, Signal},
@@ -18,7 +18,10 @@
     waiting::{Waiting, WaitingList},
 };
 
+pub use event::{Config, Counters, Decision, Event, Load, Refusal, RequestId};
+
 use running::Running;
+use slot_use::SlotUse;
 
 /// Requests that may wait at once, a bound on memory only.
 const WAITING_MAX: usize = 4096;
@@ -39,179 +42,12 @@
 /// time in which it can happen.
 const BORROW_IDLE_RUNS: u64 = 4;
 
+/// Time between looks at the reserve while long work waits.
+const RESERVE_LOOK_MS: Millis = Millis::new(100);
+
 /// Time after the start of a drain in which waiting and arriving requests may still start.
 const DRAIN_START_MS: Millis = Millis::new(2000);
 
-/// A request within one agent, unique for the life of the process.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct RequestId(u64);
-
-impl RequestId {
-    /// Wraps a raw number.
-    #[must_use]
-    pub const fn new(raw: u64) -> Self {
-        Self(raw)
-    }
-
-    /// Returns the raw number.
-    #[must_use]
-    pub const fn get(self) -> u64 {
-        self.0
-    }
-}
-
-impl fmt::Display for RequestId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
-/// What the endpoint offers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Config {
-    /// Requests the upstream runs at once.
-    pub slots: Slots,
-    /// Share of the slots that long work leaves free for short work, in percent.
-    pub short_reserve_percent: u8,
-    /// Time over which a cold upstream ramps to all its slots.
-    pub cold_start_ramp_ms: Millis,
-}
-
-impl Config {
-    /// Starts with a reserve of a fifth of the slots and no cold-start ramp.
-    #[must_use]
-    pub const fn new(slots: Slots) -> Self {
-        Self {
-            slots,
-            short_reserve_percent: 20,
-            cold_start_ramp_ms: Millis::new(0),
-        }
-    }
-
-    /// Sets the share of the slots that long work leaves free.
-    #[must_use]
-    pub const fn with_short_reserve_percent(self, short_reserve_percent: u8) -> Self {
-        Self {
-            short_reserve_percent,
-            ..self
-        }
-    }
-
-    /// Sets the time over which a cold upstream ramps to all its slots.
-    #[must_use]
-    pub const fn with_cold_start_ramp_ms(self, cold_start_ramp_ms: Millis) -> Self {
-        Self {
-            cold_start_ramp_ms,
-            ..self
-        }
-    }
-}
-
-/// Something that happened to a request or to the endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Event {
-    /// A request came in, or came back from a hand-off that was refused.
-    Arrive {
-        /// Not in use by another request.
-        id: RequestId,
-        /// Class after route rule and priority.
-        class: RequestClass,
-        /// Index of the route rule.
-        route: u16,
-        /// When the answer must have ended.
-        deadline_ms: Millis,
-    },
-    /// The upstream is done with a request, whether it answered, failed or was cancelled.
-    Finished {
-        /// A request that was started.
-        id: RequestId,
-        /// What the answer says about the upstream's load.
-        signal: Signal,
-    },
-    /// A waiting request is taken away, because its caller cancelled it or to hand it off.
-    ///
-    /// No effect on a request that was started: it holds its slot until it is finished.
-    Withdrawn {
-        /// Any request.
-        id: RequestId,
-    },
-    /// Time has passed; due at [`Admission::next_tick_ms`].
-    Tick,
-    /// The endpoint began to leave.
-    DrainBegan,
-    /// The endpoint stays after all.
-    DrainEnded,
-    /// A bundle changed what the endpoint offers.
-    ConfigChanged(Config),
-}
-
-/// What to do with a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Decision {
-    /// Send it to the upstream now.
-    Start(RequestId),
-    /// Keep it; another decision follows in time.
-    Wait(RequestId),
-    /// Answer that it did not run.
-    Refuse {
-        /// The request, which was never started and never will be.
-        id: RequestId,
-        /// Why.
-        refusal: Refusal,
-        /// When a retry may fare better.
-        retry_after_ms: Millis,
-    },
-    /// The request was withdrawn before it was started and never will be.
-    Forget(RequestId),
-}
-
-/// Why a request was refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Refusal {
-    /// By the estimate it can't end before its deadline.
-    DeadlineUnmeetable,
-    /// It waited until it couldn't end before its deadline.
-    Waited,
-    /// Too many requests wait.
-    QueueFull,
-    /// The endpoint is leaving.
-    Draining,
-}
-
-/// Counts since the start of the process.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Counters {
-    /// Requests sent to the upstream.
-    pub started: u64,
-    /// Refused on arrival by the estimate.
-    pub refused_unmeetable: u64,
-    /// Refused after waiting.
-    pub refused_waited: u64,
-    /// Refused because too many wait.
-    pub refused_queue_full: u64,
-    /// Refused because the endpoint is leaving.
-    pub refused_draining: u64,
-    /// Running short requests that were demoted to long.
-    pub demoted: u64,
-    /// Answers that say the upstream is overloaded.
-    pub shed: u64,
-}
-
-/// Load as told to peers and balancers.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Requests that may run at once now.
-    pub limit: u32,
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Short requests that could start at once.
-    pub free_short: u32,
-    /// Long requests that could start at once.
-    pub free_long: u32,
-}
-
 /// The decisions of one endpoint.
 ///
 /// After every event no request waits that could start.
@@ -229,6 +65,7 @@
     short_times: RunningTimes,
     long_times: RunningTimes,
     last_short_ms: Millis,
+    short_use: SlotUse,
     drain_began_ms: Option<Millis>,
     /// The latest moment seen; time never goes back.
     now_ms: Millis,
@@ -249,6 +86,7 @@
             short_times: RunningTimes::new(),
             long_times: RunningTimes::new(),
             last_short_ms: now_ms,
+            short_use: SlotUse::starting_at(now_ms),
             drain_began_ms: None,
             now_ms,
             counters: Counters::default(),
@@ -264,6 +102,7 @@
     /// Panics if an arriving request is already known or a finished one was not started.
     pub fn handle(&mut self, now_ms: Millis, event: Event, decisions: &mut Vec<Decision>) {
         self.now_ms = self.now_ms.max(now_ms);
+        self.short_use.advance(self.now_ms, self.running.short());
         self.counters.demoted += self.demote_stragglers();
         self.refuse_late(decisions);
         match event {
@@ -304,6 +143,7 @@
             drain,
             borrow,
             ramp,
+            self.next_reserve_ms(),
         ]
         .into_iter()
         .flatten()
@@ -443,8 +283,23 @@
         if self.may_borrow() {
             return limit;
         }
-        let reserve = (limit * u32::from(self.config.short_reserve_percent)).div_ceil(100);
-        limit.saturating_sub(reserve).max(1)
+        limit.saturating_sub(self.reserve()).max(1)
+    }
+
+    /// Returns how many slots long work leaves free: those set aside, or as many as short work
+    /// held lately.
+    fn reserve(&self) -> u32 {
+        self.reserve_min().max(self.short_use.slots())
+    }
+
+    fn reserve_min(&self) -> u32 {
+        (self.limit() * u32::from(self.config.short_reserve_percent)).div_ceil(100)
+    }
+
+    /// Returns when to look whether long work may hold more slots, as short work holds fewer.
+    fn next_reserve_ms(&self) -> Option<Millis> {
+        let may_fall = !self.waiting_long.is_empty() && self.reserve() > self.reserve_min();
+        may_fall.then(|| self.now_ms.plus(RESERVE_LOOK_MS))
     }
 
     /// Returns whether there has been no short work for so long that long work may hold all slots.
--- a/crates/admission/src/admission/estimate.rs
+++ b/crates/admission/src/admission/estimate.rs
@@ -9,6 +9,9 @@
 /// Quantile a run is expected to stay within, in permille.
 const SAFE_PERMILLE: u32 = 990;
 
+/// Time that the end of an answer may take to its caller.
+const ANSWER_MARGIN_MS: Millis = Millis::new(10);
+
 /// Times the median of its route after which a short run is a straggler.
 const STRAGGLER_MEDIANS: u64 = 4;
 
@@ -48,7 +51,7 @@
         class: RequestClass,
         deadline_ms: Millis,
     ) -> Millis {
-        let safe_ms = self.safe_run_ms(route, class);
+        let safe_ms = self.safe_run_ms(route, class).plus(ANSWER_MARGIN_MS);
         Millis::new(deadline_ms.get().saturating_sub(safe_ms.get()))
     }
 
--- a/crates/admission/tests/slots.rs
+++ b/crates/admission/tests/slots.rs
@@ -92,6 +92,29 @@
     check(20, 16);
 }
 
+#[test]
+fn reserve_grows() {
+    let mut endpoint = Endpoint::new(5, 20);
+    for id in 0..2 {
+        assert_eq!(endpoint.arrive(id, Short, FAR_MS), [start(id)]);
+    }
+    endpoint.now_ms += 900;
+    assert_eq!(endpoint.handle(Event::Tick), []);
+    for id in 0..2 {
+        assert_eq!(endpoint.finish(id), []);
+    }
+    for id in 2..5 {
+        assert_eq!(endpoint.arrive(id, Long, FAR_MS), [start(id)]);
+    }
+    assert_eq!(
+        endpoint.arrive(5, Long, FAR_MS),
+        [wait(5)],
+        "short work held two slots lately"
+    );
+    endpoint.now_ms += 900;
+    assert_eq!(endpoint.handle(Event::Tick), [start(5)], "no more");
+}
+
 #[test]
 fn reserve_borrowed() {
     let mut endpoint = Endpoint::new(2, 20);
