Silent tunnels are found by echoes and replaced by a fresh socket

Cause: something between a balancer and an agent may lose track of their path for good while new ones work; the balancer kept its one tunnel port, so 1/N of an agent's datagrams would be lost for ever. Conclusion: silence first rotates the port; only liveness condemns an agent.

--- a/crates/agent/src/counters.rs
+++ b/crates/agent/src/counters.rs
@@ -47,6 +47,8 @@
     peer_datagrams,
     /// Datagrams of peers dropped since their reader was behind.
     peer_datagrams_dropped,
+    /// Questions of balancers whether a path still works, answered.
+    echoes_answered,
     /// Headers that named a newer bundle version.
     newer_bundles_seen,
     /// Handshakes that were asked to prove their address first.
--- a/crates/agent/src/tunnel/inbox.rs
+++ b/crates/agent/src/tunnel/inbox.rs
@@ -7,6 +7,7 @@
 };
 
 use flow::{
+    echo::{Echo, EchoKind},
     opening::{Limits, OpeningTable, Verdict},
     quic::{INITIAL_DATAGRAM_MIN_BYTES, LongKind, Packet},
     reset::{Arrival, RESET_BYTES, classify, encode_reset},
@@ -160,6 +161,9 @@
         let Ok(Some((_service, payload))) = decode_peer(datagram, &self.keys) else {
             return false;
         };
+        if self.answer_echo(from, payload) {
+            return true;
+        }
         let payload = payload.to_vec();
         match self.shared.peers.try_send(PeerDatagram { from, payload }) {
             Ok(()) => self.shared.counters.peer_datagrams.add_one(),
@@ -168,6 +172,22 @@
         true
     }
 
+    /// Answers an echo on the path it came by; returns whether the payload was one.
+    fn answer_echo(&self, from: SocketAddr, payload: &[u8]) -> bool {
+        let Some(echo) = Echo::decode(payload) else {
+            return false;
+        };
+        if echo.kind != EchoKind::Ask || echo.endpoint != self.shared.identity.endpoint {
+            self.shared.counters.dropped_foreign_endpoint.add_one();
+            return true;
+        }
+        self.shared.links.hear(self.shared.now(), from);
+        self.shared.counters.echoes_answered.add_one();
+        // An answer that can't be sent is as good as lost; the balancer asks again.
+        drop(self.shared.send_peer(from, &echo.answer().encode()));
+        true
+    }
+
     /// Notes the balancer and the bundle version a valid header shows.
     fn note_sender(&self, from: SocketAddr, header: &Header) {
         if matches!(header.kind, Kind::ToAgent | Kind::Opening) {
--- a/crates/balancer/src/config.rs
+++ b/crates/balancer/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 
+use timeline::Recorder;
 use units::{ByteSize, Millis};
 
 /// Settings of the datagram path.
@@ -26,6 +27,8 @@
     pub quiet_ms: Millis,
     /// Most datagrams from peers that wait to be read.
     pub peer_queue_max: usize,
+    /// Where events go.
+    pub recorder: Recorder,
 }
 
 /// Where callers' datagrams arrive.
@@ -40,7 +43,7 @@
 impl Config {
     /// Makes settings with the usual bounds.
     #[must_use]
-    pub const fn new(tunnel_address: SocketAddr, listen_at: ListenAt) -> Self {
+    pub fn new(tunnel_address: SocketAddr, listen_at: ListenAt) -> Self {
         Self {
             tunnel_address,
             listen_at,
@@ -51,19 +54,27 @@
             drain_timeout_ms: Millis::new(10_000),
             quiet_ms: Millis::new(1_000),
             peer_queue_max: 1_024,
+            recorder: Recorder::new(),
         }
     }
 
+    /// Records events with this recorder.
+    #[must_use]
+    pub fn with_recorder(mut self, recorder: Recorder) -> Self {
+        self.recorder = recorder;
+        self
+    }
+
     /// Sets the number of sockets that share the tunnel address.
     #[must_use]
-    pub const fn with_tunnel_sockets(mut self, count: usize) -> Self {
+    pub fn with_tunnel_sockets(mut self, count: usize) -> Self {
         self.tunnel_sockets = count;
         self
     }
 
     /// Sets how long a stop may take and how long a pause ends it.
     #[must_use]
-    pub const fn with_drain(mut self, timeout_ms: Millis, quiet_ms: Millis) -> Self {
+    pub fn with_drain(mut self, timeout_ms: Millis, quiet_ms: Millis) -> Self {
         self.drain_timeout_ms = timeout_ms;
         self.quiet_ms = quiet_ms;
         self
--- a/crates/balancer/src/counters.rs
+++ b/crates/balancer/src/counters.rs
@@ -37,11 +37,17 @@
     PeerSent,
     /// Service addresses that could not be bound; tried again while a bundle has them.
     BindFailed,
+    /// Echoes sent to agents that were silent.
+    EchoAsked,
+    /// Echoes that agents answered.
+    EchoAnswered,
+    /// Fresh sockets taken because a path was silent.
+    PathRotated,
 }
 
 impl Counter {
     /// Every counter, in the order of `Ord`.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 18] = [
         Self::CallerDatagrams,
         Self::CallerBytes,
         Self::Established,
@@ -57,6 +63,9 @@
         Self::PeerDropped,
         Self::PeerSent,
         Self::BindFailed,
+        Self::EchoAsked,
+        Self::EchoAnswered,
+        Self::PathRotated,
     ];
 
     /// Returns the name used for metrics.
@@ -78,6 +87,9 @@
             Self::PeerDropped => "peer_dropped",
             Self::PeerSent => "peer_sent",
             Self::BindFailed => "bind_failed",
+            Self::EchoAsked => "echo_asked",
+            Self::EchoAnswered => "echo_answered",
+            Self::PathRotated => "path_rotated",
         }
     }
 }
--- a/crates/balancer/src/datapath.rs
+++ b/crates/balancer/src/datapath.rs
@@ -1,6 +1,7 @@
 //! The running datagram path: its sockets, their tasks and its stop.
 
 mod handle;
+mod paths;
 mod serve;
 
 use std::{
@@ -21,6 +22,8 @@
 use units::Millis;
 
 pub use self::handle::{Handle, PeerError};
+use self::paths::Paths;
+pub(crate) use self::paths::{Detours, towards};
 use self::serve::Shared;
 use crate::{
     config::Config,
@@ -33,6 +36,9 @@
 /// How often the path looks for a new routing table.
 const TABLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Answers to echoes that may wait for the next look at the paths.
+const ECHO_QUEUE_MAX: usize = 4_096;
+
 /// How often binding is tried again for service addresses that could not be bound.
 const BIND_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -54,6 +60,7 @@
 #[derive(Debug)]
 pub struct Datapath {
     shared: Arc<Shared>,
+    paths: Paths,
     tasks: JoinSet<()>,
     /// The task of each service address that is bound, sorted by address.
     listeners: Vec<(SocketAddr, AbortHandle)>,
@@ -96,8 +103,11 @@
     ) -> Result<(Self, mpsc::Receiver<PeerDatagram>), BindError> {
         let (sender, receiver) = mpsc::channel(config.peer_queue_max.max(1));
         let tunnels = bind_tunnels(&config)?;
+        let (echoes, answers) = mpsc::channel(ECHO_QUEUE_MAX);
+        let shared = Arc::new(Shared::new(config, table, tunnels, sender, echoes));
         let mut datapath = Self {
-            shared: Arc::new(Shared::new(config, table, tunnels, sender)),
+            paths: Paths::new(Arc::clone(&shared), answers),
+            shared,
             tasks: JoinSet::new(),
             listeners: Vec::new(),
             unbound: Vec::new(),
@@ -128,6 +138,7 @@
                 () = &mut shutdown => break,
                 _ = ticks.tick() => {}
             }
+            self.paths.look(&mut self.tasks);
             let table = self.shared.table.load_full();
             let is_retry = !self.unbound.is_empty() && Instant::now() >= retry_at;
             if is_retry || !Arc::ptr_eq(&seen, &table) {
@@ -211,6 +222,7 @@
                 break DrainEnd::TimedOut;
             }
             tokio::time::sleep(TABLE_CHECK_INTERVAL).await;
+            self.paths.look(&mut self.tasks);
             let now = all();
             if now != last {
                 (last, last_at) = (now, Instant::now());
--- a/crates/balancer/src/datapath/handle.rs
+++ b/crates/balancer/src/datapath/handle.rs
@@ -10,7 +10,7 @@
 use quinn_udp::Transmit;
 use units::ServiceId;
 
-use super::serve::Shared;
+use super::{paths::towards, serve::Shared};
 use crate::counters::{Counter, Counters};
 
 /// What other parts of the process may ask of the running datagram path.
@@ -75,9 +75,9 @@
             segment_size: None,
             src_ip: None,
         };
-        self.shared.tunnels[0]
-            .send(&transmit)
-            .map_err(PeerError::Send)?;
+        let detours = self.shared.detours.load();
+        let socket = towards(&detours, to).unwrap_or(&self.shared.tunnels[0]);
+        socket.send(&transmit).map_err(PeerError::Send)?;
         self.shared.counters.add(Counter::PeerSent, 1);
         Ok(())
     }
--- a/crates/balancer/src/datapath/serve.rs
+++ b/crates/balancer/src/datapath/serve.rs
@@ -7,9 +7,10 @@
 };
 
 use arc_swap::ArcSwap;
-use flow::table::RoutingTable;
+use flow::{echo::Echo, table::RoutingTable};
 use tokio::sync::mpsc;
 
+use super::paths::Detours;
 use crate::{
     batch::{Batch, HEADROOM_BYTES, Pool},
     config::Config,
@@ -33,6 +34,9 @@
     /// At least one; all have the same address.
     pub(super) tunnels: Vec<Arc<DatagramSocket>>,
     pub(super) counters: Counters,
+    /// Sockets in use in place of the tunnel's for single agents.
+    pub(super) detours: ArcSwap<Detours>,
+    echoes: mpsc::Sender<Echo>,
     pub(super) is_ready: AtomicBool,
     peers: mpsc::Sender<PeerDatagram>,
     buffers: Pool<Buffers>,
@@ -60,6 +64,7 @@
         table: Arc<ArcSwap<RoutingTable>>,
         tunnels: Vec<Arc<DatagramSocket>>,
         peers: mpsc::Sender<PeerDatagram>,
+        echoes: mpsc::Sender<Echo>,
     ) -> Self {
         Self {
             config,
@@ -67,6 +72,8 @@
             services: ArcSwap::default(),
             tunnels,
             counters: Counters::default(),
+            detours: ArcSwap::default(),
+            echoes,
             is_ready: AtomicBool::new(true),
             peers,
             buffers: Pool::new(),
@@ -92,6 +99,7 @@
                 table: &shared.table.load(),
                 local,
                 tunnel: &tunnel,
+                detours: &shared.detours.load(),
                 counters: &shared.counters,
                 out: &mut buffers.out,
                 datagram_max_bytes,
@@ -111,6 +119,7 @@
                 services: &shared.services.load(),
                 counters: &shared.counters,
                 peers: &shared.peers,
+                echoes: &shared.echoes,
                 out: &mut buffers.out,
             };
             for (meta, bytes) in buffers.batch.filled(count) {
--- a/crates/balancer/src/downlink.rs
+++ b/crates/balancer/src/downlink.rs
@@ -4,11 +4,13 @@
 
 use bytes::Bytes;
 use flow::{
+    echo::{Echo, EchoKind},
     table::RoutingTable,
     tunnel::{self, Header, Kind, Reject, TUNNEL_OVERHEAD_BYTES},
 };
 use quinn_udp::RecvMeta;
 use tokio::sync::mpsc;
+use units::ServiceId;
 
 use crate::{
     counters::{Counter, Counters},
@@ -27,6 +29,7 @@
     pub(crate) services: &'a ServiceSockets,
     pub(crate) counters: &'a Counters,
     pub(crate) peers: &'a mpsc::Sender<PeerDatagram>,
+    pub(crate) echoes: &'a mpsc::Sender<Echo>,
     pub(crate) out: &'a mut Outgoing,
 }
 
@@ -79,6 +82,9 @@
         match tunnel::decode_peer(datagram, self.table) {
             Ok(None) => {}
             Ok(Some((scope, payload))) => {
+                if self.take_echo(scope, payload) {
+                    return None;
+                }
                 let payload = Bytes::copy_from_slice(payload);
                 self.hand_on(PeerDatagram {
                     from: meta.addr,
@@ -101,6 +107,21 @@
         }
     }
 
+    /// Takes in the answer to an echo; returns whether the payload was an echo.
+    fn take_echo(&self, scope: ServiceId, payload: &[u8]) -> bool {
+        let Some(echo) = Echo::decode(payload) else {
+            return false;
+        };
+        let service = self.table.service(scope);
+        let is_own = service.is_some_and(|it| it.cell(echo.endpoint).is_some());
+        if is_own && echo.kind == EchoKind::Answer {
+            self.counters.add(Counter::EchoAnswered, 1);
+            // An answer that finds no room is as good as lost; the next echo follows.
+            let _ = self.echoes.try_send(echo);
+        }
+        true
+    }
+
     fn check_answer<'d>(&self, datagram: &'d [u8]) -> Result<Option<Checked<'d>>, Reject>
     where
         'a: 'd,
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -11,6 +11,7 @@
 mod downlink;
 mod feed;
 mod outgoing;
+mod path_watch;
 mod peers;
 mod socket;
 mod uplink;
@@ -20,5 +21,6 @@
     counters::{Counter, Counters},
     datapath::{BindError, Datapath, DrainEnd, DrainReport, Handle, PeerError, run},
     feed::Feed,
+    path_watch::{PathAction, PathWatch},
     peers::PeerDatagram,
 };
--- a/crates/balancer/src/uplink.rs
+++ b/crates/balancer/src/uplink.rs
@@ -12,6 +12,7 @@
 use crate::{
     batch::HEADROOM_BYTES,
     counters::{Counter, Counters},
+    datapath::{Detours, towards},
     outgoing::{Destination, Outgoing, send},
     socket::DatagramSocket,
 };
@@ -25,6 +26,7 @@
     /// The service address.
     pub(crate) local: SocketAddr,
     pub(crate) tunnel: &'a DatagramSocket,
+    pub(crate) detours: &'a Detours,
     pub(crate) counters: &'a Counters,
     pub(crate) out: &'a mut Outgoing,
     pub(crate) datagram_max_bytes: usize,
@@ -38,7 +40,7 @@
     destination: Destination,
 }
 
-impl Uplink<'_> {
+impl<'a> Uplink<'a> {
     /// Forwards what one receive buffer holds: one or more datagrams of one caller.
     ///
     /// The datagrams begin at `HEADROOM_BYTES`.
@@ -68,8 +70,9 @@
         let out = &mut buffer[start..HEADROOM_BYTES];
         encode(service, &route.header, meta.len, out);
         self.counters.add(route.counter(), 1);
+        let socket = self.socket(&route);
         send(
-            self.tunnel,
+            socket,
             self.counters,
             route.destination,
             &buffer[start..],
@@ -85,6 +88,10 @@
         let (mut established, mut openings) = (0, 0);
         for datagram in bytes.chunks(meta.stride) {
             if !holds(last.as_ref(), datagram) {
+                if let Some(route) = &last {
+                    let socket = self.socket(route);
+                    self.out.flush(socket, self.counters);
+                }
                 last = self.route(service, meta, datagram);
                 encoded_for = 0;
             }
@@ -105,14 +112,23 @@
                 None => established += 1,
             }
             let parts = [&*header, datagram];
+            let socket = self.socket(route);
             self.out
-                .push(self.tunnel, self.counters, route.destination, parts);
+                .push(socket, self.counters, route.destination, parts);
+        }
+        if let Some(route) = &last {
+            let socket = self.socket(route);
+            self.out.flush(socket, self.counters);
         }
-        self.out.flush(self.tunnel, self.counters);
         self.counters.add(Counter::Established, established);
         self.counters.add(Counter::Openings, openings);
     }
 
+    /// Returns the socket that a route's datagrams leave from.
+    fn socket(&self, route: &Route) -> &'a DatagramSocket {
+        towards(self.detours, route.destination.address).map_or(self.tunnel, |it| it)
+    }
+
     /// Finds a datagram's route; `None` if it was dropped.
     fn route(&self, service: &ServiceRoutes, meta: &RecvMeta, datagram: &[u8]) -> Option<Route> {
         let ecn = Ecn::new(meta.ecn.map_or(0, |it| it as u8));
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -4,6 +4,7 @@
 //! `balancer` and `agent`.
 
 pub mod cid;
+pub mod echo;
 pub mod key;
 pub mod opening;
 pub mod quic;
--- /dev/null
+++ b/crates/flow/tests/echo.rs
@@ -0,0 +1,39 @@
+//! Echoes survive the wire, and nothing else is taken for one.
+
+use flow::echo::{ECHO_BYTES, Echo};
+use units::EndpointId;
+
+fn check(echo: Echo) {
+    assert_eq!(Echo::decode(&echo.encode()), Some(echo));
+}
+
+#[test]
+fn round_trip() {
+    let ask = Echo::ask(EndpointId::new(5_800), 7);
+    check(ask);
+    check(ask.answer());
+    assert_ne!(ask, ask.answer());
+}
+
+#[test]
+fn other_payloads() {
+    let good = Echo::ask(EndpointId::new(1), 2).encode();
+    assert_eq!(Echo::decode(&good[..ECHO_BYTES - 1]), None, "cut short");
+    for idx in 0..8 {
+        let mut bad = good;
+        bad[idx] ^= 0x80;
+        assert_eq!(Echo::decode(&bad), None, "byte {idx}");
+    }
+}
+
+#[test]
+fn random_payloads() {
+    bolero::check!()
+        .with_type::<Vec<u8>>()
+        .with_iterations(2_000)
+        .for_each(|payload| {
+            if let Some(echo) = Echo::decode(payload) {
+                assert_eq!(echo.encode().as_slice(), payload.as_slice());
+            }
+        });
+}
--- a/crates/lovagehall/src/balancer_role.rs
+++ b/crates/lovagehall/src/balancer_role.rs
@@ -33,8 +33,9 @@
     let recorder = Recorder::new();
     let feed = feed(&settings)?;
     let tables = Tables::new(feed);
-    let (datapath, peer_datagrams) = Datapath::bind(datapath_config(&settings), tables.shared())
-        .map_err(|err| RunError::start("the datapath", &err))?;
+    let (datapath, peer_datagrams) =
+        Datapath::bind(datapath_config(&settings, &recorder), tables.shared())
+            .map_err(|err| RunError::start("the datapath", &err))?;
     let handle = datapath.handle();
     let link = PeerLink {
         incoming: forward(peer_datagrams),
@@ -126,12 +127,13 @@
     Feed::new(current, keys).map_err(unusable)
 }
 
-fn datapath_config(settings: &BalancerSettings) -> DatapathConfig {
+fn datapath_config(settings: &BalancerSettings, recorder: &Recorder) -> DatapathConfig {
     let listen_at = settings
         .listen_ip
         .map_or(ListenAt::ServiceAddresses, ListenAt::Ip);
     DatapathConfig::new(settings.tunnel_address, listen_at)
         .with_drain(settings.drain_timeout_ms, QUIET_MS)
+        .with_recorder(recorder.clone())
 }
 
 async fn members(
