--- a/crates/balancer/src/datapath/paths.rs
+++ b/crates/balancer/src/datapath/paths.rs
@@ -51,6 +51,7 @@
     closing: Vec<(Instant, AbortHandle)>,
     started: Instant,
     looked_at: Instant,
+    looks: usize,
     /// The table at the last look.
     table: Arc<RoutingTable>,
 }
@@ -76,6 +77,7 @@
             closing: Vec::new(),
             started: now,
             looked_at: now,
+            looks: 0,
         }
     }
 
@@ -87,7 +89,7 @@
         self.looked_at = Instant::now();
         let now = Millis::from_duration(self.started.elapsed());
         while let Ok(echo) = self.answers.try_recv() {
-            self.watch.answered(now, echo.endpoint, echo.nonce);
+            self.watch.answered(echo.endpoint, echo.nonce);
         }
         let table = self.shared.table.load_full();
         if !Arc::ptr_eq(&self.table, &table) {
@@ -95,7 +97,11 @@
             self.table = Arc::clone(&table);
         }
         self.forget_gone(&table);
-        for service in table.services() {
+        // Questions are limited, so each look begins with another service.
+        self.looks = self.looks.wrapping_add(1);
+        let services = table.services();
+        let first = self.looks.checked_rem(services.len()).unwrap_or_default();
+        for service in services[first..].iter().chain(&services[..first]) {
             for agent in service.holders() {
                 self.look_at(now, service, agent, tasks);
             }
--- a/crates/balancer/src/path_watch.rs
+++ b/crates/balancer/src/path_watch.rs
@@ -8,7 +8,14 @@
 use flow::table::Traffic;
 use units::{EndpointId, Millis};
 
-/// Time without anything from an agent, while datagrams go to it, after which its path is asked.
+/// Questions about quiet paths that may begin in each tenth of a second, so that a balancer with
+/// thousands of agents stays within its budget for control.
+const ASKS_PER_STEP: u32 = 6;
+
+/// Length of a step.
+const STEP_MS: u64 = 100;
+
+/// Time without anything from an agent, after a datagram to it, after which its path is asked.
 const QUIET_MS: Millis = Millis::new(300);
 
 /// Time between two echoes.
@@ -29,6 +36,9 @@
     /// Sorted by endpoint id, without duplicates.
     paths: Vec<Path>,
     nonce: u32,
+    /// The step that `asks_left` is for.
+    step: u64,
+    asks_left: u32,
 }
 
 /// What to do about a path.
@@ -45,7 +55,7 @@
     Rotate {
         /// To be repeated by the answer.
         nonce: u32,
-        /// Time since anything came on the old path.
+        /// Time since the first datagram that nothing came after.
         silent_ms: Millis,
     },
 }
@@ -54,8 +64,8 @@
 struct Path {
     endpoint: EndpointId,
     traffic: Traffic,
-    /// When anything last came from the agent, or when it was first sent to.
-    heard_at: Millis,
+    /// When the first datagram went out that nothing came after.
+    unanswered_since: Option<Millis>,
     /// First and latest echo not answered yet.
     asked: Option<Asked>,
     rotations: u8,
@@ -74,23 +84,34 @@
         let idx = match self.paths.binary_search_by_key(&endpoint, |it| it.endpoint) {
             Ok(idx) => idx,
             Err(idx) => {
-                self.paths.insert(idx, Path::new(now, endpoint, traffic));
+                self.paths.insert(idx, Path::new(endpoint, traffic));
                 idx
             }
         };
+        if self.step != now.get() / STEP_MS {
+            self.step = now.get() / STEP_MS;
+            self.asks_left = ASKS_PER_STEP;
+        }
         let path = &mut self.paths[idx];
         let is_sent = path.traffic.sent != traffic.sent;
         let is_answered = path.traffic.answered != traffic.answered;
         path.traffic = traffic;
         if is_answered && path.asked.is_none() {
-            path.heard(now);
+            path.heard();
+            return PathAction::None;
+        }
+        if path.asked.is_some() {
+            return path.decide_asked(now, &mut self.nonce);
+        }
+        if !path.is_quiet(now, is_sent) || self.asks_left == 0 {
             return PathAction::None;
         }
-        path.decide(now, is_sent, &mut self.nonce)
+        self.asks_left -= 1;
+        path.ask(now, &mut self.nonce)
     }
 
     /// Takes in the answer to an echo.
-    pub fn answered(&mut self, now: Millis, endpoint: EndpointId, nonce: u32) {
+    pub fn answered(&mut self, endpoint: EndpointId, nonce: u32) {
         let Ok(idx) = self.paths.binary_search_by_key(&endpoint, |it| it.endpoint) else {
             return;
         };
@@ -100,7 +121,7 @@
             .asked
             .is_some_and(|it| nonce.wrapping_sub(it.first_nonce) < u32::MAX / 2);
         if is_current {
-            path.heard(now);
+            path.heard();
         }
     }
 
@@ -111,76 +132,74 @@
 }
 
 impl Path {
-    const fn new(now: Millis, endpoint: EndpointId, traffic: Traffic) -> Self {
+    const fn new(endpoint: EndpointId, traffic: Traffic) -> Self {
         Self {
             endpoint,
             traffic,
-            heard_at: now,
+            unanswered_since: None,
             asked: None,
             rotations: 0,
         }
     }
 
-    fn heard(&mut self, now: Millis) {
-        self.heard_at = now;
+    fn heard(&mut self) {
+        self.unanswered_since = None;
         self.asked = None;
         self.rotations = 0;
     }
 
-    fn decide(&mut self, now: Millis, is_sent: bool, nonce: &mut u32) -> PathAction {
-        let Some(asked) = self.asked else {
-            return self.decide_quiet(now, is_sent, nonce);
-        };
-        if now.since(asked.first_at) >= ANSWER_TIMEOUT_MS {
-            return self.rotate(now, nonce);
-        }
-        if now.since(asked.latest_at) < ECHO_INTERVAL_MS {
-            return PathAction::None;
+    /// Tells whether something was sent long enough ago and nothing came since.
+    fn is_quiet(&mut self, now: Millis, is_sent: bool) -> bool {
+        if is_sent {
+            self.unanswered_since.get_or_insert(now);
         }
+        self.unanswered_since
+            .is_some_and(|it| now.since(it) >= QUIET_MS)
+    }
+
+    fn ask(&mut self, now: Millis, nonce: &mut u32) -> PathAction {
+        let nonce = next(nonce);
         self.asked = Some(Asked {
+            first_at: now,
             latest_at: now,
-            ..asked
+            first_nonce: nonce,
         });
-        PathAction::Echo { nonce: next(nonce) }
+        PathAction::Echo { nonce }
     }
 
-    fn decide_quiet(&mut self, now: Millis, is_sent: bool, nonce: &mut u32) -> PathAction {
-        if !is_sent {
-            // Nothing is missing where nothing was sent.
-            self.heard_at = now;
+    fn decide_asked(&mut self, now: Millis, nonce: &mut u32) -> PathAction {
+        let Some(asked) = self.asked else {
             return PathAction::None;
+        };
+        if now.since(asked.first_at) >= ANSWER_TIMEOUT_MS {
+            return self.rotate(now, asked, nonce);
         }
-        if now.since(self.heard_at) < QUIET_MS {
+        if now.since(asked.latest_at) < ECHO_INTERVAL_MS {
             return PathAction::None;
         }
-        let nonce = next(nonce);
         self.asked = Some(Asked {
-            first_at: now,
             latest_at: now,
-            first_nonce: nonce,
+            ..asked
         });
-        PathAction::Echo { nonce }
+        PathAction::Echo { nonce: next(nonce) }
     }
 
-    fn rotate(&mut self, now: Millis, nonce: &mut u32) -> PathAction {
-        let silent_ms = now.since(self.heard_at);
+    fn rotate(&mut self, now: Millis, asked: Asked, nonce: &mut u32) -> PathAction {
         if self.rotations == ROTATIONS_MAX {
-            let is_rested = self
-                .asked
-                .is_some_and(|it| now.since(it.first_at) >= REST_MS);
-            if !is_rested {
+            if now.since(asked.first_at) < REST_MS {
                 return PathAction::None;
             }
             self.rotations = 0;
         }
         self.rotations += 1;
-        let nonce = next(nonce);
-        self.asked = Some(Asked {
-            first_at: now,
-            latest_at: now,
-            first_nonce: nonce,
-        });
-        PathAction::Rotate { nonce, silent_ms }
+        let silent_ms = self
+            .unanswered_since
+            .map_or(Millis::new(0), |it| now.since(it));
+        self.ask(now, nonce);
+        PathAction::Rotate {
+            nonce: *nonce,
+            silent_ms,
+        }
     }
 }
 
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -20,13 +20,15 @@
 };
 
 use bundle::{Bundle, KeySet, SecretKey, sign_bundle, verify};
-use flow::key::Secret;
+use flow::key::{FleetKey, Secret};
 use stand_ins::{
     caller::{Caller, Fabric},
+    middlebox::Middlebox,
     platform::Platform,
     upstream::{Behavior, Upstream},
 };
 use units::{BundleDigest, BundleVersion};
+use wire::inspect::StatusReply;
 
 use crate::error::{BenchError, Result};
 
@@ -34,7 +36,7 @@
 pub(crate) use self::{
     addresses::AddressPlan,
     certificates::{Certificates, SERVICE_NAME},
-    plan::{FleetPlan, endpoint_id},
+    plan::{FleetPlan, TunnelPath, endpoint_id, service_id},
     process::Process,
     status::StatusProbe,
 };
@@ -54,6 +56,8 @@
     pub(crate) balancers: Vec<Process>,
     pub(crate) agents: Vec<Process>,
     pub(crate) upstreams: Vec<Upstream>,
+    /// One before each agent, if the plan asks for them.
+    pub(crate) middleboxes: Vec<Middlebox>,
     pub(crate) fabric: Arc<Fabric>,
     /// Current bundle of each service with the digest of its signed form, as the plan orders them.
     bundles: Vec<(Bundle, BundleDigest)>,
@@ -91,6 +95,7 @@
             balancers: Vec::new(),
             agents: Vec::new(),
             upstreams: Vec::new(),
+            middleboxes: Vec::new(),
             fabric: Arc::new(Fabric::new(seed)),
             certificates,
             operator,
@@ -98,6 +103,7 @@
             program: program()?,
         };
         fleet.start_upstreams(seed).await?;
+        fleet.start_middleboxes().await?;
         for service_idx in 0..fleet.bundles.len() {
             fleet.publish(service_idx)?;
         }
@@ -165,6 +171,21 @@
         self.agents[idx].restart(&self.program)
     }
 
+    /// The key that balancers derive every service's keys from.
+    pub(crate) fn fleet_key(&self) -> &FleetKey {
+        self.files.fleet_key()
+    }
+
+    /// What every balancer that answers tells of itself.
+    pub(crate) async fn balancer_statuses(&self) -> Result<Vec<StatusReply>> {
+        let probe = StatusProbe::new(&self.certificates.process)?;
+        let mut statuses = Vec::new();
+        for idx in 0..self.balancers.len() {
+            statuses.extend(probe.ask(self.addresses.balancer_control(idx)).await);
+        }
+        Ok(statuses)
+    }
+
     /// Positions of a service's endpoints among all agents and upstreams.
     pub(crate) fn endpoints_of(&self, service_idx: usize) -> std::ops::Range<usize> {
         self.plan.endpoints_of(service_idx)
@@ -297,6 +318,23 @@
         Ok(())
     }
 
+    async fn start_middleboxes(&mut self) -> Result<()> {
+        if self.plan.tunnels == TunnelPath::Direct {
+            return Ok(());
+        }
+        for idx in 0..self.upstreams.len() {
+            let (address, agent) = (
+                self.addresses.middlebox(idx),
+                self.addresses.agent_tunnel(idx),
+            );
+            let middlebox = Middlebox::start(address, agent)
+                .await
+                .map_err(|err| BenchError::setup("starting a middlebox", &err))?;
+            self.middleboxes.push(middlebox);
+        }
+        Ok(())
+    }
+
     fn start_processes(&mut self) -> Result<()> {
         for idx in 0..self.plan.balancers {
             let (path, json) = self.files.balancer(&self.plan, idx)?;
--- a/crates/bench/src/fleet/addresses.rs
+++ b/crates/bench/src/fleet/addresses.rs
@@ -85,6 +85,16 @@
         SocketAddr::new(self.host(4, 0), UPSTREAM_PORT)
     }
 
+    /// Address of the box in front of an agent.
+    pub(crate) fn middlebox(self, idx: usize) -> SocketAddr {
+        SocketAddr::new(self.host(5, idx), TUNNEL_PORT)
+    }
+
+    /// Address of what a bench sends itself.
+    pub(crate) fn baseline(self) -> SocketAddr {
+        SocketAddr::new(self.host(6, 0), TUNNEL_PORT)
+    }
+
     fn host(self, group: u8, idx: usize) -> IpAddr {
         let last = u8::try_from(idx + 1).unwrap_or(u8::MAX);
         IpAddr::V4(Ipv4Addr::new(127, self.block, group, last))
--- a/crates/bench/src/fleet/plan.rs
+++ b/crates/bench/src/fleet/plan.rs
@@ -18,10 +18,21 @@
 pub(crate) struct FleetPlan {
     /// Number of balancers.
     pub(crate) balancers: usize,
+    /// What lies between balancers and agents.
+    pub(crate) tunnels: TunnelPath,
     /// The services; agents and upstreams are numbered in this order.
     pub(crate) services: Vec<ServicePlan>,
 }
 
+/// What lies between balancers and agents.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum TunnelPath {
+    /// Nothing.
+    Direct,
+    /// A box before each agent that keeps track of paths.
+    Boxed,
+}
+
 /// One service of a fleet.
 #[derive(Debug, Clone)]
 pub(crate) struct ServicePlan {
@@ -52,6 +63,7 @@
     pub(crate) fn both_users(balancers: usize) -> Self {
         Self {
             balancers,
+            tunnels: TunnelPath::Direct,
             services: vec![token_ledger(), tariffs(), fit(), photo_intake()],
         }
     }
@@ -60,6 +72,7 @@
     pub(crate) fn ledger(balancers: usize) -> Self {
         Self {
             balancers,
+            tunnels: TunnelPath::Direct,
             services: vec![token_ledger()],
         }
     }
@@ -68,10 +81,17 @@
     pub(crate) fn fit(balancers: usize) -> Self {
         Self {
             balancers,
+            tunnels: TunnelPath::Direct,
             services: vec![fit()],
         }
     }
 
+    /// Sets what lies between balancers and agents.
+    pub(crate) fn with_tunnels(mut self, tunnels: TunnelPath) -> Self {
+        self.tunnels = tunnels;
+        self
+    }
+
     /// Positions of a service's endpoints among all endpoints.
     pub(crate) fn endpoints_of(&self, service_idx: usize) -> Range<usize> {
         let before = &self.services[..service_idx];
@@ -110,7 +130,7 @@
             previous: None,
             addresses: vec![service_address(service_idx)],
             endpoints: endpoints
-                .map(|idx| endpoint(addresses, service, idx))
+                .map(|idx| endpoint(addresses, self.tunnels, service, idx))
                 .collect(),
             routes: service.routes.iter().map(route_rule).collect(),
             sharing: Sharing {
@@ -141,11 +161,20 @@
     SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 66, 0, 1)), port)
 }
 
-fn endpoint(addresses: AddressPlan, service: &ServicePlan, idx: usize) -> Endpoint {
+fn endpoint(
+    addresses: AddressPlan,
+    tunnels: TunnelPath,
+    service: &ServicePlan,
+    idx: usize,
+) -> Endpoint {
+    let tunnel_address = match tunnels {
+        TunnelPath::Direct => addresses.agent_tunnel(idx),
+        TunnelPath::Boxed => addresses.middlebox(idx),
+    };
     Endpoint {
         id: endpoint_id(idx),
         zone: FleetPlan::zone(service.region, idx),
-        tunnel_address: addresses.agent_tunnel(idx),
+        tunnel_address,
         control_address: addresses.agent_control(idx),
         upstream_address: addresses.upstream(idx),
         slots: service.slots,
--- a/crates/bench/src/fleet/settings_files.rs
+++ b/crates/bench/src/fleet/settings_files.rs
@@ -61,6 +61,11 @@
         self.dir.display().to_string()
     }
 
+    /// The key that balancers derive every service's keys from.
+    pub(crate) const fn fleet_key(&self) -> &FleetKey {
+        &self.fleet_key
+    }
+
     /// Path and text of a balancer's settings.
     pub(crate) fn balancer(&self, plan: &FleetPlan, idx: usize) -> Result<(PathBuf, String)> {
         let name = format!("balancer-{idx}");
