--- a/crates/bench/src/benches/datagrams.rs
+++ b/crates/bench/src/benches/datagrams.rs
@@ -3,6 +3,7 @@
 mod decision;
 mod load;
 mod relay;
+mod remap;
 mod tables;
 
 use std::time::Duration;
@@ -69,7 +70,10 @@
 }
 
 fn decision_figures(options: &Options) -> Vec<Figure> {
-    let mut figures = Vec::new();
+    let moved = remap::measure(options.seed);
+    let metric = "keys that move when one of 7 endpoints leaves".to_owned();
+    let (ours, modulo) = (moved.rendezvous, Some(moved.modulo));
+    let mut figures = vec![figure(options, metric, "share", ours, modulo, None)];
     let small = decision::measure(SMALL, options.seed);
     for (name, size) in [("fleet", LARGE), ("one service", LOPSIDED)] {
         eprintln!("datagrams: decisions with {size}");
