Agent: a graceful stop ends what others handed off

A stop waited for its callers' connections only. Requests taken from other agents and purchases whose callers went away have none here, so the process ended under them. It now waits for their slots, within the same bound, and a moment more for the answers' ends to leave. The test stopping_callee stops an agent that runs another's request: without the change it reports one cut.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -42,6 +42,12 @@
 /// Events that may wait for a slow subscriber.
 const EVENTS_MAX: usize = 256;
 
+/// Time between looks whether the last request has ended.
+const END_LOOK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Time for the ends of answers to reach the agents that handed their requests off.
+const HANDED_LINGER: Duration = Duration::from_millis(300);
+
 /// Longest time for closed connections to tell their callers.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -279,10 +285,8 @@
         let began = Instant::now();
         let bound = self.parts.drain_timeout();
         self.parts.set_phase(Phase::Stopping);
-        let mut connections = self.parts.connections.subscribe();
-        let ended = connections.wait_for(|it| *it == 0);
         // At the bound the rest is cut and reported.
-        let _ = tokio::time::timeout(bound, ended).await;
+        let _ = tokio::time::timeout(bound, self.parts.ended()).await;
         let load = self.parts.gate.load();
         let report = Report {
             connections_cut: *self.parts.connections.borrow(),
@@ -336,6 +340,21 @@
 }
 
 impl Parts {
+    /// Waits until no connection is left, and no request that runs without one.
+    ///
+    /// Requests handed off by other agents and those that outlive their callers have none here.
+    async fn ended(&self) {
+        let mut connections = self.connections.subscribe();
+        // The sender lives as long as this.
+        let _ = connections.wait_for(|it| *it == 0).await;
+        while self.gate.load().running > 0 {
+            tokio::time::sleep(END_LOOK_INTERVAL).await;
+        }
+        if self.counters.handoffs_served.get() > 0 {
+            tokio::time::sleep(HANDED_LINGER).await;
+        }
+    }
+
     fn drain_timeout(&self) -> Duration {
         let in_force = self.in_force.load();
         in_force
--- a/crates/agent/tests/at_most_once.rs
+++ b/crates/agent/tests/at_most_once.rs
@@ -32,6 +32,9 @@
         assert_eq!(answer.unwrap().status, StatusCode::OK);
         assert_eq!(cluster.runs_of(&id), 1);
     }
+    let counters = cluster.nodes.iter().map(|it| it.agent.counters());
+    let started: u64 = counters.map(|it| it.requests_started.get()).sum();
+    assert_eq!(started, 12);
 }
 
 /// A caller that lost its answer asks again, at another agent, and gets it.
--- a/crates/agent/tests/hand_off.rs
+++ b/crates/agent/tests/hand_off.rs
@@ -51,6 +51,33 @@
     until(|| busy(&cluster) == 0).await;
 }
 
+/// An agent that stops ends what it took from others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stopping_callee() {
+    let mut cluster = Cluster::start(2, 1).await;
+    let mut callers = Vec::new();
+    for number in 0..2 {
+        let connection = cluster.connect(0).await;
+        let id = format!("r{number}");
+        let call = Call::get("/fit")
+            .with_header("x-request-id", &id)
+            .with_header("x-run-time-ms", "700")
+            .with_header("x-answer-bytes", "300000");
+        callers.push(tokio::spawn(async move {
+            let answer = connection.request(call).await.unwrap();
+            assert!(Pattern::matches(&id, 300_000, &answer.body));
+        }));
+        until(|| busy(&cluster) == number + 1).await;
+    }
+    let callee = cluster.nodes.remove(1);
+    assert_eq!(callee.upstream.busy(), 1);
+    let report = soon(callee.agent.stop()).await;
+    assert_eq!(report.requests_cut, 0);
+    for caller in callers {
+        soon(caller).await.unwrap();
+    }
+}
+
 fn busy(cluster: &Cluster) -> usize {
     cluster.nodes.iter().map(|it| it.upstream.busy()).sum()
 }
