membership: introductions by digest of parts

Change: an exchange carries four one-byte digests of the balancers alive; the answer introduces those of parts that differ, in random order. Figures: 40 balancers meet after a common start, and a late one meets all, within 10 s in the tests. Conclusion: a join costs what is missing, not the whole fleet.

--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -468,6 +468,25 @@
     })
 }
 
+/// Parts of the fleet's balancers that are compared one by one.
+const BALANCER_PARTS: u32 = 4;
+
+/// Returns which part of the fleet's balancers one belongs to.
+fn balancer_part(id: MemberId) -> u32 {
+    part(id) % BALANCER_PARTS
+}
+
+/// Returns the digests of the balancers alive and `me`, one byte a part.
+fn balancer_digest(table: &Table, me: MemberId) -> u32 {
+    let alive = table.iter().filter(|it| it.id.is_balancer());
+    let alive = alive.filter(|it| it.condition == Condition::Alive);
+    let ids = alive.map(|it| it.id).chain([me]);
+    ids.fold(0, |digest, id| {
+        let state = u32::try_from(watch::mix(id.to_raw()) & 0xff).unwrap_or_default();
+        digest ^ state << (balancer_part(id) * PART_BITS)
+    })
+}
+
 /// Returns whether two digests differ in a part.
 const fn differs(mine: u64, theirs: u64, part: u32) -> bool {
     (mine ^ theirs) >> (part * PART_BITS) & 0xff != 0
--- a/crates/membership/src/members/receive.rs
+++ b/crates/membership/src/members/receive.rs
@@ -11,6 +11,7 @@
     member::Reported,
     message::{CLAIMS_MAX_BYTES, split_claims},
     table::{Applied, apply},
+    watch::mix,
 };
 
 /// Time for which a probe on behalf of another balancer is remembered.
@@ -19,8 +20,8 @@
 /// Probes on behalf of others remembered at most.
 const RELAYS_MAX: usize = 256;
 
-/// Balancers introduced in an answer to a balancer that knows as many.
-const INTRODUCTIONS: usize = 1;
+/// Bytes of introductions in an answer to a balancer that knows others.
+const INTRODUCTIONS_BYTES: usize = 12 * CLAIMS_MAX_BYTES;
 
 /// Bytes of claims in an answer to a balancer that holds something else.
 const ANSWER_BYTES: usize = 2 * CLAIMS_MAX_BYTES;
@@ -364,19 +365,28 @@
             .collect()
     }
 
-    /// Introduces a few random balancers, or all to a balancer that knows fewer.
+    /// Introduces the balancers of parts that differ, up to a length.
     fn introductions(&mut self, now: Millis, known: u32) -> Vec<Claim> {
-        let balancers = self.table.iter().filter(|it| it.id.is_balancer()).count();
-        let knows_less = usize::try_from(known).is_ok_and(|it| it < balancers);
-        let share = if knows_less { balancers } else { INTRODUCTIONS };
-        let mut claims = Vec::new();
-        for member in self.table.iter().filter(|it| it.id.is_balancer()) {
-            let is_picked = self.rng.random_range(0..balancers) < share;
-            if is_picked && member.condition == Condition::Alive {
-                claims.push(claim_about(member, now));
-            }
-        }
+        let mine = super::balancer_digest(&self.table, self.me);
+        let is_asked = |id| super::differs(mine.into(), known.into(), super::balancer_part(id));
+        let alive = self
+            .table
+            .iter()
+            .filter(|it| it.condition == Condition::Alive);
+        let asked = alive.filter(|it| it.id.is_balancer() && is_asked(it.id));
+        let salt: u64 = self.rng.random();
+        let order = |id: MemberId| mix(salt ^ u64::from(super::balancer_part(id)));
+        let mut asked: Vec<_> = asked.map(|it| (order(it.id), it.id)).collect();
+        asked.sort_by_key(|it| (it.0, mix(salt ^ it.1.to_raw())));
+        let claims = asked.iter().filter_map(|it| self.table.find(it.1));
+        let mut bytes = 0;
         claims
+            .map(|it| claim_about(it, now))
+            .take_while(|it| {
+                bytes += it.wire_bytes();
+                bytes <= INTRODUCTIONS_BYTES
+            })
+            .collect()
     }
 
     /// Sends claims in as many datagrams as the budget allows.
--- a/crates/membership/src/members/tick.rs
+++ b/crates/membership/src/members/tick.rs
@@ -6,8 +6,8 @@
 use units::Millis;
 
 use super::{
-    ISOLATED_AFTER_MS, Members, NEVER, Output, WATCH_INTERVAL_MS, changed, claim_about,
-    is_exceptional, part, receive::send,
+    ISOLATED_AFTER_MS, Members, NEVER, Output, WATCH_INTERVAL_MS, balancer_digest, changed,
+    claim_about, is_exceptional, part, receive::send,
 };
 use crate::{
     Claim, Condition, Kind, MemberId,
@@ -361,8 +361,7 @@
         let Some(to) = self.sync_partner(now) else {
             return;
         };
-        let known = self.table.iter().filter(|it| it.id.is_balancer()).count();
-        let known = u32::try_from(known).unwrap_or(u32::MAX);
+        let known = balancer_digest(&self.table, self.me);
         let mut claims = vec![self.own_claim()];
         claims.extend(self.exceptional_claims(now, QUESTION_BYTES, |_part| true));
         let digest = super::digest(&self.table);
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -62,7 +62,8 @@
     Gossip,
     /// Passes claims on and asks for what the receiver knows better.
     Sync {
-        /// Balancers that the sender knows.
+        /// Digests of the balancers alive that the sender knows, itself included, one byte for
+        /// each of four parts of the fleet.
         known: u32,
         /// Digests of the members that the sender holds as not alive or leaving, one byte for
         /// each of eight parts of the fleet.
--- a/crates/membership/src/rumors.rs
+++ b/crates/membership/src/rumors.rs
@@ -8,7 +8,7 @@
 const SENDS: u8 = 6;
 
 /// Times that a balancer is introduced; exchanges bring the rest, and nothing fails meanwhile.
-const INTRODUCTION_SENDS: u8 = 2;
+const INTRODUCTION_SENDS: u8 = 3;
 
 /// Times that a claim is sent on while many are under way, as when a zone fails.
 const BULK_SENDS: u8 = 4;
--- a/crates/membership/tests/joining.rs
+++ b/crates/membership/tests/joining.rs
@@ -1,7 +1,11 @@
-//! Balancers that start together and know only each other still reach their seeds.
+//! Balancers meet after a common start, from islands, and when one joins late.
+
+#[path = "support/fleet.rs"]
+mod fleet;
 
 use std::net::SocketAddr;
 
+use fleet::{Fleet, agent_id, is_alive};
 use membership::{
     Claim, Config, Introduction, Kind, MemberId, Members, Message, Output, Scope, Version,
 };
@@ -58,3 +62,46 @@
     assert!(syncs_to(address(3)) > 0, "an island asks its seeds");
     assert!(syncs_to(address(2)) > 0, "and balancers it knows");
 }
+
+const BALANCERS: u16 = 40;
+
+/// Longest time until all have met: a bundle must be in force everywhere within 10 s.
+const MET_MAX_MS: u64 = 10_000;
+
+fn knows(members: &Members) -> usize {
+    members.iter().filter(|it| it.id.is_balancer()).count()
+}
+
+#[test]
+fn common_start() {
+    let mut fleet = Fleet::new(BALANCERS, 20, 1, &Config::new());
+    let others = usize::from(BALANCERS) - 1;
+    let met = fleet.run_until(20_000, |it| {
+        knows(it) == others && is_alive(it, agent_id(0))
+    });
+    assert!(met.is_some_and(|it| it <= MET_MAX_MS), "{met:?}");
+}
+
+#[test]
+fn late_joiner() {
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(BALANCERS, 20, seed, &Config::new());
+        let late = usize::from(BALANCERS) - 1;
+        fleet.balancers[late].is_dead = true;
+        fleet.run(20_000);
+        fleet.balancers[late].is_dead = false;
+        let (joiner, others) = (fleet.balancers[late].core.me(), late);
+        let has_met = |it: &Members| {
+            if it.me() == joiner {
+                knows(it) == others
+            } else {
+                is_alive(it, joiner)
+            }
+        };
+        let met = fleet.run_until(20_000, has_met);
+        assert!(
+            met.is_some_and(|it| it <= MET_MAX_MS),
+            "seed {seed}: {met:?}"
+        );
+    }
+}
