flow: openers, refusals and header checks in files of their own

Refusals, the check of a header's recipient and the choice among openers move to the modules they belong to. No behaviour changes.

--- a/crates/flow/src/table.rs
+++ b/crates/flow/src/table.rs
@@ -5,6 +5,7 @@
 //! nothing and keeps nothing about flows.
 
 mod board;
+mod openers;
 mod routes;
 
 use std::{net::SocketAddr, sync::Arc};
--- a/crates/flow/src/tunnel.rs
+++ b/crates/flow/src/tunnel.rs
@@ -4,12 +4,14 @@
 //! itself end to end, so they are left out of it; peer payloads are covered whole.
 
 mod header;
+mod reject;
 mod wire;
 
 pub use header::{
     CANDIDATES_MAX, Candidate, Ecn, HOPS_MAX, Header, Kind, Load, Opening, OpeningError, Stage,
 };
+pub use reject::Reject;
 pub use wire::{
-    EncodeError, KeyRing, OPENING_OVERHEAD_BYTES, OwnKeys, PEER_OVERHEAD_BYTES, Reject,
+    EncodeError, KeyRing, OPENING_OVERHEAD_BYTES, OwnKeys, PEER_OVERHEAD_BYTES,
     TUNNEL_OVERHEAD_BYTES, decode, decode_peer, encode, encode_header, encode_peer,
 };
--- a/crates/flow/src/tunnel/header.rs
+++ b/crates/flow/src/tunnel/header.rs
@@ -7,6 +7,8 @@
 
 use units::{BundleVersion, EndpointId, Incarnation, ServiceId, Slots};
 
+use super::Reject;
+
 /// Most candidates that an opening lists.
 pub const CANDIDATES_MAX: usize = 4;
 
@@ -38,6 +40,35 @@
     pub opening: Option<Opening>,
 }
 
+impl Header {
+    /// Checks that the datagram is for this endpoint and run of its agent.
+    ///
+    /// Openings name no run: they are for whichever is there.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the datagram must not reach the QUIC library.
+    pub fn check_recipient(
+        &self,
+        endpoint: EndpointId,
+        incarnation: Incarnation,
+    ) -> Result<(), Reject> {
+        if self.endpoint != endpoint {
+            return Err(Reject::Endpoint);
+        }
+        if self.opening.is_none() && self.incarnation != incarnation {
+            return Err(Reject::Incarnation);
+        }
+        Ok(())
+    }
+
+    /// Returns the two addresses of the flow: the caller's and the service's.
+    #[must_use]
+    pub const fn path(&self) -> (SocketAddr, SocketAddr) {
+        (self.caller, self.local)
+    }
+}
+
 /// Where a datagram is on its way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Kind {
--- a/crates/flow/src/tunnel/wire.rs
+++ b/crates/flow/src/tunnel/wire.rs
@@ -2,7 +2,7 @@
 
 mod layout;
 
-use std::{fmt, net::SocketAddr, sync::Arc};
+use std::{fmt, sync::Arc};
 
 use siphasher::sip128::SipHasher24;
 use subtle::ConstantTimeEq;
@@ -10,7 +10,10 @@
 use zerocopy::{FromBytes, IntoBytes};
 
 use self::layout::{Fixed, PeerFixed, WireAddress, WireCandidate, WireOpening};
-use super::header::{CANDIDATES_MAX, Candidate, Ecn, Header, Kind, Load, Opening, Stage};
+use super::{
+    Reject,
+    header::{CANDIDATES_MAX, Candidate, Ecn, Header, Kind, Load, Opening, Stage},
+};
 use crate::key::ServiceKeys;
 
 /// Bytes that the tunnel adds to a datagram of an established flow.
@@ -237,72 +240,6 @@
 
 impl std::error::Error for EncodeError {}
 
-/// Why a tunnel datagram must be dropped.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Reject {
-    /// Too short to hold its header.
-    Truncated,
-    /// Not a tunnel datagram, or of a version not spoken here.
-    Magic,
-    /// Of a kind that is not expected here.
-    Kind,
-    /// The payload is not as long as the header says.
-    Length,
-    /// For a service whose keys this process doesn't hold.
-    Service,
-    /// Signed with a key index this process doesn't hold.
-    Key,
-    /// The MAC doesn't match: forged or damaged.
-    Mac,
-    /// The list of candidates is not valid.
-    Candidates,
-    /// For another endpoint: its address was reused.
-    Endpoint,
-    /// For an earlier or later run of this endpoint's agent.
-    Incarnation,
-}
-
-impl Reject {
-    /// Every kind, in the order of `Ord`.
-    pub const ALL: [Self; 10] = [
-        Self::Truncated,
-        Self::Magic,
-        Self::Kind,
-        Self::Length,
-        Self::Service,
-        Self::Key,
-        Self::Mac,
-        Self::Candidates,
-        Self::Endpoint,
-        Self::Incarnation,
-    ];
-
-    /// Returns the name used for counters.
-    #[must_use]
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Truncated => "truncated",
-            Self::Magic => "magic",
-            Self::Kind => "kind",
-            Self::Length => "length",
-            Self::Service => "service",
-            Self::Key => "key",
-            Self::Mac => "mac",
-            Self::Candidates => "candidates",
-            Self::Endpoint => "endpoint",
-            Self::Incarnation => "incarnation",
-        }
-    }
-}
-
-impl fmt::Display for Reject {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "tunnel datagram refused: {}", self.name())
-    }
-}
-
-impl std::error::Error for Reject {}
-
 fn check_start(datagram: &[u8]) -> Result<(), Reject> {
     let Some([m0, m1, version, _kind]) = datagram.first_chunk() else {
         return Err(Reject::Truncated);
@@ -443,32 +380,3 @@
     hasher.write(payload);
     hasher.finish128().as_bytes()
 }
-
-impl Header {
-    /// Checks that the datagram is for this endpoint and run of its agent.
-    ///
-    /// Openings name no run: they are for whichever is there.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the datagram must not reach the QUIC library.
-    pub fn check_recipient(
-        &self,
-        endpoint: EndpointId,
-        incarnation: Incarnation,
-    ) -> Result<(), Reject> {
-        if self.endpoint != endpoint {
-            return Err(Reject::Endpoint);
-        }
-        if self.opening.is_none() && self.incarnation != incarnation {
-            return Err(Reject::Incarnation);
-        }
-        Ok(())
-    }
-
-    /// Returns the two addresses of the flow: the caller's and the service's.
-    #[must_use]
-    pub const fn path(&self) -> (SocketAddr, SocketAddr) {
-        (self.caller, self.local)
-    }
-}
