agent: a caller is made to answer before its connection ends

The end of a connection is one datagram that QUIC repeats only in answer to another. When it was lost while a balancer died, the caller's next packet met an agent that had forgotten the connection and was reset. The agent now writes one byte on a stream that callers ignore, a moment before it ends the connection, so the caller's acknowledgement brings the end again. A caller that allows no more streams is not waited for.

--- a/crates/agent/src/connection.rs
+++ b/crates/agent/src/connection.rs
@@ -22,6 +22,12 @@
 /// caller learns that it did not run.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// Type of a stream that callers must ignore.
+const IGNORED_STREAM: &[u8] = &[0x21];
+
+/// Time between the datagram that makes the caller answer and the end of the connection.
+const FAREWELL: Duration = Duration::from_millis(5);
+
 /// Pause between looks for requests to reject.
 const REJECT_PAUSE: Duration = Duration::from_millis(5);
 
@@ -34,7 +40,7 @@
     let ends = Ends::default();
     let mut builder = h3::server::builder();
     builder.max_field_section_size(HEADERS_MAX_BYTES as u64);
-    let streams = Connection::new(quic, ends.clone());
+    let streams = Connection::new(quic.clone(), ends.clone());
     let Ok(mut http) = builder.build::<_, Bytes>(streams).await else {
         return;
     };
@@ -62,13 +68,31 @@
                     break;
                 }
             }
-            () = sleep_until(close_at), if close_at.is_some() => break,
+            () = sleep_until(close_at), if close_at.is_some() => {
+                call_forth(&quic).await;
+                break;
+            }
         }
     }
     // After a loss the remaining requests end by themselves.
     while requests.join_next().await.is_some() {}
 }
 
+/// Makes the caller answer, shortly before the connection ends.
+///
+/// The end of a connection is told in one datagram, which QUIC repeats only in answer to a
+/// datagram that comes soon after. If it is lost, the caller's acknowledgement brings it again.
+async fn call_forth(quic: &quinn::Connection) {
+    // A caller that allows no more streams is not waited for.
+    let Ok(Ok(mut stream)) = tokio::time::timeout(FAREWELL, quic.open_uni()).await else {
+        return;
+    };
+    // A caller that is gone need not be told.
+    let _ = stream.write_all(IGNORED_STREAM).await;
+    let _ = stream.finish();
+    tokio::time::sleep(FAREWELL).await;
+}
+
 /// Waits for a moment, for ever if there is none.
 async fn sleep_until(moment: Option<Instant>) {
     match moment {
