lovagectl: key sign-set

Cause: key sets could be accepted but no program of ours signed one.

Change: `key sign-set` checks a key set by the processes' own rules and signs it with a root key; reading a secret key stands in one place.

Conclusion: a rotated set is signed and accepted; sets with no key left, a key twice or an unknown field are refused and nothing is written.

--- a/crates/lovagectl/src/bundles.rs
+++ b/crates/lovagectl/src/bundles.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use bundle::{Bundle, KeySet, Refusal, SecretKey};
+use bundle::{Bundle, KeySet, Refusal};
 use serde::Deserialize;
 use settings::OperatorSettings;
 use units::BundleVersion;
@@ -34,15 +34,7 @@
     let text = files::read_text(&command.document)?;
     let bundle = parse_document(&command.document, &text)?;
     check_previous(&bundle, command)?;
-    let secret = files::read_text(&command.key)?;
-    let key: SecretKey = secret
-        .trim()
-        .parse()
-        .map_err(|err: units::ParseUnitError| CtlError::Content {
-            path: command.key.clone(),
-            cause: err.to_string(),
-            remedy: "give the file that `lovagectl key new operator` wrote",
-        })?;
+    let key = files::read_secret(&command.key)?;
     let envelope = bundle::sign(&text, &key);
     let keys = KeySet::new(vec![key.public()]);
     bundle::verify(&keys, &envelope).map_err(refused(&command.document))?;
@@ -159,7 +151,7 @@
     })
 }
 
-fn refused(path: &Path) -> impl FnOnce(Refusal) -> CtlError {
+pub(crate) fn refused(path: &Path) -> impl FnOnce(Refusal) -> CtlError {
     let path = path.to_owned();
     move |refusal| CtlError::Refused { path, refusal }
 }
--- a/crates/lovagectl/src/files.rs
+++ b/crates/lovagectl/src/files.rs
@@ -7,8 +7,10 @@
     path::Path,
 };
 
+use bundle::SecretKey;
 use serde::de::DeserializeOwned;
 use settings::Checked;
+use units::ParseUnitError;
 
 use crate::error::{CtlError, Result};
 
@@ -26,6 +28,18 @@
     })
 }
 
+/// Reads the secret half of an operator's or root key.
+pub(crate) fn read_secret(path: &Path) -> Result<SecretKey> {
+    let text = read_text(path)?;
+    text.trim()
+        .parse()
+        .map_err(|err: ParseUnitError| CtlError::Content {
+            path: path.to_owned(),
+            cause: err.to_string(),
+            remedy: "give the file that `lovagectl key new operator` wrote",
+        })
+}
+
 /// Reads and checks a settings file.
 pub(crate) fn read_settings<S: DeserializeOwned + Checked>(path: &Path) -> Result<S> {
     settings::parse(&read_text(path)?).map_err(|source| CtlError::Settings {
--- a/crates/lovagectl/src/flags.rs
+++ b/crates/lovagectl/src/flags.rs
@@ -40,6 +40,15 @@
                     required --authority authority: PathBuf
                 }
             }
+            /// Checks and signs a key set, and writes what to publish.
+            cmd sign-set {
+                /// The key set document, JSON.
+                required document: PathBuf
+                /// File with the secret half of a root key.
+                required --root root: PathBuf
+                /// File for the signed key set; must not exist.
+                required --out out: PathBuf
+            }
         }
         /// Checks, signs and compares bundles.
         cmd bundle {
--- /dev/null
+++ b/crates/lovagectl/src/key_sets.rs
@@ -0,0 +1,41 @@
+//! `key sign-set`.
+
+use bundle::{KeySet, KeySetDocument, Refusal};
+
+use crate::{
+    bundles::refused,
+    error::{CtlError, Result},
+    files,
+    flags::SignSet,
+};
+
+/// Checks and signs a key set.
+pub(crate) fn sign(command: &SignSet) -> Result<()> {
+    let text = files::read_text(&command.document)?;
+    let document: KeySetDocument =
+        serde_json::from_str(&text).map_err(|err| CtlError::Refused {
+            path: command.document.clone(),
+            refusal: Refusal::Schema {
+                part: "key set",
+                detail: err.to_string(),
+            },
+        })?;
+    let root = files::read_secret(&command.root)?;
+    let envelope = document.sign(&root);
+    let trusting = KeySet::new(Vec::new()).with_roots(vec![root.public()]);
+    let accepted = trusting
+        .accept(&envelope)
+        .map_err(refused(&command.document))?;
+    files::write_new_public(&command.out, &envelope)?;
+    println!("version     {}", accepted.version());
+    println!("digest      {}", accepted.digest());
+    for key in accepted.keys() {
+        let state = if key.retired_after.is_some() {
+            "retired"
+        } else {
+            "in use"
+        };
+        println!("key         {} {state}", key.public_key.id());
+    }
+    Ok(())
+}
--- a/crates/lovagectl/src/main.rs
+++ b/crates/lovagectl/src/main.rs
@@ -10,6 +10,7 @@
 mod error;
 mod files;
 mod flags;
+mod key_sets;
 mod keys;
 mod status;
 mod timeline_view;
@@ -49,10 +50,10 @@
 
 fn run(command: LovagectlCmd) -> Result<Outcome> {
     match command {
-        LovagectlCmd::Key(key) => {
-            let KeyCmd::New(new) = key.subcommand;
-            new_key(&new.subcommand)?;
-        }
+        LovagectlCmd::Key(key) => match key.subcommand {
+            KeyCmd::New(new) => new_key(&new.subcommand)?,
+            KeyCmd::SignSet(cmd) => key_sets::sign(&cmd)?,
+        },
         LovagectlCmd::Bundle(bundle) => match bundle.subcommand {
             BundleCmd::Check(cmd) => bundles::check(&cmd)?,
             BundleCmd::Sign(cmd) => bundles::sign(&cmd)?,
