Bench bundles: the seed chooses good readers, batches and the survivor

Cause: every run with another seed broke the same balancers.

Change: a shuffled order decides who still reads the service well, who restarts together and who outlives the rest.

--- a/crates/bench/src/benches/bundles.rs
+++ b/crates/bench/src/benches/bundles.rs
@@ -8,6 +8,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use rand::{SeedableRng as _, rngs::StdRng, seq::SliceRandom as _};
 use stand_ins::platform::{Fault, Platform};
 use units::Millis;
 
@@ -76,14 +77,14 @@
     eprintln!("bundles: restarts against a service {STALE_VERSIONS} versions old");
     bench.platform.set_fault(Fault::StaleBy(STALE_VERSIONS));
     bench.all_read(Fault::StaleBy(STALE_VERSIONS));
-    let all: Vec<usize> = (0..BALANCERS).collect();
-    let batches: Vec<&[usize]> = all.chunks(BATCH).collect();
+    let order = bench.order.clone();
+    let batches: Vec<&[usize]> = order.chunks(BATCH).collect();
     let rolling = bench.reverts(&batches).await?;
     figures.push(rolling.figure(
         "reverts after a restart of every balancer, 8 at a time",
         options,
     ));
-    let all_but_one = bench.reverts(&[&all[1..]]).await?;
+    let all_but_one = bench.reverts(&[&order[1..]]).await?;
     figures.push(all_but_one.figure("reverts after a restart of all balancers but one", options));
     Ok(figures)
 }
@@ -96,6 +97,9 @@
     baseline: BalancerFleet,
     interval: Duration,
     turn: usize,
+    /// Positions of the balancers in a random order: the first read the service well when others
+    /// don't, and the very first outlives a restart of all others.
+    order: Vec<usize>,
     /// Newest version published of each service.
     newest: Vec<(u32, u64)>,
 }
@@ -139,13 +143,14 @@
             publisher,
             interval: Duration::from_millis(interval_ms.max(1)),
             turn: 0,
+            order: shuffled(options.seed),
             newest: (1..=u32::from(SERVICES)).map(|it| (it, 0)).collect(),
         })
     }
 
     /// Lets all but two readers of each fleet see the service down or stale, in turn.
     fn break_reads(&self) {
-        for idx in GOOD_READERS..BALANCERS {
+        for &idx in &self.order[GOOD_READERS..] {
             let fault = if idx % 2 == 0 {
                 Fault::Down
             } else {
@@ -206,6 +211,12 @@
     }
 }
 
+fn shuffled(seed: u64) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..BALANCERS).collect();
+    order.shuffle(&mut StdRng::seed_from_u64(seed));
+    order
+}
+
 /// Time from each publication until in force everywhere; `None` if it wasn't.
 fn latencies_ms(published: &[(Publication, u64)], histories: &[History]) -> Vec<Option<f64>> {
     let in_force = |it: &Publication| {
