--- a/crates/units/src/ids.rs
+++ b/crates/units/src/ids.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 
-use crate::ParseUnitError;
+use crate::{ParseUnitError, number::number};
 
 /// Longest name of an instance or availability zone, in bytes.
 const NAME_MAX_BYTES: usize = 64;
@@ -12,68 +12,29 @@
 /// What a name may consist of, for messages.
 const NAME_ALLOWED: &str = "1 to 64 letters, digits, `-`, `_` or `.`";
 
-macro_rules! numeric_id {
-    ($(#[$doc:meta])* $name:ident($inner:ty), $label:literal) => {
-        $(#[$doc])*
-        #[derive(
-            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-        )]
-        #[serde(transparent)]
-        pub struct $name($inner);
-
-        impl $name {
-            /// Wraps a raw number.
-            #[must_use]
-            pub const fn new(raw: $inner) -> Self {
-                Self(raw)
-            }
-
-            /// Returns the raw number.
-            #[must_use]
-            pub const fn get(self) -> $inner {
-                self.0
-            }
-        }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                self.0.fmt(f)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = ParseUnitError;
-
-            fn from_str(text: &str) -> Result<Self, Self::Err> {
-                crate::quantities::parse_number(text, $label).map(Self)
-            }
-        }
-    };
-}
-
-numeric_id! {
+number! {
     /// A service, unique in the fleet and never reused.
-    ServiceId(u32), "service id"
+    ServiceId(u32), "service id", ""
 }
 
-numeric_id! {
+number! {
     /// An upstream endpoint, unique in the fleet while a bundle names it.
-    EndpointId(u32), "endpoint id"
+    EndpointId(u32), "endpoint id", ""
 }
 
-numeric_id! {
+number! {
     /// A run of a process: seconds since the Unix epoch at its start, higher for each later run.
-    Incarnation(u32), "incarnation"
+    Incarnation(u32), "incarnation", ""
 }
 
-numeric_id! {
+number! {
     /// The version of a service's bundle: 1 for the first, one more for each next.
-    BundleVersion(u64), "bundle version"
+    BundleVersion(u64), "bundle version", ""
 }
 
-numeric_id! {
+number! {
     /// The index of a key in rotation, carried in connection ids and tunnel headers.
-    KeyIndex(u8), "key index"
+    KeyIndex(u8), "key index", ""
 }
 
 macro_rules! name_id {
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod error;
 mod ids;
+mod number;
 mod quantities;
 
 pub use error::ParseUnitError;
