Agent: loads are asked for more often while requests wait

A short request behind a full agent waited for the next look at its peers, up to 60 ms for each of six. Three random agents are now asked every 10 ms while something waits, two every 20 ms while the agent is merely busy.

--- a/crates/agent/src/handoff/loads.rs
+++ b/crates/agent/src/handoff/loads.rs
@@ -14,12 +14,18 @@
 use super::HandOff;
 use crate::calls::convert;
 
-/// Time between questions.
-const ASK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between questions while requests wait.
+const ASK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Intervals between questions while none waits.
+const QUIET_INTERVALS: u32 = 2;
 
 /// Agents asked at once.
 const ASKED: usize = 2;
 
+/// Agents asked at once while requests wait.
+const ASKED_WAITING: usize = 3;
+
 /// Longest wait for a load.
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -92,13 +98,17 @@
     pub(crate) async fn ask_loads(&self) {
         let mut interval = tokio::time::interval(ASK_INTERVAL);
         interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut quiet = 0;
         loop {
             interval.tick().await;
-            if !self.is_busy() {
+            let is_waiting = self.admit.gate.load().waiting > 0;
+            quiet = if is_waiting { 0 } else { quiet + 1 };
+            if !self.is_busy() || quiet % QUIET_INTERVALS != 0 {
                 continue;
             }
+            let count = if is_waiting { ASKED_WAITING } else { ASKED };
             let others = self.others();
-            let asked = others.choose_multiple(&mut rand::rng(), ASKED);
+            let asked = others.choose_multiple(&mut rand::rng(), count);
             let asks: Vec<_> = asked.map(|it| self.ask_load(*it)).collect();
             futures_util::future::join_all(asks).await;
         }
