Hand-off: free slots for short work count, full peers are tried again

A request that waited found a free slot elsewhere only after the next answers to load questions, two peers each 20 ms, and a peer with long work waiting looked full for short work though it had a slot for it. While a slot is free for short work only long work can wait, so the count of waiting requests is no longer taken off. A peer without a free slot is tried again after 15 ms, doubled with each refusal up to 240 ms.

--- a/crates/admission/src/handoff.rs
+++ b/crates/admission/src/handoff.rs
@@ -18,6 +18,12 @@
 /// Age from which a peer's load says nothing any more.
 const LOAD_AGE_MAX_MS: Millis = Millis::new(1000);
 
+/// Time after which a peer without a free slot is tried again; it doubles with each refusal.
+const PROBE_FIRST_MS: Millis = Millis::new(15);
+
+/// Longest time between two tries of a peer without a free slot.
+const PROBE_MAX_MS: Millis = Millis::new(240);
+
 /// Number of an offer, higher for each later one of the same run of an agent.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct OfferId(u64);
@@ -161,6 +167,10 @@
     incarnation: Incarnation,
     free: u32,
     heard_ms: Millis,
+    /// Last time it was chosen or refused.
+    tried_ms: Millis,
+    /// Between [`PROBE_FIRST_MS`] and [`PROBE_MAX_MS`].
+    probe_after_ms: Millis,
 }
 
 impl PeerLoads {
@@ -169,13 +179,23 @@
         let peer = Peer {
             endpoint: agent.endpoint,
             incarnation: agent.incarnation,
-            free: load.free_short.saturating_sub(load.waiting),
+            // While a slot is free for a class, nothing of that class waits.
+            free: load.free_short,
             heard_ms: now_ms,
+            tried_ms: now_ms,
+            probe_after_ms: PROBE_FIRST_MS,
         };
         match self
             .peers
             .binary_search_by_key(&agent.endpoint, |it| it.endpoint)
         {
+            Ok(idx) if peer.free == 0 => {
+                let probe_after_ms = self.peers[idx].probe_after_ms;
+                self.peers[idx] = Peer {
+                    probe_after_ms,
+                    ..peer
+                };
+            }
             Ok(idx) => self.peers[idx] = peer,
             Err(idx) => self.peers.insert(idx, peer),
         }
@@ -199,9 +219,11 @@
     /// taken. `random` are two independent uniform numbers.
     ///
     /// Peers whose load was not heard lately aren't chosen. A peer that claims more than it has
-    /// draws one request for each exchange, until its refusal counts it as full.
+    /// draws one request for each exchange, until its refusal counts it as full. If none is known
+    /// to have a free slot, one is tried that had none a while ago.
     pub fn choose(&mut self, now_ms: Millis, random: [u64; 2]) -> Option<Agent> {
-        self.choose_above(now_ms, random, 0)
+        let known = self.choose_above(now_ms, random, 0);
+        known.or_else(|| self.choose_probe(now_ms, random[0]))
     }
 
     /// Chooses as [`Self::choose`] among the peers with more than `floor` free slots.
@@ -217,10 +239,33 @@
             .max_by_key(|idx| self.peers[*idx].free)?;
         let peer = &mut self.peers[idx];
         peer.free -= 1;
-        Some(Agent {
-            endpoint: peer.endpoint,
-            incarnation: peer.incarnation,
-        })
+        peer.tried_ms = now_ms;
+        Some(peer.agent())
+    }
+
+    /// Chooses a peer that had no free slot, each the more rarely the longer that lasts.
+    fn choose_probe(&mut self, now_ms: Millis, random: u64) -> Option<Agent> {
+        let is_due = |it: &Peer| now_ms.since(it.tried_ms) >= it.probe_after_ms;
+        let is_fresh = |it: &Peer| now_ms.since(it.heard_ms) <= LOAD_AGE_MAX_MS;
+        let due: Vec<_> = (0..self.peers.len())
+            .filter(|idx| is_due(&self.peers[*idx]) && is_fresh(&self.peers[*idx]))
+            .collect();
+        let peer = &mut self.peers[pick(&due, random)?];
+        peer.tried_ms = now_ms;
+        peer.probe_after_ms = peer
+            .probe_after_ms
+            .plus(peer.probe_after_ms)
+            .min(PROBE_MAX_MS);
+        Some(peer.agent())
+    }
+}
+
+impl Peer {
+    const fn agent(&self) -> Agent {
+        Agent {
+            endpoint: self.endpoint,
+            incarnation: self.incarnation,
+        }
     }
 }
 
--- a/crates/admission/tests/handoff.rs
+++ b/crates/admission/tests/handoff.rs
@@ -53,6 +53,46 @@
     check(agent(1, 1), 101, false);
 }
 
+#[test]
+fn probe_full_peer() {
+    let mut peers = PeerLoads::default();
+    let at = Millis::new;
+    peers.hear(
+        at(0),
+        agent(1, 1),
+        Load {
+            free_short: 0,
+            ..Load::default()
+        },
+    );
+    let mut check = |now_ms, expect: Option<Agent>| {
+        assert_eq!(peers.choose(at(now_ms), [0, 0]), expect, "at {now_ms} ms");
+    };
+    check(10, None);
+    check(15, Some(agent(1, 1)));
+    check(40, None);
+    check(45, Some(agent(1, 1)));
+    check(104, None);
+    check(105, Some(agent(1, 1)));
+}
+
+#[test]
+fn long_work_waits() {
+    let mut peers = PeerLoads::default();
+    let load = Load {
+        free_short: 1,
+        waiting: 3,
+        ..Load::default()
+    };
+    peers.hear(Millis::new(0), agent(1, 1), load);
+    let chosen = peers.choose(Millis::new(1), [0, 0]);
+    assert_eq!(
+        chosen,
+        Some(agent(1, 1)),
+        "only long work waits where a slot is free for short"
+    );
+}
+
 #[test]
 fn choose_peer() {
     let mut peers = PeerLoads::default();
--- a/crates/agent/src/handoff.rs
+++ b/crates/agent/src/handoff.rs
@@ -109,7 +109,7 @@
                 may_offer &= reply == OfferReply::Refused;
                 tries += 1;
                 if may_offer && tries < TRIES_MAX && self.free(class) == 0 {
-                    callee = self.loads.choose(class, 0);
+                    callee = self.loads.choose_in_need(class);
                 }
             }
             // A granted request stays: its grant names this agent.
@@ -152,7 +152,7 @@
     async fn free_elsewhere(&self, class: RequestClass) -> Agent {
         loop {
             tokio::time::sleep(LOOK_INTERVAL).await;
-            if let Some(found) = self.loads.choose(class, 0) {
+            if let Some(found) = self.loads.choose_in_need(class) {
                 return found;
             }
         }
--- a/crates/agent/src/handoff/loads.rs
+++ b/crates/agent/src/handoff/loads.rs
@@ -64,6 +64,18 @@
         }
     }
 
+    /// Chooses an agent with a free slot, or one that may have one again, for a request that can't
+    /// start here.
+    pub(crate) fn choose_in_need(&self, class: RequestClass) -> Option<Agent> {
+        let now = self.now();
+        let random = rand::random();
+        let mut inner = self.lock();
+        match class {
+            RequestClass::Short => inner.short.choose(now, random),
+            RequestClass::Long => inner.long.choose(now, random),
+        }
+    }
+
     /// Takes in what an agent told.
     pub(crate) fn hear(&self, agent: Agent, load: Load) {
         let now = self.now();
