--- a/crates/admission/src/retry.rs
+++ b/crates/admission/src/retry.rs
@@ -16,7 +16,7 @@
 
 /// Retries allowed for the fresh requests of one service.
 ///
-/// Over any run, retries are at most the given share of fresh requests plus [`SAVED_MAX`].
+/// Over any run, retries are at most the given share of fresh requests plus `SAVED_MAX`.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     budget_percent: u8,
--- a/crates/bundle/src/envelope.rs
+++ b/crates/bundle/src/envelope.rs
@@ -84,7 +84,7 @@
 
 /// Parses an envelope, checks its signature and the document's own rules.
 ///
-/// What depends on what a process holds (chain, version, claims) is for [`crate::accept`].
+/// What depends on what a process holds (chain, version, claims) is for [`crate::accept()`].
 ///
 /// # Errors
 ///
--- a/xtask/src/ci.rs
+++ b/xtask/src/ci.rs
@@ -3,7 +3,7 @@
 use crate::{
     codegen,
     flags::Codegen,
-    process::{Result, cargo},
+    process::{Result, cargo, cargo_with},
 };
 
 /// Runs every check and stops at the first that fails.
@@ -19,5 +19,15 @@
         "-D",
         "warnings",
     ])?;
+    cargo_with(
+        &[
+            "doc",
+            "--workspace",
+            "--no-deps",
+            "--document-private-items",
+            "--locked",
+        ],
+        &[("RUSTDOCFLAGS", "-D warnings")],
+    )?;
     cargo(&["test", "--workspace", "--locked"])
 }
--- a/xtask/src/process.rs
+++ b/xtask/src/process.rs
@@ -52,10 +52,16 @@
 
 /// Runs cargo in the workspace and waits for it.
 pub(crate) fn cargo(args: &[&str]) -> Result<()> {
+    cargo_with(args, &[])
+}
+
+/// Runs cargo with more variables in its environment.
+pub(crate) fn cargo_with(args: &[&str], variables: &[(&str, &str)]) -> Result<()> {
     let command = format!("cargo {}", args.join(" "));
     eprintln!("$ {command}");
     let status = Command::new("cargo")
         .args(args)
+        .envs(variables.iter().copied())
         .current_dir(workspace_dir())
         .status()
         .map_err(|source| XtaskError::Io {
