Control: strangers that trust our authority are turned away too

Cause: the test's stranger already failed at its own check of our certificate, so it showed nothing about ours of its.

Change: a second stranger trusts our authority and shows a certificate of another.

Conclusion: neither gets a bundle.

--- a/crates/control/tests/peer_spread.rs
+++ b/crates/control/tests/peer_spread.rs
@@ -201,13 +201,16 @@
     }
 }
 
-#[tokio::test]
-async fn strangers() {
+/// Starts a process of another fleet towards one of ours, with or without trust in our authority.
+async fn check_stranger(trusts_ours: Trust) {
     let (fleet, platform) = (fleet(), platform().await);
     publish(&platform, &first(1));
     let nodes = balancers(&fleet, &platform, 1).await;
     nodes[0].holds(1, 1).await;
-    let other = Fleet::new(KeySet::new(vec![key(1).public()]));
+    let mut other = Fleet::new(KeySet::new(vec![key(1).public()]));
+    if trusts_ours == Trust::Ours {
+        other.tls.ca_pem.clone_from(&fleet.tls.ca_pem);
+    }
     other.peers.send_replace(vec![nodes[0].address]);
     let service = ServiceId::new(1);
     let stranger = other.start("x", Role::Agent { service }).await;
@@ -216,3 +219,15 @@
     stranger.counts("spread.failed", 1).await;
     assert!(stranger.handle.held().is_empty(), "no key, no bundle");
 }
+
+#[derive(PartialEq)]
+enum Trust {
+    Ours,
+    Own,
+}
+
+#[tokio::test]
+async fn strangers() {
+    check_stranger(Trust::Own).await;
+    check_stranger(Trust::Ours).await;
+}
--- a/crates/control/tests/support/node.rs
+++ b/crates/control/tests/support/node.rs
@@ -20,7 +20,7 @@
 
 /// An authority and the peers that trust it.
 pub struct Fleet {
-    tls: PeerTls,
+    pub tls: PeerTls,
     keys: KeySet,
     pub peers: watch::Sender<Vec<SocketAddr>>,
 }
