membership: exchanges salt their digests

Cause: a member whose digest byte was 0, or two whose bytes were equal, never showed as a difference, so 77 balancers took 22 s to meet after a common start and the last stale entries of a failed zone stayed. Change: each exchange carries a random salt that goes into both sides' digests. Conclusion: what cancels out once does not do so again.

--- a/crates/membership/src/codec.rs
+++ b/crates/membership/src/codec.rs
@@ -186,7 +186,14 @@
             version,
         } => (KIND_ACK_FOR, (nonce, target.to_raw(), version, 0)),
         Kind::Gossip => (KIND_GOSSIP, zero),
-        Kind::Sync { known, digest } => (KIND_SYNC, (known, digest, Version::default(), 0)),
+        Kind::Sync {
+            salt,
+            known,
+            digest,
+        } => {
+            let salt = Version::new(Incarnation::new(0), salt);
+            (KIND_SYNC, (known, digest, salt, 0))
+        }
     };
     let claims = u16::try_from(message.claims.len()).expect("claims are bounded by the sender");
     Head {
@@ -231,6 +238,7 @@
         },
         KIND_GOSSIP => Kind::Gossip,
         KIND_SYNC => Kind::Sync {
+            salt: version.epoch,
             known: nonce,
             digest: head.target.get(),
         },
--- a/crates/membership/src/members/receive.rs
+++ b/crates/membership/src/members/receive.rs
@@ -80,9 +80,13 @@
                 }
             }
             Kind::Gossip => self.learn(now, from, sender, message.claims, out),
-            Kind::Sync { known, digest } => {
+            Kind::Sync {
+                salt,
+                known,
+                digest,
+            } => {
                 self.learn(now, from, sender, message.claims.clone(), out);
-                self.answer_sync(now, from, (known, digest), &message.claims, out);
+                self.answer_sync(now, from, salt, (known, digest), &message.claims, out);
             }
         }
     }
@@ -340,17 +344,18 @@
         &mut self,
         now: Millis,
         to: SocketAddr,
+        salt: u16,
         (known, digest): (u32, u64),
         theirs: &[Claim],
         out: &mut Vec<Output>,
     ) {
         let mut claims = vec![self.own_claim()];
-        let mine = super::digest(&self.table);
+        let mine = super::digest(&self.table, salt);
         claims.extend(self.corrections(now, theirs));
         claims.extend(
             self.exceptional_claims(now, ANSWER_BYTES, |part| super::differs(mine, digest, part)),
         );
-        claims.extend(self.introductions(now, known));
+        claims.extend(self.introductions(now, salt, known));
         self.send_claims(now, to, claims, out);
     }
 
@@ -366,18 +371,18 @@
     }
 
     /// Introduces the balancers of parts that differ, up to a length.
-    fn introductions(&mut self, now: Millis, known: u32) -> Vec<Claim> {
-        let mine = super::balancer_digest(&self.table, self.me);
+    fn introductions(&mut self, now: Millis, salt: u16, known: u32) -> Vec<Claim> {
+        let mine = super::balancer_digest(&self.table, self.me, salt);
         let is_asked = |id| super::differs(mine.into(), known.into(), super::balancer_part(id));
         let alive = self
             .table
             .iter()
             .filter(|it| it.condition == Condition::Alive);
         let asked = alive.filter(|it| it.id.is_balancer() && is_asked(it.id));
-        let salt: u64 = self.rng.random();
-        let order = |id: MemberId| mix(salt ^ u64::from(super::balancer_part(id)));
+        let shuffle: u64 = self.rng.random();
+        let order = |id: MemberId| mix(shuffle ^ u64::from(super::balancer_part(id)));
         let mut asked: Vec<_> = asked.map(|it| (order(it.id), it.id)).collect();
-        asked.sort_by_key(|it| (it.0, mix(salt ^ it.1.to_raw())));
+        asked.sort_by_key(|it| (it.0, mix(shuffle ^ it.1.to_raw())));
         let claims = asked.iter().filter_map(|it| self.table.find(it.1));
         let mut bytes = 0;
         claims
--- a/crates/membership/src/members/tick.rs
+++ b/crates/membership/src/members/tick.rs
@@ -361,11 +361,17 @@
         let Some(to) = self.sync_partner(now) else {
             return;
         };
-        let known = balancer_digest(&self.table, self.me);
+        let salt = self.rng.random();
+        let known = balancer_digest(&self.table, self.me, salt);
         let mut claims = vec![self.own_claim()];
         claims.extend(self.exceptional_claims(now, QUESTION_BYTES, |_part| true));
-        let digest = super::digest(&self.table);
-        let message = self.message(Kind::Sync { known, digest }, claims);
+        let digest = super::digest(&self.table, salt);
+        let kind = Kind::Sync {
+            salt,
+            known,
+            digest,
+        };
+        let message = self.message(kind, claims);
         out.push(send(to, message));
     }
 
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -62,6 +62,8 @@
     Gossip,
     /// Passes claims on and asks for what the receiver knows better.
     Sync {
+        /// Random; mixed into the digests, so that what cancels out once does not do so again.
+        salt: u16,
         /// Digests of the balancers alive that the sender knows, itself included, one byte for
         /// each of four parts of the fleet.
         known: u32,
--- a/crates/membership/tests/datagrams.rs
+++ b/crates/membership/tests/datagrams.rs
@@ -96,6 +96,7 @@
         Scope::Fleet,
         bare(
             Kind::Sync {
+                salt: 9,
                 known: 5,
                 digest: u64::MAX,
             },
@@ -127,6 +128,7 @@
     check(&gossip());
     check(&bare(
         Kind::Sync {
+            salt: 0,
             known: 0,
             digest: 0,
         },
