--- a/crates/agent/src/agent/accept.rs
+++ b/crates/agent/src/agent/accept.rs
@@ -5,10 +5,7 @@
 use tokio::{sync::watch, task::JoinSet};
 
 use super::{Parts, Phase};
-use crate::{
-    connection,
-    endpoint::{HANDSHAKES_MAX, HANDSHAKES_RETRY_FROM},
-};
+use crate::{connection, endpoint::HANDSHAKES_MAX};
 
 /// Longest time for a handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -43,7 +40,7 @@
         incoming.refuse();
         return;
     }
-    if under_way >= HANDSHAKES_RETRY_FROM && incoming.may_retry() {
+    if under_way >= parts.config.handshakes_retry_from && incoming.may_retry() {
         parts.counters.handshakes_retried.add_one();
         // It may retry, so this can't fail.
         let _ = incoming.retry();
--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -8,6 +8,9 @@
 
 use crate::endpoint::TlsIdentity;
 
+/// Handshakes under way from which on callers must prove their address, unless set otherwise.
+const HANDSHAKES_RETRY_FROM: usize = 256;
+
 /// What an agent is started with.
 #[derive(Debug, Clone)]
 pub struct Config {
@@ -29,6 +32,8 @@
     pub balancers: Vec<SocketAddr>,
     /// How it proves itself to other agents; without it none is called.
     pub peer_tls: Option<PeerTls>,
+    /// Handshakes under way from which on callers must prove their address first (QUIC Retry).
+    pub handshakes_retry_from: usize,
 }
 
 impl Config {
@@ -53,9 +58,17 @@
             tls,
             balancers: Vec::new(),
             peer_tls: None,
+            handshakes_retry_from: HANDSHAKES_RETRY_FROM,
         }
     }
 
+    /// Sets the handshakes under way from which on callers must prove their address first.
+    #[must_use]
+    pub const fn with_handshakes_retry_from(mut self, handshakes: usize) -> Self {
+        self.handshakes_retry_from = handshakes;
+        self
+    }
+
     /// Sets how it proves itself to other agents.
     #[must_use]
     pub fn with_peer_tls(mut self, peer_tls: PeerTls) -> Self {
--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -44,9 +44,6 @@
 /// keeps its binding.
 const KEEP_ALIVE: Duration = Duration::from_secs(10);
 
-/// Handshakes under way from which on callers must prove their address.
-pub(crate) const HANDSHAKES_RETRY_FROM: usize = 256;
-
 /// Handshakes under way from which on new ones are refused.
 pub(crate) const HANDSHAKES_MAX: usize = 4096;
 
