control: a summed-up change names the members known

Cause: the event that sums up many changes gave the number of changes as the number of members known. Change: the reporter is told how many members are known. Conclusion: the event says what its fields promise.

--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -387,7 +387,8 @@
     fn tick(&mut self, now: Millis) {
         self.read_traffic(now);
         self.core.tick(now, &mut self.outputs);
-        self.reporter.count(now, &self.core.counters());
+        let known = self.core.iter().count();
+        self.reporter.count(now, &self.core.counters(), known);
         if self.is_view_stale {
             self.publish();
         }
--- a/crates/control/src/members/report.rs
+++ b/crates/control/src/members/report.rs
@@ -25,6 +25,8 @@
     /// What was added to `counters` so far.
     counted: Counted,
     counted_ms: Millis,
+    /// Members known.
+    known: u32,
     interval_start_ms: Millis,
     /// Events about single members within the interval, those not recorded included.
     events: u32,
@@ -41,6 +43,7 @@
             counters,
             counted: Counted::default(),
             counted_ms: Millis::new(0),
+            known: 0,
             interval_start_ms: Millis::new(0),
             events: 0,
             silent: 0,
@@ -48,8 +51,9 @@
         }
     }
 
-    /// Adds what happened since the last time, once an interval.
-    pub(super) fn count(&mut self, now: Millis, counted: &Counted) {
+    /// Adds what happened since the last time, once an interval; notes how many members are known.
+    pub(super) fn count(&mut self, now: Millis, counted: &Counted, known: usize) {
+        self.known = u32::try_from(known).unwrap_or(u32::MAX);
         if now.since(self.counted_ms) < INTERVAL_MS {
             return;
         }
@@ -112,7 +116,7 @@
             log::warn!("{} members changed within a second", self.events);
             self.recorder.record(Event::PeersSilent {
                 silent: self.silent,
-                known: self.events,
+                known: self.known,
             });
         }
         self.interval_start_ms = now;
