--- a/crates/membership/src/members/receive.rs
+++ b/crates/membership/src/members/receive.rs
@@ -2,16 +2,13 @@
 
 use std::net::SocketAddr;
 
-use rand::Rng as _;
 use units::Millis;
 
 use super::{Members, Output, Relay, changed, claim_about};
 use crate::{
     Claim, Condition, Kind, Member, MemberId, Message, Scope, Version,
     member::Reported,
-    message::{CLAIMS_MAX_BYTES, split_claims},
     table::{Applied, apply},
-    watch::mix,
 };
 
 /// Time for which a probe on behalf of another balancer is remembered.
@@ -20,12 +17,6 @@
 /// Probes on behalf of others remembered at most.
 const RELAYS_MAX: usize = 256;
 
-/// Bytes of introductions in an answer to a balancer that knows others.
-const INTRODUCTIONS_BYTES: usize = 12 * CLAIMS_MAX_BYTES;
-
-/// Bytes of claims in an answer to a balancer that holds something else.
-const ANSWER_BYTES: usize = 2 * CLAIMS_MAX_BYTES;
-
 impl Members {
     /// Takes a message that passed its key check.
     pub fn handle(
@@ -338,82 +329,10 @@
         };
         self.send_claims(now, to, vec![claim], out);
     }
-
-    /// Answers a balancer's exchange with what it may not know.
-    fn answer_sync(
-        &mut self,
-        now: Millis,
-        to: SocketAddr,
-        salt: u16,
-        (known, digest): (u32, u64),
-        theirs: &[Claim],
-        out: &mut Vec<Output>,
-    ) {
-        let mut claims = vec![self.own_claim()];
-        let mine = super::digest(&self.table, salt);
-        claims.extend(self.corrections(now, theirs));
-        claims.extend(
-            self.exceptional_claims(now, ANSWER_BYTES, |part| super::differs(mine, digest, part)),
-        );
-        claims.extend(self.introductions(now, salt, known));
-        self.send_claims(now, to, claims, out);
-    }
-
-    /// Returns what is held of members that another balancer holds something older of.
-    fn corrections(&self, now: Millis, theirs: &[Claim]) -> Vec<Claim> {
-        let mine = theirs
-            .iter()
-            .filter_map(|it| self.table.find(it.id).zip(Some(it)));
-        let newer = mine.filter(|(mine, theirs)| rank(mine) > theirs.rank());
-        newer
-            .map(|(mine, _theirs)| claim_about(mine, now))
-            .collect()
-    }
-
-    /// Introduces the balancers of parts that differ, up to a length.
-    fn introductions(&mut self, now: Millis, salt: u16, known: u32) -> Vec<Claim> {
-        let mine = super::balancer_digest(&self.table, self.me, salt);
-        let is_asked = |id| super::differs(mine.into(), known.into(), super::balancer_part(id));
-        let alive = self
-            .table
-            .iter()
-            .filter(|it| it.condition == Condition::Alive);
-        let asked = alive.filter(|it| it.id.is_balancer() && is_asked(it.id));
-        let shuffle: u64 = self.rng.random();
-        let order = |id: MemberId| mix(shuffle ^ u64::from(super::balancer_part(id)));
-        let mut asked: Vec<_> = asked.map(|it| (order(it.id), it.id)).collect();
-        asked.sort_by_key(|it| (it.0, mix(shuffle ^ it.1.to_raw())));
-        let claims = asked.iter().filter_map(|it| self.table.find(it.1));
-        let mut bytes = 0;
-        claims
-            .map(|it| claim_about(it, now))
-            .take_while(|it| {
-                bytes += it.wire_bytes();
-                bytes <= INTRODUCTIONS_BYTES
-            })
-            .collect()
-    }
-
-    /// Sends claims in as many datagrams as the budget allows.
-    fn send_claims(
-        &mut self,
-        now: Millis,
-        to: SocketAddr,
-        claims: Vec<Claim>,
-        out: &mut Vec<Output>,
-    ) {
-        for part in split_claims(claims) {
-            let message = self.message(Kind::Gossip, part);
-            if !self.gossip_budget.take(now, message.wire_bytes() as u64) {
-                self.counters.gossip_deferred += 1;
-                return;
-            }
-            out.push(send(to, message));
-        }
-    }
 }
 
-fn rank(member: &Member) -> (Version, bool) {
+/// Returns the order in which what is held of a member replaces claims.
+pub(super) fn rank(member: &Member) -> (Version, bool) {
     (member.version, member.condition != Condition::Alive)
 }
 
--- a/crates/membership/src/members/tick.rs
+++ b/crates/membership/src/members/tick.rs
@@ -1,20 +1,14 @@
 //! What a balancer does as time passes.
 
-use std::net::SocketAddr;
-
 use rand::Rng as _;
 use units::Millis;
 
-use super::{
-    ISOLATED_AFTER_MS, Members, NEVER, Output, WATCH_INTERVAL_MS, balancer_digest, changed,
-    claim_about, is_exceptional, part, receive::send,
-};
+use super::{ISOLATED_AFTER_MS, Members, NEVER, Output, WATCH_INTERVAL_MS, changed, receive::send};
 use crate::{
     Claim, Condition, Kind, MemberId,
     member::{Check, Reported},
     message::CLAIMS_MAX_BYTES,
     table::{Applied, apply},
-    watch::mix,
 };
 
 /// Time between two ticks that the caller aims at.
@@ -29,24 +23,9 @@
 /// Repetitions of a check after which other balancers are asked to probe.
 const HELP_AT: [u32; 2] = [1, 3];
 
-/// Bytes of claims about others in a question to a random balancer.
-const QUESTION_BYTES: usize = 260;
-
 /// Time after which a probe that the budget did not allow is tried again, before jitter.
 const DEFER_MS: u64 = 100;
 
-/// Time after the start in which a balancer may know an island of the fleet alone.
-const JOINING_MS: Millis = Millis::new(10_000);
-
-/// How many times as often a balancer exchanges claims while joining.
-const JOINING_SPEED: u64 = 4;
-
-/// Exchanges of which one goes to a seed, while joining.
-const JOINING_SYNCS_PER_SEED: u32 = 2;
-
-/// Exchanges of which one goes to a seed, later; seeds are few and get them from all.
-const SYNCS_PER_SEED: u32 = 32;
-
 impl Members {
     /// Does what is due; call about every 50 ms.
     pub fn tick(&mut self, now: Millis, out: &mut Vec<Output>) {
@@ -349,81 +328,4 @@
             out.push(send(to, message));
         }
     }
-
-    /// Exchanges claims with one random balancer, or now and then with a seed.
-    fn sync(&mut self, now: Millis, out: &mut Vec<Output>) {
-        if now < self.sync_due_ms {
-            return;
-        }
-        let interval_ms = self.sync_interval_ms(now);
-        let wait_ms = interval_ms + self.rng.random_range(0..=interval_ms / 5);
-        self.sync_due_ms = now.plus(Millis::new(wait_ms));
-        let Some(to) = self.sync_partner(now) else {
-            return;
-        };
-        let salt = self.rng.random();
-        let known = balancer_digest(&self.table, self.me, salt);
-        let mut claims = vec![self.own_claim()];
-        claims.extend(self.exceptional_claims(now, QUESTION_BYTES, |_part| true));
-        let digest = super::digest(&self.table, salt);
-        let kind = Kind::Sync {
-            salt,
-            known,
-            digest,
-        };
-        let message = self.message(kind, claims);
-        out.push(send(to, message));
-    }
-
-    fn sync_interval_ms(&self, now: Millis) -> u64 {
-        let interval_ms = self.config.sync_interval_ms.get();
-        if now < JOINING_MS {
-            return interval_ms / JOINING_SPEED;
-        }
-        interval_ms
-    }
-
-    /// Picks a balancer known, or a seed while none is known and now and then.
-    ///
-    /// Balancers that start together may know only each other; the seeds join such islands.
-    fn sync_partner(&mut self, now: Millis) -> Option<SocketAddr> {
-        let syncs_per_seed = if now < JOINING_MS {
-            JOINING_SYNCS_PER_SEED
-        } else {
-            SYNCS_PER_SEED
-        };
-        let seed_idx = self.rng.random_range(0..self.seeds.len().max(1));
-        let seed = self.seeds.get(seed_idx).copied();
-        let known = self.random_balancers(1, None).pop();
-        if self.rng.random_ratio(1, syncs_per_seed) {
-            return seed.or(known);
-        }
-        known.or(seed)
-    }
-
-    /// Returns claims about exceptional members of the parts asked for, up to a length.
-    ///
-    /// Takes the parts in random order and each part's members in random order.
-    pub(super) fn exceptional_claims(
-        &mut self,
-        now: Millis,
-        bytes_max: usize,
-        is_asked: impl Fn(u32) -> bool,
-    ) -> Vec<Claim> {
-        let told = self.table.iter().filter(|it| is_exceptional(it));
-        let told = told.filter(|it| is_asked(part(it.id)));
-        let salt: u64 = self.rng.random();
-        let order = |id: MemberId| mix(salt ^ u64::from(part(id)));
-        let mut told: Vec<_> = told.map(|it| (order(it.id), it.id)).collect();
-        told.sort_by_key(|it| (it.0, mix(salt ^ it.1.to_raw())));
-        let claims = told.iter().filter_map(|it| self.table.find(it.1));
-        let mut bytes = 0;
-        claims
-            .map(|it| claim_about(it, now))
-            .take_while(|it| {
-                bytes += it.wire_bytes();
-                bytes <= bytes_max
-            })
-            .collect()
-    }
 }
