--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -1,10 +1,11 @@
 //! The members controller: drives `membership` with real time and datagrams.
 
+mod handle;
 mod report;
 mod view;
+mod watched;
 
 use std::{
-    fmt,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -12,7 +13,7 @@
 
 use arc_swap::ArcSwap;
 use flow::{
-    table::{EndpointCell, Liveness, Traffic},
+    table::{EndpointCell, Liveness},
     tunnel::Load,
 };
 use membership::{AgentSpec, Condition, Introduction, MemberId, Members, Output, decode, encode};
@@ -21,8 +22,14 @@
 use tokio::sync::watch;
 use units::{EndpointId, Incarnation, Millis};
 
-use self::report::Reporter;
-pub use self::view::{BalancerState, EndpointState, MembersView};
+pub use self::{
+    handle::MembersHandle,
+    view::{BalancerState, EndpointState, MembersView},
+};
+use self::{
+    report::Reporter,
+    watched::{Evidence, Watched},
+};
 use crate::{
     Counters,
     peer_link::{PeerLink, PeerPacket, PeerSend, Waiting, pump, scope_of, service_of},
@@ -31,9 +38,6 @@
 /// Time between two ticks of the protocol.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Time for which datagrams to an agent may go unanswered before it is checked.
-const UNANSWERED_MS: Millis = Millis::new(500);
-
 /// What the members controller needs to know at start.
 #[derive(Debug, Clone)]
 pub struct MembersConfig {
@@ -131,70 +135,6 @@
     Ok(MembersHandle { actor, shared })
 }
 
-/// What other parts of the process see of the members controller; clones are the same.
-#[derive(Clone)]
-pub struct MembersHandle {
-    actor: ActorRef<MembersMsg>,
-    shared: Arc<Shared>,
-}
-
-impl MembersHandle {
-    /// Returns the latest view.
-    #[must_use]
-    pub fn view(&self) -> Arc<MembersView> {
-        self.shared.view.load_full()
-    }
-
-    /// Returns a receiver that changes with every change of the view.
-    #[must_use]
-    pub fn changes(&self) -> watch::Receiver<u64> {
-        self.shared.generation.subscribe()
-    }
-
-    /// Returns the control addresses of the other balancers that are not dead.
-    #[must_use]
-    pub fn control_addresses(&self) -> watch::Receiver<Vec<SocketAddr>> {
-        self.shared.control_addresses.subscribe()
-    }
-
-    /// Waits until the controller has ended: a bug; the process should end too.
-    pub async fn ended(&self) {
-        let mut is_ended = self.shared.is_ended.subscribe();
-        drop(is_ended.wait_for(|it| *it).await);
-    }
-
-    /// Replaces the agents to watch.
-    pub fn set_agents(&self, agents: Vec<AgentLink>) {
-        self.cast(MembersMsg::SetAgents(agents));
-    }
-
-    /// Has an endpoint checked at once, since a list or a health answer says that it is gone.
-    pub fn hint_gone(&self, endpoint: EndpointId) {
-        self.cast(MembersMsg::HintGone(endpoint));
-    }
-
-    /// Tells the fleet that this balancer takes no new work from now on.
-    pub fn leave(&self) {
-        self.cast(MembersMsg::Leave);
-    }
-
-    /// Stops the controller.
-    pub fn stop(&self) {
-        self.actor.stop(None);
-    }
-
-    fn cast(&self, message: MembersMsg) {
-        // The controller ends only with the process.
-        drop(self.actor.cast(message));
-    }
-}
-
-impl fmt::Debug for MembersHandle {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("MembersHandle").finish_non_exhaustive()
-    }
-}
-
 /// What the controller writes and others read.
 #[derive(Debug)]
 struct Shared {
@@ -262,53 +202,6 @@
     is_view_stale: bool,
 }
 
-/// An agent with the traffic last seen of it.
-struct Watched {
-    link: AgentLink,
-    traffic: Traffic,
-    /// Since when datagrams sent to it have had no answer.
-    unanswered_since: Option<Millis>,
-}
-
-impl Watched {
-    fn new(link: AgentLink) -> Self {
-        Self {
-            traffic: link.cell.traffic(),
-            link,
-            unanswered_since: None,
-        }
-    }
-
-    /// Looks at the traffic since the last time.
-    fn look(&mut self, now: Millis) -> Evidence {
-        let traffic = self.link.cell.traffic();
-        let before = std::mem::replace(&mut self.traffic, traffic);
-        if traffic.answered != before.answered {
-            self.unanswered_since = None;
-            return Evidence::Answered;
-        }
-        if traffic.sent == before.sent {
-            return Evidence::Nothing;
-        }
-        let since = *self.unanswered_since.get_or_insert(now);
-        if now.since(since) < UNANSWERED_MS {
-            return Evidence::Nothing;
-        }
-        self.unanswered_since = None;
-        Evidence::Unanswered
-    }
-}
-
-/// What the traffic with an agent says of its life.
-enum Evidence {
-    /// Something came back.
-    Answered,
-    /// Nothing came back for a while, though something was sent all the time.
-    Unanswered,
-    /// Neither.
-    Nothing,
-}
-
 impl<S: PeerSend> Actor for Controller<S> {
     type Msg = MembersMsg;
     type State = State<S>;
