Bench capacity: balancers by services, an agent by open flows

Cause: the capacity page needs slopes of memory and processor time from real processes. Change: two balancers hold 10, 100 and 820 services of 7 endpoints each, one agent holds 100, 500 and 1,500 flows open; the publisher makes as many services as asked; reading a process's use moved out of the control bench.

--- a/crates/bench/src/balancers.rs
+++ b/crates/bench/src/balancers.rs
@@ -99,6 +99,11 @@
         format!("lovagehall/{}", self.name(idx))
     }
 
+    /// Returns the process ids.
+    pub(crate) fn process_ids(&self) -> Vec<u32> {
+        self.processes.iter().map(Process::id).collect()
+    }
+
     /// Kills balancers at once, starts them again and waits until they serve.
     pub(crate) async fn replace(&mut self, idxs: &[usize]) -> Result<()> {
         for &idx in idxs {
--- a/crates/bench/src/benches.rs
+++ b/crates/bench/src/benches.rs
@@ -1,6 +1,7 @@
 //! Every bench by name; one module a bench.
 
 mod bundles;
+mod capacity;
 mod control;
 mod crest;
 mod datagrams;
@@ -31,6 +32,7 @@
 /// Every bench, sorted by name.
 const BENCHES: &[Entry] = &[
     bundles::BENCH,
+    capacity::BENCH,
     control::BENCH,
     crest::BENCH,
     datagrams::BENCH,
--- a/crates/bench/src/benches/bundles.rs
+++ b/crates/bench/src/benches/bundles.rs
@@ -29,7 +29,7 @@
 const CHANGES: usize = 100;
 
 /// Services whose bundles change in turn.
-const SERVICES: u8 = 4;
+const SERVICES: u16 = 4;
 
 /// Balancers that still read the service well when all others don't.
 const GOOD_READERS: usize = 2;
--- /dev/null
+++ b/crates/bench/src/benches/capacity.rs
@@ -0,0 +1,183 @@
+//! Memory and processor time of real processes by what they hold: slopes for the capacity page.
+
+use std::{net::SocketAddr, time::Duration};
+
+use stand_ins::platform::Platform;
+use tokio::time::sleep;
+
+use super::{Entry, publisher::Publisher};
+use crate::{
+    balancers::{BalancerFleet, BalancerPlan, Spread},
+    error::{BenchError, Result},
+    figure::{Figure, Options, block_on, floats},
+    fleet::{Fleet, FleetPlan},
+    load::OpenLoop,
+    usage,
+};
+
+/// This bench in the list.
+pub(super) const BENCH: Entry = Entry {
+    name: "capacity",
+    about: "memory and processor of balancers by services, of an agent by open flows",
+    run,
+};
+
+/// Numbers of services that balancers hold; the last is the size to design for.
+const SERVICES: [u16; 3] = [10, 100, 820];
+
+/// Numbers of flows that one agent holds open.
+const FLOWS: [usize; 3] = [100, 500, 1_500];
+
+/// Flows of one agent at the size to design for.
+const FLOWS_PLANNED: f64 = 900.0;
+
+/// Memory that control may take in a process.
+const MEMORY_TARGET_MB: f64 = 256.0;
+
+/// Processor time that control may take, in percent of a core.
+const PROCESSOR_TARGET_PERCENT: f64 = 1.1;
+
+/// Balancers of each fleet.
+const BALANCERS: usize = 2;
+
+/// Longest time until every bundle is in force.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Time for first probes and ramps to pass.
+const SETTLE: Duration = Duration::from_secs(8);
+
+/// Bytes in a megabyte.
+const MB: f64 = 1_000_000.0;
+
+fn run(options: &Options) -> Result<Vec<Figure>> {
+    block_on(measure(options))
+}
+
+async fn measure(options: &Options) -> Result<Vec<Figure>> {
+    let mut figures = Vec::new();
+    let window = Duration::from_secs(options.seconds.div_ceil(6));
+    for (idx, services) in SERVICES.into_iter().enumerate() {
+        let group = 200 + u8::try_from(idx).unwrap_or_default();
+        let usage = balancer_usage(services, group, window).await?;
+        let name = |what: &str| format!("balancer with {services} services: {what}");
+        figures.push(figure(
+            options,
+            name("memory"),
+            "MB",
+            usage.memory_mb,
+            MEMORY_TARGET_MB,
+        ));
+        let percent = usage.processor_percent;
+        figures.push(figure(
+            options,
+            name("processor"),
+            "% core",
+            percent,
+            PROCESSOR_TARGET_PERCENT,
+        ));
+    }
+    figures.extend(agent_usage(options).await?);
+    Ok(figures)
+}
+
+/// What a process used.
+#[derive(Debug, Clone, Copy)]
+struct Usage {
+    memory_mb: f64,
+    processor_percent: f64,
+}
+
+/// Measures the busier of two balancers that hold this many services, without traffic.
+async fn balancer_usage(services: u16, group: u8, window: Duration) -> Result<Usage> {
+    let address = SocketAddr::from(([127, 239, group, 1], 8_080));
+    let platform = Platform::start(address)
+        .await
+        .map_err(|err| BenchError::setup("starting the platform", &err))?;
+    let mut publisher = Publisher::new(services);
+    let mut versions = Vec::new();
+    for turn in 0..usize::from(services) {
+        let it = publisher.publish(turn, &platform)?;
+        versions.push((it.service, it.version));
+    }
+    let plan = BalancerPlan {
+        count: BALANCERS,
+        group,
+        platform: platform.address(),
+        operator: publisher.operator().public(),
+        spread: Spread::Peers,
+    };
+    let fleet = BalancerFleet::start(plan).await?;
+    fleet.wait_holding(&versions, PATIENCE).await;
+    sleep(SETTLE).await;
+    let ids = fleet.process_ids();
+    let before: Vec<f64> = ids.iter().map(|&it| usage::processor_seconds(it)).collect();
+    sleep(window).await;
+    let used = ids
+        .iter()
+        .zip(&before)
+        .map(|(&it, before)| usage::processor_seconds(it) - before);
+    let seconds = used.fold(0.0, f64::max);
+    let memory = ids
+        .iter()
+        .map(|&it| usage::resident_bytes(it))
+        .fold(0.0, f64::max);
+    Ok(Usage {
+        memory_mb: memory / MB,
+        processor_percent: seconds / window.as_secs_f64() * 100.0,
+    })
+}
+
+/// Measures one agent's memory by flows held open, and works out the slope.
+async fn agent_usage(options: &Options) -> Result<Vec<Figure>> {
+    let fleet = Fleet::start(FleetPlan::ledger(BALANCERS).with_endpoints(1), options.seed).await?;
+    let agent = fleet.agents[0].id();
+    let mut open = Vec::new();
+    let mut held = 0;
+    let mut points = vec![(0.0, usage::resident_bytes(agent) / MB)];
+    for flows in FLOWS {
+        open.push(OpenLoop::connect(&fleet, 0, flows - held, options.seed).await?);
+        held = flows;
+        sleep(Duration::from_secs(1)).await;
+        points.push((floats(flows), usage::resident_bytes(agent) / MB));
+    }
+    let mut figures = Vec::new();
+    for (flows, memory_mb) in &points {
+        let metric = format!("agent with {flows} open flows: memory");
+        figures.push(figure(options, metric, "MB", *memory_mb, MEMORY_TARGET_MB));
+    }
+    let slope_mb = slope(&points);
+    let planned_mb = points[0].1 + slope_mb * FLOWS_PLANNED;
+    figures.push(Figure {
+        target: None,
+        met: None,
+        ..figure(
+            options,
+            "agent: memory a flow".to_owned(),
+            "KB",
+            slope_mb * 1_000.0,
+            0.0,
+        )
+    });
+    let metric = format!("agent worked out to {FLOWS_PLANNED} open flows: memory");
+    figures.push(figure(options, metric, "MB", planned_mb, MEMORY_TARGET_MB));
+    Ok(figures)
+}
+
+fn figure(options: &Options, metric: String, unit: &'static str, ours: f64, target: f64) -> Figure {
+    Figure {
+        bench: "capacity",
+        metric,
+        unit,
+        ours,
+        baseline: None,
+        target: Some(target),
+        met: Some(ours <= target),
+        seed: options.seed,
+    }
+}
+
+/// Slope of the line through the first and last point.
+fn slope(points: &[(f64, f64)]) -> f64 {
+    let (first, last) = (points[0], points[points.len() - 1]);
+    (last.1 - first.1) / (last.0 - first.0)
+}
--- a/crates/bench/src/benches/control.rs
+++ b/crates/bench/src/benches/control.rs
@@ -7,7 +7,6 @@
 
 mod datagrams;
 mod simulated;
-mod usage;
 
 use super::Entry;
 use crate::{
--- a/crates/bench/src/benches/control/datagrams.rs
+++ b/crates/bench/src/benches/control/datagrams.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use super::usage;
+use crate::usage;
 use crate::{
     error::{BenchError, Result},
     figure::{Options, float, floats},
@@ -63,10 +63,14 @@
 async fn run(balancers: usize, length: Duration, seed: u64) -> Result<Share> {
     let fleet = Loopback::start(balancers, balancers * AGENTS_PER_BALANCER, seed).await?;
     tokio::time::sleep(WARM_UP).await;
-    let (bytes, processor, start) = (total(&fleet), usage::processor_seconds(), Instant::now());
+    let (bytes, processor, start) = (
+        total(&fleet),
+        usage::processor_seconds(std::process::id()),
+        Instant::now(),
+    );
     tokio::time::sleep(length).await;
     let seconds = start.elapsed().as_secs_f64();
-    let processor = usage::processor_seconds() - processor;
+    let processor = usage::processor_seconds(std::process::id()) - processor;
     let bytes = float(total(&fleet) - bytes);
     let each = seconds * floats(balancers);
     Ok(Share {
--- a/crates/bench/src/benches/control/simulated.rs
+++ b/crates/bench/src/benches/control/simulated.rs
@@ -8,8 +8,8 @@
 };
 use units::{EndpointId, Incarnation, Millis, ServiceId};
 
-use super::usage;
 use crate::figure::{float, floats};
+use crate::usage;
 
 /// Time that a datagram takes, and the step of the clock.
 const STEP_MS: u64 = 10;
@@ -61,7 +61,7 @@
 
 /// Runs a fleet through start, quiet and the failure of a zone.
 pub(super) fn measure(balancers: usize, agents: usize, seed: u64) -> Cost {
-    let resident = usage::resident_bytes();
+    let resident = usage::resident_bytes(std::process::id());
     let mut fleet = Fleet::new(balancers, agents, seed);
     let mut cost = Cost {
         members: floats(balancers + agents),
@@ -80,7 +80,8 @@
     fleet.run(DARK_MS);
     let quiet = fleet.measure(IDLE_MS);
     (cost.idle_bytes, cost.idle_processor_percent) = (quiet.mean_bytes, quiet.processor_percent);
-    cost.resident_bytes = (usage::resident_bytes() - resident) / floats(balancers);
+    cost.resident_bytes =
+        (usage::resident_bytes(std::process::id()) - resident) / floats(balancers);
     fleet.darken();
     let dark = fleet.measure(DARK_MS);
     (cost.dark_bytes, cost.dark_processor_percent) = (dark.mean_bytes, dark.processor_percent);
@@ -179,7 +180,7 @@
 
     fn measure(&mut self, for_ms: u64) -> Stretch {
         let live = floats(self.nodes.iter().filter(|it| !it.is_dark).count());
-        let (bytes, processor) = (self.bytes, usage::processor_seconds());
+        let (bytes, processor) = (self.bytes, usage::processor_seconds(std::process::id()));
         let mut peak = 0;
         for _ in 0..for_ms / SECOND_MS {
             let before = self.bytes;
@@ -187,7 +188,7 @@
             peak = peak.max(self.bytes - before);
         }
         let seconds = float(for_ms / SECOND_MS);
-        let processor = usage::processor_seconds() - processor;
+        let processor = usage::processor_seconds(std::process::id()) - processor;
         Stretch {
             mean_bytes: float(self.bytes - bytes) / seconds / live,
             peak_bytes: float(peak) / live,
--- a/crates/bench/src/benches/platform_calls.rs
+++ b/crates/bench/src/benches/platform_calls.rs
@@ -32,7 +32,7 @@
 const CHANGES: u32 = 4;
 
 /// Services whose bundles change in turn.
-const SERVICES: u8 = 2;
+const SERVICES: u16 = 2;
 
 /// A fleet and the service it reads.
 struct Measured {
--- a/crates/bench/src/benches/publisher.rs
+++ b/crates/bench/src/benches/publisher.rs
@@ -14,6 +14,12 @@
 /// Endpoints of each service, as many as the users' larger services have.
 const ENDPOINTS: u8 = 7;
 
+/// Second byte of the first endpoints' addresses.
+const FIRST_BLOCK: u8 = 240;
+
+/// Services whose endpoints share a second byte.
+const SERVICES_PER_BLOCK: u16 = 200;
+
 /// Publishes chained versions of a few services.
 #[derive(Debug)]
 pub(super) struct Publisher {
@@ -30,7 +36,7 @@
 }
 
 impl Publisher {
-    pub(super) fn new(services: u8) -> Self {
+    pub(super) fn new(services: u16) -> Self {
         Self {
             operator: SecretKey::new([7; 32]),
             current: (1..=services).map(|it| (first(it), None)).collect(),
@@ -62,13 +68,13 @@
     }
 }
 
-fn first(service: u8) -> Bundle {
+fn first(service: u16) -> Bundle {
     Bundle {
         service: ServiceId::new(u32::from(service)),
         name: format!("service-{service}"),
         version: BundleVersion::new(1),
         previous: None,
-        addresses: vec![address(service, 0, 4_430 + u16::from(service))],
+        addresses: vec![address(service, 0, 4_430 + service)],
         endpoints: (1..=ENDPOINTS).map(|it| endpoint(service, it)).collect(),
         routes: vec![RouteRule {
             method: None,
@@ -90,7 +96,7 @@
 }
 
 /// An endpoint with no process behind it; these benches have no agents.
-fn endpoint(service: u8, idx: u8) -> Endpoint {
+fn endpoint(service: u16, idx: u8) -> Endpoint {
     Endpoint {
         id: EndpointId::new(u32::from(service) * 100 + u32::from(idx)),
         zone: "a".parse().unwrap_or_default(),
@@ -103,6 +109,8 @@
     }
 }
 
-fn address(service: u8, idx: u8, port: u16) -> SocketAddr {
-    SocketAddr::from(([127, 250, service, idx], port))
+fn address(service: u16, idx: u8, port: u16) -> SocketAddr {
+    let (block, place) = (service / SERVICES_PER_BLOCK, service % SERVICES_PER_BLOCK);
+    let narrow = |it: u16| u8::try_from(it).unwrap_or(u8::MAX);
+    SocketAddr::from(([127, FIRST_BLOCK + narrow(block), narrow(place), idx], port))
 }
--- a/crates/bench/src/fleet/plan.rs
+++ b/crates/bench/src/fleet/plan.rs
@@ -86,6 +86,14 @@
         }
     }
 
+    /// Sets the number of endpoints of every service.
+    pub(crate) fn with_endpoints(mut self, endpoints: usize) -> Self {
+        for service in &mut self.services {
+            service.endpoints = endpoints;
+        }
+        self
+    }
+
     /// Sets what lies between balancers and agents.
     pub(crate) fn with_tunnels(mut self, tunnels: TunnelPath) -> Self {
         self.tunnels = tunnels;
--- a/crates/bench/src/fleet/process.rs
+++ b/crates/bench/src/fleet/process.rs
@@ -46,6 +46,11 @@
         Ok(())
     }
 
+    /// Returns the process id.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Asks for a graceful stop.
     pub(crate) fn stop(&self) {
         self.signal(Signal::TERM);
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod load;
 mod loopback;
+mod usage;
 
 use std::process::ExitCode;
 
--- a/crates/bench/src/benches/control/usage.rs
+++ b/crates/bench/src/usage.rs
@@ -1,19 +1,19 @@
-//! Processor time and memory of this process.
+//! Processor time and memory of a process.
 
 use std::fs;
 
-/// Ticks a second of the times in `/proc/self/stat`.
+/// Ticks a second of the times in `/proc/PID/stat`.
 const TICKS_PER_SECOND: f64 = 100.0;
 
 /// Size of a page in bytes.
 const PAGE_BYTES: f64 = 4_096.0;
 
-/// Position of the user time after the program's name in `/proc/self/stat`.
+/// Position of the user time after the program's name in `/proc/PID/stat`.
 const USER_TIME_FIELD: usize = 11;
 
-/// Returns the processor time used by all threads, in seconds.
-pub(super) fn processor_seconds() -> f64 {
-    let text = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+/// Returns the processor time used by all threads of a process, in seconds.
+pub(crate) fn processor_seconds(process_id: u32) -> f64 {
+    let text = fs::read_to_string(format!("/proc/{process_id}/stat")).unwrap_or_default();
     // The name may hold spaces; it ends with the last parenthesis.
     let rest = text.rsplit(')').next().unwrap_or_default();
     let ticks = rest.split_whitespace().skip(USER_TIME_FIELD).take(2);
@@ -21,9 +21,9 @@
     ticks.sum::<f64>() / TICKS_PER_SECOND
 }
 
-/// Returns the memory resident in bytes.
-pub(super) fn resident_bytes() -> f64 {
-    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+/// Returns the memory of a process that is resident, in bytes.
+pub(crate) fn resident_bytes(process_id: u32) -> f64 {
+    let text = fs::read_to_string(format!("/proc/{process_id}/statm")).unwrap_or_default();
     let pages = text.split_whitespace().nth(1);
     let pages = pages.and_then(|it| it.parse::<f64>().ok());
     pages.unwrap_or_default() * PAGE_BYTES
