Paths and table feed look only where something moved

Change: the look at paths skips agents whose traffic did not move and from whom nothing is expected; facts bound to time reach the table twice a second, bundles still at once; each look begins with another agent, so that limited questions reach all.

--- a/crates/balancer/src/datapath/paths.rs
+++ b/crates/balancer/src/datapath/paths.rs
@@ -3,13 +3,14 @@
 use std::{
     io,
     net::SocketAddr,
+    ops::Range,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use flow::{
     echo::Echo,
-    table::{Liveness, RoutingTable, ServiceRoutes},
+    table::{Liveness, RoutingTable, ServiceRoutes, Traffic},
     tunnel::{Candidate, PEER_OVERHEAD_BYTES, encode_peer},
 };
 use timeline::{Event, Peer};
@@ -33,6 +34,9 @@
 /// Time for which a replaced socket still receives what agents sent before they knew the new one.
 const CLOSE_AFTER: Duration = Duration::from_secs(3);
 
+/// Positions between the agents that two looks begin with.
+const FIRST_STEP: usize = 7;
+
 /// Most agents with a socket of their own; silence of more at once is no matter of single paths.
 const DETOURS_MAX: usize = 64;
 
@@ -54,6 +58,25 @@
     looks: usize,
     /// The table at the last look.
     table: Arc<RoutingTable>,
+    /// What was seen at the last look, in the order of the table's agents.
+    seen: Vec<Seen>,
+}
+
+/// An agent's traffic at the last look.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Seen {
+    traffic: Traffic,
+    is_waiting: bool,
+}
+
+impl Seen {
+    const NOTHING: Self = Self {
+        traffic: Traffic {
+            sent: 0,
+            answered: 0,
+        },
+        is_waiting: false,
+    };
 }
 
 #[derive(Debug)]
@@ -73,6 +96,7 @@
             watch: PathWatch::default(),
             answers,
             table: shared_table,
+            seen: Vec::new(),
             detours: Vec::new(),
             closing: Vec::new(),
             started: now,
@@ -95,34 +119,61 @@
         if !Arc::ptr_eq(&self.table, &table) {
             self.forget_unnamed(&table);
             self.table = Arc::clone(&table);
+            self.seen.clear();
         }
         self.forget_gone(&table);
-        // Questions are limited, so each look begins with another service.
-        self.looks = self.looks.wrapping_add(1);
-        let services = table.services();
-        let first = self.looks.checked_rem(services.len()).unwrap_or_default();
-        for service in services[first..].iter().chain(&services[..first]) {
-            for agent in service.holders() {
-                self.look_at(now, service, agent, tasks);
-            }
+        // Questions are limited, so each look begins with another agent.
+        let agents: usize = table.services().iter().map(|it| it.holders().count()).sum();
+        self.seen.resize(agents, Seen::NOTHING);
+        self.looks = self.looks.wrapping_add(FIRST_STEP);
+        let first = self.looks.checked_rem(agents).unwrap_or_default();
+        for range in [first..agents, 0..first] {
+            self.look_in(now, &table, &range, tasks);
         }
         self.close_replaced();
     }
 
+    /// Looks at the agents whose positions in the table are given.
+    fn look_in(
+        &mut self,
+        now: Millis,
+        table: &RoutingTable,
+        range: &Range<usize>,
+        tasks: &mut JoinSet<()>,
+    ) {
+        let services = table.services().iter();
+        let agents = services.flat_map(|service| service.holders().map(move |it| (service, it)));
+        for (idx, (service, agent)) in agents.enumerate().take(range.end).skip(range.start) {
+            let Some(cell) = service.cell(agent.endpoint) else {
+                continue;
+            };
+            let traffic = cell.traffic();
+            // Where nothing moved and nothing is expected, there is nothing to decide.
+            let seen = Seen {
+                traffic,
+                is_waiting: false,
+            };
+            if self.seen[idx] == seen || cell.liveness() == Liveness::Dead {
+                continue;
+            }
+            self.look_at(now, service, agent, traffic, tasks);
+            let is_waiting = self.watch.is_waiting(agent.endpoint);
+            self.seen[idx] = Seen {
+                traffic,
+                is_waiting,
+            };
+        }
+    }
+
     fn look_at(
         &mut self,
         now: Millis,
         service: &ServiceRoutes,
         agent: Candidate,
+        traffic: Traffic,
         tasks: &mut JoinSet<()>,
     ) {
-        let Some(cell) = service.cell(agent.endpoint) else {
-            return;
-        };
-        if cell.liveness() == Liveness::Dead {
-            return;
-        }
-        match self.watch.observe(now, agent.endpoint, cell.traffic()) {
+        match self.watch.observe(now, agent.endpoint, traffic) {
             PathAction::None => {}
             PathAction::Echo { nonce } => self.ask(service, agent, nonce),
             PathAction::Rotate { nonce, silent_ms } => {
--- a/crates/balancer/src/path_watch.rs
+++ b/crates/balancer/src/path_watch.rs
@@ -125,6 +125,13 @@
         }
     }
 
+    /// Tells whether something is expected from an agent.
+    #[must_use]
+    pub fn is_waiting(&self, endpoint: EndpointId) -> bool {
+        let found = self.paths.binary_search_by_key(&endpoint, |it| it.endpoint);
+        found.is_ok_and(|idx| self.paths[idx].unanswered_since.is_some())
+    }
+
     /// Forgets every endpoint that `keep` refuses.
     pub fn retain(&mut self, keep: impl Fn(EndpointId) -> bool) {
         self.paths.retain(|it| keep(it.endpoint));
--- a/crates/lovagehall/src/balancer_role/tables.rs
+++ b/crates/lovagehall/src/balancer_role/tables.rs
@@ -16,8 +16,8 @@
 use membership::AgentSpec;
 use units::Millis;
 
-/// Longest time until a change of time-bound facts shows in the table.
-const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time until a change of time-bound facts shows in the table; bundles show at once.
+const UPDATE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The feed and the table it publishes.
 #[derive(Debug)]
