--- a/crates/admission/src/admission/event.rs
+++ b/crates/admission/src/admission/event.rs
@@ -162,6 +162,28 @@
     pub shed: u64,
 }
 
+impl Counters {
+    /// Returns every counter's name and value.
+    #[must_use]
+    pub fn values(&self) -> Vec<(&'static str, u64)> {
+        vec![
+            ("gate_started", self.started),
+            ("gate_refused_unmeetable", self.refused_unmeetable),
+            ("gate_refused_waited", self.refused_waited),
+            ("gate_refused_queue_full", self.refused_queue_full),
+            ("gate_refused_draining", self.refused_draining),
+            ("gate_demoted", self.demoted),
+            ("gate_shed", self.shed),
+        ]
+    }
+
+    /// Returns the requests refused for lack of capacity.
+    #[must_use]
+    pub const fn refused(&self) -> u64 {
+        self.refused_unmeetable + self.refused_waited + self.refused_queue_full
+    }
+}
+
 /// Load as told to peers and balancers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Load {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -19,6 +19,7 @@
 mod streams;
 mod tunnel;
 mod upstream;
+mod watch;
 
 pub use agent::{Agent, AgentEvent, PeerSender, Phase, Report, StartError};
 pub use calls::RequestCalls;
@@ -28,3 +29,4 @@
 pub use gate::{Ask, Gate, Refused, Slot};
 pub use problem::{Fate, Problem};
 pub use tunnel::{Links, LoadCell, PeerDatagram, QUIC_DATAGRAM_MAX_BYTES};
+pub use watch::{RequestWatch, Sample};
--- a/crates/bench/src/benches/capacity.rs
+++ b/crates/bench/src/benches/capacity.rs
@@ -37,6 +37,9 @@
 /// Processor time that control may take, in percent of a core.
 const PROCESSOR_TARGET_PERCENT: f64 = 1.1;
 
+/// Third byte of the first fleet's loopback addresses.
+const FIRST_GROUP: u8 = 200;
+
 /// Balancers of each fleet.
 const BALANCERS: usize = 2;
 
@@ -54,23 +57,29 @@
 }
 
 async fn measure(options: &Options) -> Result<Vec<Figure>> {
+    let window = Duration::from_secs(options.seconds.div_ceil(3));
+    let [few, some, all] = SERVICES;
+    let usages = tokio::try_join!(
+        balancer_usage(few, FIRST_GROUP, window),
+        balancer_usage(some, FIRST_GROUP + 1, window),
+        balancer_usage(all, FIRST_GROUP + 2, window),
+    )?;
     let mut figures = Vec::new();
-    let window = Duration::from_secs(options.seconds.div_ceil(6));
-    for (idx, services) in SERVICES.into_iter().enumerate() {
-        let group = 200 + u8::try_from(idx).unwrap_or_default();
-        let usage = balancer_usage(services, group, window).await?;
+    for (services, usage) in [(few, usages.0), (some, usages.1), (all, usages.2)] {
         let name = |what: &str| format!("balancer with {services} services: {what}");
+        let memory = name("memory");
         figures.push(figure(
             options,
-            name("memory"),
+            memory,
             "MB",
             usage.memory_mb,
             MEMORY_TARGET_MB,
         ));
+        let processor = name("processor, each watching all endpoints, none answering");
         let percent = usage.processor_percent;
         figures.push(figure(
             options,
-            name("processor"),
+            processor,
             "% core",
             percent,
             PROCESSOR_TARGET_PERCENT,
--- a/crates/lovagehall/src/agent_role.rs
+++ b/crates/lovagehall/src/agent_role.rs
@@ -1,8 +1,15 @@
 //! The agent: the endpoint beside one upstream and the controllers that feed it.
 
-use std::{net::SocketAddr, sync::Arc, time::Instant};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
-use agent::{Agent, AgentEvent, Config as AgentConfig, PeerSender, RequestCalls, TlsIdentity};
+use agent::{
+    Agent, AgentEvent, Config as AgentConfig, PeerSender, RequestCalls, RequestWatch, Sample,
+    TlsIdentity,
+};
 use arc_swap::ArcSwap;
 use bundle::InForce;
 use control::{
@@ -16,13 +23,16 @@
 use timeline::{Event, Recorder};
 use tokio::sync::{broadcast, mpsc, watch};
 use tonic::service::Routes;
-use units::{Incarnation, ServiceId};
+use units::{Incarnation, Millis, ServiceId};
 
 use crate::{calls, common, error::RunError, metrics::Export};
 
 /// Peer datagrams that may wait for the responder.
 const PEER_PACKETS_MAX: usize = 1_024;
 
+/// Time between two looks at what changes in the handling of requests.
+const WATCH_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Runs an agent until the stop signal.
 pub(crate) async fn run(settings: AgentSettings) -> Result<(), RunError> {
     let incarnation = common::incarnation().await;
@@ -73,13 +83,19 @@
         settings.instance
     );
     let export = Export::new(control.counters().clone(), "agent");
-    let counters = Arc::clone(agent.counters());
-    let exporting = tokio::spawn(export.run(move || counters.values()));
+    let (counters, gate) = (Arc::clone(agent.counters()), Arc::clone(agent.gate()));
+    let exporting = tokio::spawn(export.run(move || {
+        let mut values = counters.values();
+        values.extend(gate.counters().values());
+        values
+    }));
+    let watching = tokio::spawn(watch_requests(&agent, settings.service, recorder.clone()));
     let agent = serve(agent, &in_force, &control, &settings, incarnation).await?;
     recorder.record(Event::ProcessStopping);
     log::info!("agent {} stops", settings.instance);
     let report = agent.stop().await;
     exporting.abort();
+    watching.abort();
     server.abort();
     let left = report.connections_cut as u64 + u64::from(report.requests_cut);
     recorder.record(Event::ProcessStopped { left });
@@ -179,6 +195,37 @@
     }
 }
 
+/// Records what changes in the handling of requests; never returns.
+fn watch_requests(
+    agent: &Agent,
+    service: ServiceId,
+    recorder: Recorder,
+) -> impl Future<Output = ()> + Send + 'static {
+    let (counters, gate) = (Arc::clone(agent.counters()), Arc::clone(agent.gate()));
+    let load = Arc::clone(agent.load());
+    async move {
+        let mut watch = RequestWatch::new(service);
+        let started = Instant::now();
+        let mut ticks = tokio::time::interval(WATCH_INTERVAL);
+        loop {
+            ticks.tick().await;
+            let now_load = gate.load();
+            let sample = Sample {
+                refused: gate.counters().refused(),
+                outcomes_unknown: counters.outcomes_unknown.get(),
+                waiting: now_load.waiting,
+                limit: now_load.limit,
+                slots: u32::from(load.get().total.get()),
+            };
+            let now = Millis::from_duration(started.elapsed());
+            for event in watch.observe(now, sample) {
+                log::info!("{event}");
+                recorder.record(event);
+            }
+        }
+    }
+}
+
 fn log_event(event: &Result<AgentEvent, broadcast::error::RecvError>) {
     match event {
         Ok(AgentEvent::PhaseChanged(phase)) => log::info!("phase {phase:?}"),
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -82,11 +82,6 @@
         /// Digest of the other.
         other: BundleDigest,
     },
-    /// A service was cancelled and is no longer served.
-    ServiceCancelled {
-        /// The service.
-        service: ServiceId,
-    },
     /// The configuration service does not answer.
     PlatformDown {
         /// What went wrong.
@@ -137,11 +132,6 @@
         /// The endpoint.
         endpoint: EndpointId,
     },
-    /// An endpoint has finished its work and is gone.
-    EndpointLeft {
-        /// The endpoint.
-        endpoint: EndpointId,
-    },
     /// The adaptive limit on requests at the upstream went down.
     ConcurrencyLowered {
         /// The new limit in requests.
@@ -181,16 +171,6 @@
         /// Why the outcome cannot be known.
         cause: Note,
     },
-    /// Automatic retries are used up.
-    RetryBudgetSpent {
-        /// Service of the requests.
-        service: ServiceId,
-    },
-    /// A key signs or protects nothing new any more.
-    KeyRetired {
-        /// Name or index of the key.
-        key: Note,
-    },
     /// A datagram or call failed its key check.
     ForgeryRejected {
         /// What was rejected.
@@ -211,8 +191,7 @@
             | Self::BundleFetchFailed { .. }
             | Self::BundleAccepted { .. }
             | Self::BundleRefused { .. }
-            | Self::BundleFork { .. }
-            | Self::ServiceCancelled { .. } => Category::Bundle,
+            | Self::BundleFork { .. } => Category::Bundle,
             Self::PlatformDown { .. } | Self::PlatformUp { .. } | Self::PlatformStale { .. } => {
                 Category::Platform
             }
@@ -220,16 +199,14 @@
             | Self::PeerDead { .. }
             | Self::PeerAlive { .. }
             | Self::PeersSilent { .. }
-            | Self::EndpointLeaving { .. }
-            | Self::EndpointLeft { .. } => Category::Peer,
+            | Self::EndpointLeaving { .. } => Category::Peer,
             Self::ConcurrencyLowered { .. }
             | Self::ConcurrencyRecovered { .. }
             | Self::OverloadStarted { .. }
             | Self::OverloadEnded { .. }
-            | Self::OutcomeUnknown { .. }
-            | Self::RetryBudgetSpent { .. } => Category::Request,
+            | Self::OutcomeUnknown { .. } => Category::Request,
             Self::TunnelSilent { .. } | Self::TunnelReplaced { .. } => Category::Tunnel,
-            Self::KeyRetired { .. } | Self::ForgeryRejected { .. } => Category::Key,
+            Self::ForgeryRejected { .. } => Category::Key,
         }
     }
 }
@@ -286,7 +263,6 @@
                 f,
                 "service {service}: version {version} signed twice, kept {kept}, other {other}"
             ),
-            Self::ServiceCancelled { service } => write!(f, "service {service}: cancelled"),
             Self::PlatformDown { cause } => write!(f, "configuration service down: {cause}"),
             Self::PlatformUp { after_ms } => {
                 write!(f, "configuration service answers again after {after_ms}")
@@ -308,7 +284,6 @@
                 write!(f, "{silent} of {known} peers silent at once")
             }
             Self::EndpointLeaving { endpoint } => write!(f, "endpoint {endpoint} leaving"),
-            Self::EndpointLeft { endpoint } => write!(f, "endpoint {endpoint} left"),
             Self::ConcurrencyLowered { limit } => write!(f, "concurrency lowered to {limit}"),
             Self::ConcurrencyRecovered { limit } => write!(f, "concurrency recovered to {limit}"),
             Self::OverloadStarted { waiting } => {
@@ -324,10 +299,6 @@
             Self::OutcomeUnknown { service, cause } => {
                 write!(f, "service {service}: outcome unknown: {cause}")
             }
-            Self::RetryBudgetSpent { service } => {
-                write!(f, "service {service}: retry budget spent")
-            }
-            Self::KeyRetired { key } => write!(f, "key {key} retired"),
             Self::ForgeryRejected { what } => write!(f, "forgery rejected: {what}"),
         }
     }
