A draining agent's last words go through two instances, more than once

Since silent tunnels take fresh ports, both copies of a leaving agent's datagram could go to two ports of one balancer, which had just died.

--- a/crates/agent/src/connection.rs
+++ b/crates/agent/src/connection.rs
@@ -28,6 +28,9 @@
 /// Time between the datagram that makes the caller answer and the end of the connection.
 const FAREWELL: Duration = Duration::from_millis(5);
 
+/// Datagrams that make the caller answer, besides the last one.
+const FAREWELLS: usize = 4;
+
 /// Pause between looks for requests to reject.
 const REJECT_PAUSE: Duration = Duration::from_millis(5);
 
@@ -88,7 +91,11 @@
         return;
     };
     // A caller that is gone need not be told.
-    let _ = stream.write_all(IGNORED_STREAM).await;
+    // Each datagram takes the way through other balancers, so one that just died doesn't matter.
+    for _ in 0..FAREWELLS {
+        let _ = stream.write_all(IGNORED_STREAM).await;
+        tokio::time::sleep(FAREWELL).await;
+    }
     let _ = stream.finish();
     tokio::time::sleep(FAREWELL).await;
 }
--- a/crates/agent/src/tunnel.rs
+++ b/crates/agent/src/tunnel.rs
@@ -202,7 +202,7 @@
     /// just died, the caller keeps a connection of which nobody knows, and its next packet is
     /// answered by a reset.
     fn send_again(&self, header: &Header, transmit: &Transmit<'_>, first: SocketAddr) {
-        let Some(second) = self.links.next().filter(|it| *it != first) else {
+        let Some(second) = self.links.next_beside(first) else {
             return;
         };
         // The first copy is on its way; losing this one is no more than a lost datagram.
--- a/crates/agent/src/tunnel/links.rs
+++ b/crates/agent/src/tunnel/links.rs
@@ -81,6 +81,19 @@
         self.with(Inner::next)
     }
 
+    /// Returns the next balancer in turn on another instance than `first`, `None` if there is none.
+    ///
+    /// One balancer may be heard on several ports.
+    #[must_use]
+    pub fn next_beside(&self, first: SocketAddr) -> Option<SocketAddr> {
+        self.with(|it| {
+            let turns = it.heard.len().max(it.known.len());
+            (0..turns)
+                .filter_map(|_| it.next())
+                .find(|other| other.ip() != first.ip())
+        })
+    }
+
     fn with<T>(&self, change: impl FnOnce(&mut Inner) -> T) -> T {
         change(&mut self.inner.lock().unwrap_or_else(PoisonError::into_inner))
     }
