Forward flows whole: balancer, agent, the platform's adapter, a thin path

Cause: the users' platform carries flows whose bytes only the two ends read; today's product ends QUIC in the agent and can't serve them. Before: no path.

--- a/crates/lovagehall/src/error.rs
+++ b/crates/lovagehall/src/error.rs
@@ -27,6 +27,8 @@
     Logging(flexi_logger::FlexiLoggerError),
     /// The runtime could not start.
     Runtime(io::Error),
+    /// A process that forwards flows whole could not start or go on.
+    Node(passthrough_node::NodeError),
     /// A part of the process could not start.
     Start {
         /// Name of the part.
@@ -68,6 +70,7 @@
             Self::Settings(err) => err.fmt(f),
             Self::Field { field, cause } => write!(f, "settings field `{field}`: {cause}"),
             Self::Logging(err) => write!(f, "--log: {err}; give a level such as `info`"),
+            Self::Node(source) => source.fmt(f),
             Self::Runtime(err) => write!(f, "starting the runtime: {err}; free threads or memory"),
             Self::Start { part, cause } => write!(f, "starting {part}: {cause}"),
             Self::Ended { part } => {
--- a/crates/lovagehall/src/flags.rs
+++ b/crates/lovagehall/src/flags.rs
@@ -14,6 +14,20 @@
             /// Checks the settings file and ends.
             optional --check-settings
         }
+        /// Forwards flows whole, as packets, between callers and agents.
+        cmd passthrough-balancer {
+            /// Settings file, JSON.
+            required settings: PathBuf
+            /// Checks the settings file and ends.
+            optional --check-settings
+        }
+        /// Forwards flows whole to one upstream endpoint and back.
+        cmd passthrough-agent {
+            /// Settings file, JSON.
+            required settings: PathBuf
+            /// Checks the settings file and ends.
+            optional --check-settings
+        }
         /// Answers callers beside one upstream endpoint.
         cmd agent {
             /// Settings file, JSON.
--- a/crates/lovagehall/src/run.rs
+++ b/crates/lovagehall/src/run.rs
@@ -2,7 +2,10 @@
 
 use std::{fs, path::Path};
 
-use settings::{AgentSettings, BalancerSettings, Checked};
+use platform::{PlatformPackets, Store};
+use settings::{
+    AgentSettings, BalancerSettings, Checked, PassthroughAgentSettings, PassthroughBalancerSettings,
+};
 
 use crate::{
     agent_role, balancer_role,
@@ -31,6 +34,23 @@
             let _logger = logging::start(log_spec).map_err(RunError::Logging)?;
             runtime()?.block_on(agent_role::run(settings))
         }
+        LovagehallCmd::PassthroughBalancer(cmd) => {
+            let settings: PassthroughBalancerSettings = read(&cmd.settings)?;
+            if cmd.check_settings {
+                return Ok(());
+            }
+            let store = Store::new(settings.store_address);
+            let run = passthrough_node::run_balancer::<PlatformPackets, _>(settings, store);
+            small_runtime()?.block_on(run).map_err(RunError::Node)
+        }
+        LovagehallCmd::PassthroughAgent(cmd) => {
+            let settings: PassthroughAgentSettings = read(&cmd.settings)?;
+            if cmd.check_settings {
+                return Ok(());
+            }
+            let run = passthrough_node::run_agent::<PlatformPackets>(settings);
+            small_runtime()?.block_on(run).map_err(RunError::Node)
+        }
     }
 }
 
@@ -48,3 +68,11 @@
         .build()
         .map_err(RunError::Runtime)
 }
+
+/// Makes a runtime of one thread, for instances with a small share of a core.
+fn small_runtime() -> Result<tokio::runtime::Runtime, RunError> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(RunError::Runtime)
+}
--- /dev/null
+++ b/crates/passthrough-node/src/metrics.rs
@@ -0,0 +1,46 @@
+//! Counters as text, one line each.
+
+use std::fmt::Write as _;
+
+/// Writes counters and gauges in the text form that scrapers read.
+#[derive(Debug, Default)]
+pub(crate) struct Exposition(String);
+
+impl Exposition {
+    /// Adds a counter.
+    pub(crate) fn counter(&mut self, name: &str, value: u64) {
+        self.line(&format!("lovagehall_{name}_total"), value);
+    }
+
+    /// Adds a gauge.
+    pub(crate) fn gauge(&mut self, name: &str, value: u64) {
+        self.line(&format!("lovagehall_{name}"), value);
+    }
+
+    /// Adds a histogram of buckets that each count what is in them alone.
+    pub(crate) fn histogram(&mut self, name: &str, bounds: &[u64], counts: &[u64], sum: u64) {
+        let mut total = 0;
+        for (idx, count) in counts.iter().enumerate() {
+            total += count;
+            let bound = bounds
+                .get(idx)
+                .map_or_else(|| "+Inf".to_owned(), u64::to_string);
+            self.line(
+                &format!("lovagehall_{name}_bucket{{le=\"{bound}\"}}"),
+                total,
+            );
+        }
+        self.line(&format!("lovagehall_{name}_sum"), sum);
+        self.line(&format!("lovagehall_{name}_count"), total);
+    }
+
+    /// Returns the text.
+    pub(crate) fn into_text(self) -> String {
+        self.0
+    }
+
+    fn line(&mut self, name: &str, value: u64) {
+        // Writing to a string never fails.
+        let _infallible = writeln!(self.0, "{name} {value}");
+    }
+}
--- /dev/null
+++ b/crates/passthrough/src/agent/held.rs
@@ -0,0 +1,311 @@
+//! Flows that the endpoint beside an agent holds, and the requests that it works on.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    net::Ipv4Addr,
+};
+
+use units::Millis;
+
+use crate::{Flow, Segment};
+
+/// Time for which a flow that just opened counts as a request about to come.
+///
+/// A caller's first request follows the handshake by a round trip, a few milliseconds.
+const EXPECTED_MS: Millis = Millis::new(40);
+
+/// Time after which an unanswered request no longer counts as work of the endpoint.
+const RUNNING_MAX_MS: Millis = Millis::new(6_000);
+
+/// Time for which a flow that both ends closed is remembered, for packets that come late.
+const CLOSED_KEPT_MS: Millis = Millis::new(2_000);
+
+/// Time without packets after which a flow is forgotten, until a notice says otherwise.
+const IDLE_TIMEOUT_MS: Millis = Millis::new(60_000);
+
+/// What is known about a flow's place at the endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    /// A packet was given to the endpoint, which has not answered.
+    Asked,
+    /// The endpoint accepted the opening; the caller may open the flow elsewhere.
+    Accepted,
+    /// The endpoint sent something that it sends on open flows only.
+    Open,
+}
+
+/// A flow at the endpoint.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Held {
+    pub(crate) phase: Phase,
+    /// The balancer that last sent a packet of the flow.
+    pub(crate) origin: Ipv4Addr,
+    /// Tag of the packet that the endpoint was asked with, zero once it answered.
+    tag: u32,
+    last_used: Millis,
+    /// Since when the caller waits for an answer.
+    running_since: Option<Millis>,
+    /// The flow counts as a request about to come.
+    expected: bool,
+    /// End of the caller's data seen so far; tells requests from copies of them.
+    caller_end: Option<u32>,
+    /// What the caller acknowledged last, where a reset has to begin.
+    caller_acknowledged: u32,
+    caller_closed: bool,
+    endpoint_closed: bool,
+}
+
+impl Held {
+    pub(crate) const fn is_closed(&self) -> bool {
+        self.caller_closed && self.endpoint_closed
+    }
+
+    /// Returns whether the flow counts as work of the endpoint.
+    const fn counts(&self) -> bool {
+        self.expected || self.running_since.is_some()
+    }
+}
+
+/// Whom to tell that a flow was found here.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Asked {
+    pub(crate) origin: Ipv4Addr,
+    pub(crate) tag: u32,
+}
+
+/// The flows of one endpoint.
+///
+/// A hash map, not a sorted vector: flows open and close hundreds of times a second.
+#[derive(Debug)]
+pub(crate) struct HeldFlows {
+    flows: HashMap<Flow, Held>,
+    /// Invariant: the number of flows for which `Held::counts` holds.
+    load: u32,
+    /// Flows that count as requests about to come, oldest first.
+    expected: VecDeque<(Millis, Flow)>,
+    idle_timeout: Millis,
+}
+
+impl Default for HeldFlows {
+    fn default() -> Self {
+        Self {
+            flows: HashMap::new(),
+            load: 0,
+            expected: VecDeque::new(),
+            idle_timeout: IDLE_TIMEOUT_MS,
+        }
+    }
+}
+
+impl HeldFlows {
+    pub(crate) fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Returns the requests that the endpoint runs, holds in its queue or is about to get.
+    pub(crate) const fn load(&self) -> u32 {
+        self.load
+    }
+
+    pub(crate) fn set_idle_timeout(&mut self, timeout: Millis) {
+        self.idle_timeout = timeout.max(CLOSED_KEPT_MS);
+    }
+
+    /// Returns whether the endpoint accepted the flow.
+    pub(crate) fn is_known(&self, flow: Flow) -> bool {
+        self.flows
+            .get(&flow)
+            .is_some_and(|it| it.phase > Phase::Asked)
+    }
+
+    pub(crate) fn note_origin(&mut self, flow: Flow, origin: Ipv4Addr) {
+        if let Some(held) = self.flows.get_mut(&flow) {
+            held.origin = origin;
+        }
+    }
+
+    /// A packet of an unknown flow is about to be given to the endpoint.
+    pub(crate) fn insert_asked(&mut self, now: Millis, flow: Flow, origin: Ipv4Addr, tag: u32) {
+        let held = self.flows.entry(flow).or_insert(Held {
+            phase: Phase::Asked,
+            origin,
+            tag,
+            last_used: now,
+            running_since: None,
+            expected: false,
+            caller_end: None,
+            caller_acknowledged: 0,
+            caller_closed: false,
+            endpoint_closed: false,
+        });
+        held.origin = origin;
+        held.tag = tag;
+        if !held.counts() {
+            held.expected = true;
+            self.load += 1;
+            self.expected.push_back((now, flow));
+        }
+        self.expire_expected(now);
+    }
+
+    /// A packet of the caller is about to be given to the endpoint.
+    pub(crate) fn note_caller(
+        &mut self,
+        now: Millis,
+        flow: Flow,
+        origin: Ipv4Addr,
+        segment: &Segment,
+    ) {
+        self.expire_expected(now);
+        let Some(held) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        held.origin = origin;
+        held.last_used = now;
+        held.caller_acknowledged = segment.acknowledged;
+        let counted = held.counts();
+        let end = segment.sequence.wrapping_add(u32::from(segment.data_bytes));
+        let is_new = held
+            .caller_end
+            .is_none_or(|it| end.wrapping_sub(it).cast_signed() > 0);
+        if segment.data_bytes > 0 && is_new {
+            held.caller_end = Some(end);
+            held.running_since = Some(now);
+            held.expected = false;
+        }
+        if segment.rst || segment.fin {
+            held.caller_closed = true;
+            held.expected = false;
+        }
+        if segment.rst {
+            held.endpoint_closed = true;
+            held.running_since = None;
+        }
+        Self::recount(&mut self.load, counted, held.counts());
+    }
+
+    /// The endpoint sent a packet of the flow; returns whom to tell if that answers a question.
+    pub(crate) fn note_endpoint(
+        &mut self,
+        now: Millis,
+        flow: Flow,
+        segment: &Segment,
+    ) -> Option<Asked> {
+        self.expire_expected(now);
+        let held = self.flows.entry(flow).or_insert(Held {
+            phase: Phase::Accepted,
+            origin: Ipv4Addr::UNSPECIFIED,
+            tag: 0,
+            last_used: now,
+            running_since: None,
+            expected: false,
+            caller_end: None,
+            caller_acknowledged: segment.sequence,
+            caller_closed: false,
+            endpoint_closed: false,
+        });
+        let counted = held.counts();
+        held.last_used = now;
+        held.phase = held.phase.max(if segment.syn {
+            Phase::Accepted
+        } else {
+            Phase::Open
+        });
+        if segment.data_bytes > 0 || segment.rst || segment.fin {
+            held.running_since = None;
+            held.expected = false;
+        }
+        held.endpoint_closed |= segment.fin || segment.rst;
+        held.caller_closed |= segment.rst;
+        let asked = (held.tag != 0).then_some(Asked {
+            origin: held.origin,
+            tag: held.tag,
+        });
+        held.tag = 0;
+        Self::recount(&mut self.load, counted, held.counts());
+        asked
+    }
+
+    /// Forgets a flow that the endpoint did not accept.
+    pub(crate) fn remove_unanswered(&mut self, flow: Flow) {
+        if self
+            .flows
+            .get(&flow)
+            .is_some_and(|it| it.phase == Phase::Asked)
+        {
+            self.remove(flow);
+        }
+    }
+
+    /// Forgets a flow and returns what was known of it.
+    pub(crate) fn remove(&mut self, flow: Flow) -> Option<Held> {
+        let held = self.flows.remove(&flow)?;
+        Self::recount(&mut self.load, held.counts(), false);
+        Some(held)
+    }
+
+    /// Forgets all flows; returns the open ones with the position where a reset has to begin.
+    pub(crate) fn take_open(&mut self) -> Vec<(Flow, u32)> {
+        let flows = std::mem::take(&mut self.flows);
+        self.load = 0;
+        self.expected.clear();
+        let mut open: Vec<_> = flows
+            .into_iter()
+            .filter(|(_, held)| held.phase == Phase::Open && !held.is_closed())
+            .map(|(flow, held)| (flow, held.caller_acknowledged))
+            .collect();
+        open.sort_unstable();
+        open
+    }
+
+    /// Forgets what is no longer used.
+    pub(crate) fn sweep(&mut self, now: Millis) {
+        self.expire_expected(now);
+        let (load, idle_timeout) = (&mut self.load, self.idle_timeout);
+        self.flows.retain(|_, held| {
+            let counted = held.counts();
+            if held
+                .running_since
+                .is_some_and(|it| now.since(it) > RUNNING_MAX_MS)
+            {
+                held.running_since = None;
+            }
+            let kept = if held.is_closed() {
+                CLOSED_KEPT_MS
+            } else {
+                idle_timeout
+            };
+            let keep = now.since(held.last_used) <= kept;
+            Self::recount(load, counted, keep && held.counts());
+            keep
+        });
+        debug_assert_eq!(
+            self.load as usize,
+            self.flows.values().filter(|it| it.counts()).count(),
+            "the load must be the number of flows that count"
+        );
+    }
+
+    fn expire_expected(&mut self, now: Millis) {
+        while let Some((since, flow)) = self.expected.front().copied() {
+            if now.since(since) < EXPECTED_MS {
+                return;
+            }
+            self.expected.pop_front();
+            let Some(held) = self.flows.get_mut(&flow) else {
+                continue;
+            };
+            let counted = held.counts();
+            held.expected = false;
+            Self::recount(&mut self.load, counted, held.counts());
+        }
+    }
+
+    const fn recount(load: &mut u32, before: bool, after: bool) {
+        match (before, after) {
+            (true, false) => *load = load.saturating_sub(1),
+            (false, true) => *load += 1,
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/passthrough/src/message.rs
@@ -0,0 +1,661 @@
+//! Messages between our own processes.
+//!
+//! Every message is one datagram: a preamble, a header of fixed layout in network order, and for
+//! some kinds a packet or a list behind it. Balancers and agents all listen on the same port, so an
+//! instance is named by its IP address alone.
+
+use std::{fmt, net::Ipv4Addr};
+
+use zerocopy::{
+    FromBytes, Immutable, IntoBytes, KnownLayout, Ref, Unaligned,
+    byteorder::network_endian::{U16, U32, U64},
+};
+
+use crate::{EndpointState, Flow, ServiceKey, flow::FLOW_BYTES};
+
+/// Marks a datagram as one of ours.
+const MAGIC: u16 = 0x4C47;
+
+/// Version of the messages' layout.
+const LAYOUT: u8 = 1;
+
+/// Candidates that one carried packet can name.
+pub(crate) const CANDIDATES_MAX: usize = 8;
+
+/// Instances that one message can name.
+pub(crate) const INSTANCES_MAX: usize = 32;
+
+/// Kinds of messages, as written in the preamble.
+mod kind {
+    pub(super) const CARRY: u8 = 1;
+    pub(super) const RETURN: u8 = 2;
+    pub(super) const BOUND: u8 = 3;
+    pub(super) const NOTICE: u8 = 4;
+    pub(super) const REPORT: u8 = 5;
+    pub(super) const DIGEST: u8 = 6;
+    pub(super) const CHUNK: u8 = 7;
+}
+
+/// Why a datagram is not a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MessageError {
+    /// The datagram ends within a header or list.
+    Truncated,
+    /// The datagram is not one of ours, or of another layout.
+    Foreign,
+    /// A field has a value that no process of ours writes.
+    Field {
+        /// Name of the field.
+        field: &'static str,
+    },
+}
+
+impl fmt::Display for MessageError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Truncated => f.write_str("the message ends too early; drop it"),
+            Self::Foreign => f.write_str(
+                "the datagram is not a message of this layout; drop it, and run one release \
+                 everywhere if it comes from an instance of ours",
+            ),
+            Self::Field { field } => {
+                write!(
+                    f,
+                    "`{field}` has a value that is never written; drop the message"
+                )
+            }
+        }
+    }
+}
+
+impl std::error::Error for MessageError {}
+
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct Preamble {
+    magic: U16,
+    layout: u8,
+    kind: u8,
+}
+
+impl Preamble {
+    const fn new(kind: u8) -> Self {
+        Self {
+            magic: U16::new(MAGIC),
+            layout: LAYOUT,
+            kind,
+        }
+    }
+}
+
+/// What a carried packet is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Carried {
+    /// It opens a flow; the candidates may take it.
+    Opening,
+    /// It belongs to a flow that the agent is known to hold.
+    Established,
+    /// It belongs to a flow whose holder is looked for among the candidates.
+    Lookup,
+}
+
+impl Carried {
+    const fn to_byte(self) -> u8 {
+        match self {
+            Self::Opening => 0,
+            Self::Established => 1,
+            Self::Lookup => 2,
+        }
+    }
+
+    const fn from_byte(byte: u8) -> Result<Self, MessageError> {
+        match byte {
+            0 => Ok(Self::Opening),
+            1 => Ok(Self::Established),
+            2 => Ok(Self::Lookup),
+            _ => Err(MessageError::Field { field: "carried" }),
+        }
+    }
+}
+
+/// An agent that may get a carried packet.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    FromBytes,
+    IntoBytes,
+    Immutable,
+    KnownLayout,
+    Unaligned,
+)]
+#[repr(C)]
+pub(crate) struct Candidate {
+    agent: [u8; 4],
+    /// Requests that its endpoint runs at once.
+    pub(crate) slots: u8,
+}
+
+impl Candidate {
+    pub(crate) const fn new(agent: Ipv4Addr, slots: u8) -> Self {
+        Self {
+            agent: agent.octets(),
+            slots,
+        }
+    }
+
+    pub(crate) fn agent(self) -> Ipv4Addr {
+        self.agent.into()
+    }
+}
+
+/// The agents that a carried packet may visit, in order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Candidates {
+    list: [Candidate; CANDIDATES_MAX],
+    /// Invariant: at most `CANDIDATES_MAX`.
+    len: u8,
+}
+
+impl Candidates {
+    /// Adds a candidate; returns whether there was room.
+    pub(crate) fn push(&mut self, candidate: Candidate) -> bool {
+        let Some(free) = self.list.get_mut(usize::from(self.len)) else {
+            return false;
+        };
+        *free = candidate;
+        self.len += 1;
+        true
+    }
+
+    pub(crate) fn as_slice(&self) -> &[Candidate] {
+        &self.list[..usize::from(self.len)]
+    }
+
+    /// Returns how many there are.
+    pub(crate) const fn len(&self) -> u8 {
+        self.len
+    }
+}
+
+/// How full an endpoint is that an opening visited: its requests per slot, in thousandths.
+pub(crate) type Fullness = u16;
+
+/// Fullness of an endpoint that can't take the opening at all.
+pub(crate) const FULLNESS_CLOSED: Fullness = u16::MAX;
+
+/// The way of a carried packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Carry {
+    pub(crate) service: ServiceKey,
+    /// The balancer that got the packet from the caller.
+    pub(crate) origin: Ipv4Addr,
+    pub(crate) carried: Carried,
+    /// The candidate has been told to take the opening however full its endpoint is.
+    pub(crate) forced: bool,
+    /// Distinguishes lookups of one balancer; zero for packets that nobody counts.
+    pub(crate) ticket: u16,
+    /// Place in the list of the agent that has the packet.
+    pub(crate) position: u8,
+    /// Place in the list of the least full candidate so far.
+    pub(crate) best: u8,
+    pub(crate) best_fullness: Fullness,
+    pub(crate) candidates: Candidates,
+}
+
+impl Carry {
+    /// Starts at the first of the candidates.
+    pub(crate) const fn new(
+        service: ServiceKey,
+        origin: Ipv4Addr,
+        carried: Carried,
+        candidates: Candidates,
+    ) -> Self {
+        Self {
+            service,
+            origin,
+            carried,
+            forced: false,
+            ticket: 0,
+            position: 0,
+            best: 0,
+            best_fullness: FULLNESS_CLOSED,
+            candidates,
+        }
+    }
+
+    pub(crate) const fn with_ticket(mut self, ticket: u16) -> Self {
+        self.ticket = ticket;
+        self
+    }
+
+    /// Returns the candidate that the packet is at, none if the position is past the end.
+    pub(crate) fn current(&self) -> Option<Candidate> {
+        self.candidates
+            .as_slice()
+            .get(usize::from(self.position))
+            .copied()
+    }
+}
+
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct CarryHeader {
+    preamble: Preamble,
+    service: U64,
+    origin: [u8; 4],
+    carried: u8,
+    forced: u8,
+    ticket: U16,
+    position: u8,
+    count: u8,
+    best: u8,
+    _reserved: u8,
+    best_fullness: U16,
+}
+
+/// Something the agent tells the balancer that sent a packet: it holds the flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Bound {
+    pub(crate) flow: Flow,
+    pub(crate) fullness: Fullness,
+}
+
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct BoundHeader {
+    preamble: Preamble,
+    flow: [u8; FLOW_BYTES],
+    fullness: U16,
+}
+
+/// A packet that came back to the balancer since no agent on its way holds or takes the flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Returned {
+    pub(crate) carried: Carried,
+    pub(crate) ticket: u16,
+}
+
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct ReturnHeader {
+    preamble: Preamble,
+    carried: u8,
+    _reserved: u8,
+    ticket: U16,
+}
+
+/// What a balancer tells an agent about the endpoint beside it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Notice {
+    pub(crate) service: ServiceKey,
+    /// The list that the state comes from.
+    pub(crate) revision: u64,
+    pub(crate) state: EndpointState,
+    pub(crate) slots: u16,
+    pub(crate) idle_timeout_ms: u32,
+}
+
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct NoticeHeader {
+    preamble: Preamble,
+    service: U64,
+    revision: U64,
+    state: u8,
+    _reserved: u8,
+    slots: U16,
+    idle_timeout_ms: U32,
+}
+
+/// An agent's answer to a notice, with the balancers that it heard lately.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Report<'a> {
+    pub(crate) fullness: Fullness,
+    pub(crate) balancers: Instances<'a>,
+}
+
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct ReportHeader {
+    preamble: Preamble,
+    fullness: U16,
+    count: u8,
+    _reserved: u8,
+}
+
+/// What a balancer tells other balancers about its knowledge.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Digest<'a> {
+    /// Revision of the catalog in force.
+    pub(crate) revision: u64,
+    /// Time since the store confirmed to any balancer that nothing newer exists.
+    pub(crate) confirmed_age_ms: u32,
+    /// The sender asks for an answer.
+    pub(crate) wants_answer: bool,
+    /// The sender stops; others take over what it did.
+    pub(crate) stopping: bool,
+    pub(crate) balancers: Instances<'a>,
+}
+
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct DigestHeader {
+    preamble: Preamble,
+    revision: U64,
+    confirmed_age_ms: U32,
+    wants_answer: u8,
+    stopping: u8,
+    count: u8,
+    _reserved: u8,
+}
+
+/// A part of a catalog's bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Chunk<'a> {
+    pub(crate) revision: u64,
+    pub(crate) confirmed_age_ms: u32,
+    pub(crate) index: u16,
+    pub(crate) count: u16,
+    pub(crate) bytes: &'a [u8],
+}
+
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct ChunkHeader {
+    preamble: Preamble,
+    revision: U64,
+    confirmed_age_ms: U32,
+    index: U16,
+    count: U16,
+}
+
+/// A list of instances within a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct Instances<'a>(&'a [[u8; 4]]);
+
+impl<'a> Instances<'a> {
+    /// Wraps a list; what is past `INSTANCES_MAX` is left out.
+    pub(crate) fn new(list: &'a [[u8; 4]]) -> Self {
+        Self(&list[..list.len().min(INSTANCES_MAX)])
+    }
+
+    pub(crate) fn iter(self) -> impl Iterator<Item = Ipv4Addr> + 'a {
+        self.0.iter().map(|it| Ipv4Addr::from(*it))
+    }
+
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "a list has at most 32 instances"
+    )]
+    const fn count(self) -> u8 {
+        self.0.len() as u8
+    }
+}
+
+/// A decoded message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Message<'a>(pub(crate) Body<'a>);
+
+/// What a message says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Body<'a> {
+    Carry(Carry, &'a [u8]),
+    Returned(Returned, &'a [u8]),
+    Bound(Bound),
+    Notice(Notice),
+    Report(Report<'a>),
+    Digest(Digest<'a>),
+    Chunk(Chunk<'a>),
+}
+
+/// Decodes a datagram from another process of ours.
+///
+/// # Errors
+///
+/// Says why the datagram is not a message.
+pub fn decode(datagram: &[u8]) -> Result<Message<'_>, MessageError> {
+    let (preamble, _) = prefix::<Preamble>(datagram)?;
+    if preamble.magic.get() != MAGIC || preamble.layout != LAYOUT {
+        return Err(MessageError::Foreign);
+    }
+    let body = match preamble.kind {
+        kind::CARRY => decode_carry(datagram)?,
+        kind::RETURN => decode_returned(datagram)?,
+        kind::BOUND => decode_bound(datagram)?,
+        kind::NOTICE => decode_notice(datagram)?,
+        kind::REPORT => decode_report(datagram)?,
+        kind::DIGEST => decode_digest(datagram)?,
+        kind::CHUNK => decode_chunk(datagram)?,
+        _ => return Err(MessageError::Field { field: "kind" }),
+    };
+    Ok(Message(body))
+}
+
+fn decode_carry(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
+    let (header, rest) = prefix::<CarryHeader>(datagram)?;
+    let count = usize::from(header.count);
+    if count > CANDIDATES_MAX {
+        return Err(MessageError::Field { field: "count" });
+    }
+    let (list, packet) = list::<Candidate>(rest, count)?;
+    let mut candidates = Candidates::default();
+    for candidate in list {
+        candidates.push(*candidate);
+    }
+    let carry = Carry {
+        service: ServiceKey::new(header.service.get()),
+        origin: header.origin.into(),
+        carried: Carried::from_byte(header.carried)?,
+        forced: header.forced != 0,
+        ticket: header.ticket.get(),
+        position: header.position,
+        best: header.best,
+        best_fullness: header.best_fullness.get(),
+        candidates,
+    };
+    Ok(Body::Carry(carry, packet))
+}
+
+fn decode_returned(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
+    let (header, packet) = prefix::<ReturnHeader>(datagram)?;
+    let returned = Returned {
+        carried: Carried::from_byte(header.carried)?,
+        ticket: header.ticket.get(),
+    };
+    Ok(Body::Returned(returned, packet))
+}
+
+fn decode_bound(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
+    let (header, _) = prefix::<BoundHeader>(datagram)?;
+    Ok(Body::Bound(Bound {
+        flow: Flow::from_bytes(header.flow),
+        fullness: header.fullness.get(),
+    }))
+}
+
+fn decode_notice(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
+    let (header, _) = prefix::<NoticeHeader>(datagram)?;
+    let state = match header.state {
+        0 => EndpointState::Ready,
+        1 => EndpointState::Draining,
+        2 => EndpointState::Retired,
+        _ => return Err(MessageError::Field { field: "state" }),
+    };
+    Ok(Body::Notice(Notice {
+        service: ServiceKey::new(header.service.get()),
+        revision: header.revision.get(),
+        state,
+        slots: header.slots.get(),
+        idle_timeout_ms: header.idle_timeout_ms.get(),
+    }))
+}
+
+fn decode_report(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
+    let (header, rest) = prefix::<ReportHeader>(datagram)?;
+    Ok(Body::Report(Report {
+        fullness: header.fullness.get(),
+        balancers: instances(rest, header.count)?,
+    }))
+}
+
+fn decode_digest(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
+    let (header, rest) = prefix::<DigestHeader>(datagram)?;
+    Ok(Body::Digest(Digest {
+        revision: header.revision.get(),
+        confirmed_age_ms: header.confirmed_age_ms.get(),
+        wants_answer: header.wants_answer != 0,
+        stopping: header.stopping != 0,
+        balancers: instances(rest, header.count)?,
+    }))
+}
+
+fn decode_chunk(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
+    let (header, bytes) = prefix::<ChunkHeader>(datagram)?;
+    if header.index.get() >= header.count.get() {
+        return Err(MessageError::Field { field: "index" });
+    }
+    Ok(Body::Chunk(Chunk {
+        revision: header.revision.get(),
+        confirmed_age_ms: header.confirmed_age_ms.get(),
+        index: header.index.get(),
+        count: header.count.get(),
+        bytes,
+    }))
+}
+
+fn instances(bytes: &[u8], count: u8) -> Result<Instances<'_>, MessageError> {
+    let count = usize::from(count);
+    if count > INSTANCES_MAX {
+        return Err(MessageError::Field { field: "count" });
+    }
+    let (list, _) = list::<[u8; 4]>(bytes, count)?;
+    Ok(Instances(list))
+}
+
+fn prefix<T: FromBytes + KnownLayout + Immutable + Unaligned + Copy>(
+    bytes: &[u8],
+) -> Result<(T, &[u8]), MessageError> {
+    let (header, rest) =
+        Ref::<_, T>::from_prefix(bytes).map_err(|_too_short| MessageError::Truncated)?;
+    Ok((*header, rest))
+}
+
+fn list<T: FromBytes + KnownLayout + Immutable + Unaligned>(
+    bytes: &[u8],
+    count: usize,
+) -> Result<(&[T], &[u8]), MessageError> {
+    let (list, rest) = Ref::<_, [T]>::from_prefix_with_elems(bytes, count)
+        .map_err(|_too_short| MessageError::Truncated)?;
+    Ok((Ref::into_ref(list), rest))
+}
+
+/// Writes a carried packet.
+pub(crate) fn write_carry(carry: &Carry, packet: &[u8], out: &mut Vec<u8>) {
+    let header = CarryHeader {
+        preamble: Preamble::new(kind::CARRY),
+        service: U64::new(carry.service.get()),
+        origin: carry.origin.octets(),
+        carried: carry.carried.to_byte(),
+        forced: u8::from(carry.forced),
+        ticket: U16::new(carry.ticket),
+        position: carry.position,
+        count: carry.candidates.len(),
+        best: carry.best,
+        _reserved: 0,
+        best_fullness: U16::new(carry.best_fullness),
+    };
+    out.clear();
+    out.extend_from_slice(header.as_bytes());
+    out.extend_from_slice(carry.candidates.as_slice().as_bytes());
+    out.extend_from_slice(packet);
+}
+
+/// Writes a packet that goes back to its balancer.
+pub(crate) fn write_returned(returned: Returned, packet: &[u8], out: &mut Vec<u8>) {
+    let header = ReturnHeader {
+        preamble: Preamble::new(kind::RETURN),
+        carried: returned.carried.to_byte(),
+        _reserved: 0,
+        ticket: U16::new(returned.ticket),
+    };
+    out.clear();
+    out.extend_from_slice(header.as_bytes());
+    out.extend_from_slice(packet);
+}
+
+/// Writes the news that an agent holds a flow.
+pub(crate) fn write_bound(bound: Bound, out: &mut Vec<u8>) {
+    let header = BoundHeader {
+        preamble: Preamble::new(kind::BOUND),
+        flow: bound.flow.to_bytes(),
+        fullness: U16::new(bound.fullness),
+    };
+    out.clear();
+    out.extend_from_slice(header.as_bytes());
+}
+
+/// Writes what the list says of an agent's endpoint.
+pub(crate) fn write_notice(notice: Notice, out: &mut Vec<u8>) {
+    let header = NoticeHeader {
+        preamble: Preamble::new(kind::NOTICE),
+        service: U64::new(notice.service.get()),
+        revision: U64::new(notice.revision),
+        state: match notice.state {
+            EndpointState::Ready => 0,
+            EndpointState::Draining => 1,
+            EndpointState::Retired => 2,
+        },
+        _reserved: 0,
+        slots: U16::new(notice.slots),
+        idle_timeout_ms: U32::new(notice.idle_timeout_ms),
+    };
+    out.clear();
+    out.extend_from_slice(header.as_bytes());
+}
+
+/// Writes an agent's answer to a notice.
+pub(crate) fn write_report(report: Report<'_>, out: &mut Vec<u8>) {
+    let header = ReportHeader {
+        preamble: Preamble::new(kind::REPORT),
+        fullness: U16::new(report.fullness),
+        count: report.balancers.count(),
+        _reserved: 0,
+    };
+    out.clear();
+    out.extend_from_slice(header.as_bytes());
+    out.extend_from_slice(report.balancers.0.as_bytes());
+}
+
+/// Writes what a balancer knows.
+pub(crate) fn write_digest(digest: Digest<'_>, out: &mut Vec<u8>) {
+    let header = DigestHeader {
+        preamble: Preamble::new(kind::DIGEST),
+        revision: U64::new(digest.revision),
+        confirmed_age_ms: U32::new(digest.confirmed_age_ms),
+        wants_answer: u8::from(digest.wants_answer),
+        stopping: u8::from(digest.stopping),
+        count: digest.balancers.count(),
+        _reserved: 0,
+    };
+    out.clear();
+    out.extend_from_slice(header.as_bytes());
+    out.extend_from_slice(digest.balancers.0.as_bytes());
+}
+
+/// Writes a part of a catalog.
+pub(crate) fn write_chunk(chunk: Chunk<'_>, out: &mut Vec<u8>) {
+    let header = ChunkHeader {
+        preamble: Preamble::new(kind::CHUNK),
+        revision: U64::new(chunk.revision),
+        confirmed_age_ms: U32::new(chunk.confirmed_age_ms),
+        index: U16::new(chunk.index),
+        count: U16::new(chunk.count),
+    };
+    out.clear();
+    out.extend_from_slice(header.as_bytes());
+    out.extend_from_slice(chunk.bytes);
+}
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -26,6 +26,30 @@
     Ok(())
 }
 
+/// Checks that our processes don't share the port of other packets.
+pub(crate) fn distinct_ports(peer_port: u16, other_port: u16) -> Result<(), SettingsError> {
+    if peer_port != other_port {
+        return Ok(());
+    }
+    Err(SettingsError::Field {
+        field: "peer_port",
+        cause: format!("port {peer_port} is used for callers or the endpoint too"),
+        remedy: "give a port that nothing else uses",
+    })
+}
+
+/// Checks that a name is not empty.
+pub(crate) fn name(field: &'static str, name: &str) -> Result<(), SettingsError> {
+    if !name.is_empty() {
+        return Ok(());
+    }
+    Err(SettingsError::Field {
+        field,
+        cause: "the name is empty".to_owned(),
+        remedy: "give the name that the operator's settings use",
+    })
+}
+
 /// Checks that a list of addresses is not empty and each names a port.
 pub(crate) fn addresses(field: &'static str, list: &[SocketAddr]) -> Result<(), SettingsError> {
     if list.is_empty() {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,12 +9,14 @@
 mod error;
 mod operator;
 mod parts;
+mod passthrough;
 
 pub use agent::AgentSettings;
 pub use balancer::BalancerSettings;
 pub use error::SettingsError;
 pub use operator::{OperatorSettings, ProcessAddress};
 pub use parts::{CallerTls, ProcessTls, SecretKey, SharedKey};
+pub use passthrough::{PassthroughAgentSettings, PassthroughBalancerSettings};
 
 use serde::de::DeserializeOwned;
 
--- a/crates/units/src/ids.rs
+++ b/crates/units/src/ids.rs
@@ -32,6 +32,16 @@
     BundleVersion(u64), "bundle version", ""
 }
 
+number! {
+    /// A position in the platform's history of changes; a higher one is newer.
+    Revision(u64), "revision", ""
+}
+
+number! {
+    /// The version of the operator's settings for passthrough flows; a higher one is newer.
+    SettingsVersion(u64), "settings version", ""
+}
+
 number! {
     /// The index of a key in rotation, carried in connection ids and tunnel headers.
     KeyIndex(u8), "key index", ""
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub use error::ParseUnitError;
 pub use ids::{
-    BundleDigest, BundleVersion, EndpointId, Incarnation, InstanceId, KeyIndex, ServiceId, Zone,
+    BundleDigest, BundleVersion, EndpointId, Incarnation, InstanceId, KeyIndex, Revision,
+    ServiceId, SettingsVersion, Zone,
 };
 pub use quantities::{ByteSize, Millis, PerSecond, Slots, Weight};
