New balancers learn which endpoints left the list; a gone agent hides no other

Ruled out: a wrong entry in the cache (the flow's balancer had started 6 s before). Change: balancers tell a young one who retired; retired and doubtful agents get a chain alone; each round of a lookup begins at another agent. The system's allocator replaces mimalloc: it held 4 MB a process.

--- a/crates/lovagehall/src/main.rs
+++ b/crates/lovagehall/src/main.rs
@@ -15,11 +15,6 @@
 
 use std::process::ExitCode;
 
-use mimalloc::MiMalloc;
-
-#[global_allocator]
-static GLOBAL: MiMalloc = MiMalloc;
-
 fn main() -> ExitCode {
     let flags = flags::Lovagehall::from_env_or_exit();
     match run::run(&flags) {
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -20,7 +20,7 @@
         Body, Bound, Candidate, Candidates, Carried, Carry, Chunk, Digest, INSTANCES_MAX,
         Instances, Notice, Report, Returned, write_carry, write_digest, write_notice,
     },
-    snapshot::{Assembly, write_chunks},
+    snapshot::{Assembly, RetiredList, write_chunks, write_retired_lists},
 };
 use agents::Agents;
 use flows::FlowCache;
@@ -42,6 +42,11 @@
 /// Readers renew it once a second; what is older means that they are gone or cut off.
 const CONFIRMATION_STALE_MS: Millis = Millis::new(1_700);
 
+/// Time after its start for which a balancer asks the others what the store doesn't know.
+///
+/// Long enough for a digest to reach balancers that it learns of from agents' answers.
+const YOUNG_MS: Millis = Millis::new(3_000);
+
 /// Balancers that read the store while all is well; two, so that losing one costs nothing.
 const READERS: usize = 2;
 
@@ -75,6 +80,7 @@
     assembly: Assembly,
     /// When the store last confirmed to some balancer that the catalog in force is the newest.
     confirmed_at: Option<Millis>,
+    started: Millis,
     stopping: bool,
     reads_store: bool,
     next_notice: Millis,
@@ -105,6 +111,7 @@
             peers,
             assembly: Assembly::default(),
             confirmed_at: None,
+            started: now,
             stopping: false,
             reads_store: true,
             next_notice: now,
@@ -176,6 +183,7 @@
             Ok(Message(Body::Report(report))) => return self.on_report(now, sender, report, out),
             Ok(Message(Body::Digest(digest))) => return self.on_digest(now, sender, digest, out),
             Ok(Message(Body::Chunk(chunk))) => return self.on_chunk(now, chunk, out),
+            Ok(Message(Body::Retired(list))) => return self.on_retired(now, list, out),
             Ok(_) | Err(_) => return self.drop(DropReason::Malformed, out),
         };
         let at = datagram.len() - packet_bytes;
@@ -345,30 +353,38 @@
                 && !(it.state == EndpointState::Retired && agents.is_lost(now, it.agent()))
         });
         let (zone, agents) = (self.config.zone, &self.agents);
+        // Who may be gone gets a chain alone: a chain ends at the first agent that is.
+        let is_doubtful = |it: &Endpoint| {
+            it.state == EndpointState::Retired || agents.is_doubtful(now, it.agent())
+        };
         self.window
-            .sort_by_key(|it| (agents.is_lost(now, it.agent()), it.zone != zone));
+            .sort_by_key(|it| (is_doubtful(it), it.zone != zone));
         self.window.dedup_by_key(|it| it.agent());
         if self.window.is_empty() {
             return self.drop(DropReason::NoEndpoint, out);
         }
-        let lost_from = self
+        let (sure, doubtful) = self
             .window
-            .partition_point(|it| !agents.is_lost(now, it.agent()));
-        let (alive, lost) = self.window.split_at(lost_from);
-        let chains = alive.len().div_ceil(CHAIN_MAX);
-        let chain_len = alive.len().div_ceil(chains.max(1)).max(1);
-        let count = alive.chunks(chain_len).len() + lost.len();
-        let ticket = self.lookups.start(now, flow, count, segment.acknowledged);
-        let chains = alive.chunks(chain_len).chain(lost.chunks(1));
+            .split_at(self.window.partition_point(|it| !is_doubtful(it)));
+        let chains = sure.len().div_ceil(CHAIN_MAX);
+        let chain_len = sure.len().div_ceil(chains.max(1)).max(1);
+        let count = sure.chunks(chain_len).len() + doubtful.len();
+        let (ticket, round) = self.lookups.start(now, flow, count, segment.acknowledged);
+        let chains = sure.chunks(chain_len).chain(doubtful.chunks(1));
         for chain in chains {
             let mut candidates = Candidates::default();
-            for endpoint in chain {
+            // Each round begins at another agent, so that a gone one hides others only once.
+            let (last, first) = chain.split_at(round % chain.len());
+            for endpoint in first.iter().chain(last) {
                 candidates.push(Candidate::new(endpoint.agent(), 0));
             }
+            let Some(first) = candidates.as_slice().first().copied() else {
+                continue;
+            };
             let carry = Carry::new(service, self.config.address, Carried::Lookup, candidates)
                 .with_ticket(ticket);
             write_carry(&carry, packet, &mut self.scratch);
-            out.send_peer(chain[0].agent(), &self.scratch);
+            out.send_peer(first.agent(), &self.scratch);
         }
         self.counters.lookups += 1;
         if ticket != 0 {
@@ -558,6 +574,7 @@
             confirmed_age_ms: self.confirmed_age_ms(now),
             wants_answer,
             stopping: self.stopping,
+            is_young: now.since(self.started) < YOUNG_MS,
             balancers: Instances::new(&others[..len]),
         };
         write_digest(digest, &mut self.scratch);
@@ -572,6 +589,12 @@
         out: &mut impl Outbox,
     ) {
         self.peers.heard(now, peer, digest.stopping, out);
+        if digest.is_young {
+            // The store doesn't know who left lately.
+            write_retired_lists(now, self.view.retired(), &mut self.scratch, |list| {
+                out.send_peer(peer, list);
+            });
+        }
         for balancer in digest.balancers.iter() {
             if balancer != self.config.address {
                 self.peers.add(balancer, now);
@@ -601,6 +624,16 @@
         }
     }
 
+    fn on_retired(&mut self, now: Millis, list: &[u8], out: &mut impl Outbox) {
+        let Ok(RetiredList(list)) = postcard::from_bytes(list) else {
+            return self.drop(DropReason::Malformed, out);
+        };
+        if self.view.add_retired(now, &list) {
+            self.agents.update(now, &self.view);
+            self.send_changed_notices(now, out);
+        }
+    }
+
     /// Believes a peer that the store confirmed the revision that is in force here too.
     fn adopt_confirmation(&mut self, now: Millis, revision: Revision, age_ms: u32) {
         if revision != self.view.catalog().revision || age_ms == u32::MAX {
--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -12,6 +12,9 @@
 /// Time without an answer to notices after which an agent counts as lost: two notices and a half.
 const LOST_MS: Millis = Millis::new(2_500);
 
+/// Time without an answer to notices after which an agent may be gone: one notice and a quarter.
+const DOUBTFUL_MS: Millis = Millis::new(1_250);
+
 /// Time for which an agent's word that its endpoint takes nothing is believed.
 const CLOSED_BELIEVED_MS: Millis = Millis::new(1_200);
 
@@ -117,6 +120,12 @@
             .is_some_and(|it| now.since(it.heard) > LOST_MS)
     }
 
+    /// Returns whether the agent failed to answer the last notice.
+    pub(crate) fn is_doubtful(&self, now: Millis, agent: Ipv4Addr) -> bool {
+        self.find(agent)
+            .is_some_and(|it| now.since(it.heard) > DOUBTFUL_MS)
+    }
+
     /// Returns whether openings should rather go elsewhere.
     pub(crate) fn is_avoided(&self, now: Millis, agent: Ipv4Addr) -> bool {
         self.find(agent).is_some_and(|it| {
--- a/crates/passthrough/src/balancer/lookups.rs
+++ b/crates/passthrough/src/balancer/lookups.rs
@@ -20,6 +20,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Lookup {
     ticket: u16,
+    /// Lookups of this flow before, since one succeeded.
+    round: usize,
     /// Chains that have not ended.
     open_chains: usize,
     started: Millis,
@@ -46,21 +48,24 @@
 }
 
 impl Lookups {
-    /// Starts a lookup of `chains`; returns its ticket, zero if one of this flow is under way.
+    /// Starts a lookup of `chains`; returns its ticket, zero if one of this flow is under way, and
+    /// how many came before.
     pub(crate) fn start(
         &mut self,
         now: Millis,
         flow: Flow,
         chains: usize,
         acknowledged: u32,
-    ) -> u16 {
+    ) -> (u16, usize) {
         let known = self.lookups.get(&flow).copied();
+        let round = known.map_or(0, |it| it.round + 1);
         if known.is_some_and(|it| it.open_chains > 0 && now.since(it.started) < LOST_MS) {
-            return 0;
+            return (0, round);
         }
         self.last_ticket = self.last_ticket.wrapping_add(1).max(1);
         let lookup = Lookup {
             ticket: self.last_ticket,
+            round,
             open_chains: chains,
             started: now,
             failures: known.map_or(0, |it| it.failures),
@@ -68,7 +73,7 @@
             acknowledged,
         };
         self.lookups.insert(flow, lookup);
-        self.last_ticket
+        (self.last_ticket, round)
     }
 
     /// The holder was found, or the search is over; returns whether one was under way.
--- a/crates/passthrough/src/balancer/peers.rs
+++ b/crates/passthrough/src/balancer/peers.rs
@@ -69,8 +69,7 @@
         let peer = &mut self.peers[idx];
         peer.heard = Some(now);
         peer.stopping = stopping;
-        if peer.is_lost {
-            peer.is_lost = false;
+        if std::mem::replace(&mut peer.is_lost, false) {
             out.event(Event::PeerFound { balancer: address });
         }
     }
--- a/crates/passthrough/src/catalog.rs
+++ b/crates/passthrough/src/catalog.rs
@@ -17,6 +17,10 @@
 /// The longest life of a flow that the users protect.
 const RETIRED_KEPT_MS: Millis = Millis::new(60_000);
 
+/// Endpoints that left the list and are remembered at once; a minute of the 2,300 changes a day that
+/// the system is sized for is 2, and a whole service may be replaced at once.
+const RETIRED_MAX: usize = 1_024;
+
 /// Endpoints at most among which a flow is placed and looked up.
 ///
 /// Bounds the cost of both however large a service is; with fewer endpoints all of them count.
@@ -250,6 +254,29 @@
         true
     }
 
+    /// Adds endpoints that another balancer knows to have left the list some time ago; returns
+    /// whether any was new.
+    pub(crate) fn add_retired(&mut self, now: Millis, list: &[(Endpoint, Millis)]) -> bool {
+        let before = self.retired.len();
+        for (endpoint, age) in list {
+            let is_known = self.catalog.endpoint(endpoint.key).is_some()
+                || self.retired.iter().any(|it| it.key == endpoint.key);
+            if is_known || self.retired.len() >= RETIRED_MAX {
+                continue;
+            }
+            self.retired.push(Endpoint {
+                state: EndpointState::Retired,
+                retired_at: Some(Millis::new(now.get().saturating_sub(age.get()))),
+                ..*endpoint
+            });
+        }
+        let is_new = self.retired.len() != before;
+        if is_new {
+            self.rebuild(now);
+        }
+        is_new
+    }
+
     /// Forgets endpoints that left the list long ago.
     pub fn prune(&mut self, now: Millis) {
         let before = self.retired.len();
--- a/crates/passthrough/src/message.rs
+++ b/crates/passthrough/src/message.rs
@@ -34,6 +34,7 @@
     pub(super) const REPORT: u8 = 5;
     pub(super) const DIGEST: u8 = 6;
     pub(super) const CHUNK: u8 = 7;
+    pub(super) const RETIRED: u8 = 8;
 }
 
 /// Why a datagram is not a message.
@@ -338,6 +339,8 @@
     pub(crate) wants_answer: bool,
     /// The sender stops; others take over what it did.
     pub(crate) stopping: bool,
+    /// The sender started a moment ago and lacks what only other balancers know.
+    pub(crate) is_young: bool,
     pub(crate) balancers: Instances<'a>,
 }
 
@@ -350,7 +353,7 @@
     wants_answer: u8,
     stopping: u8,
     count: u8,
-    _reserved: u8,
+    is_young: u8,
 }
 
 /// A part of a catalog's bytes.
@@ -410,6 +413,8 @@
     Report(Report<'a>),
     Digest(Digest<'a>),
     Chunk(Chunk<'a>),
+    /// Serialized [`crate::snapshot::RetiredList`].
+    Retired(&'a [u8]),
 }
 
 /// Decodes a datagram from another process of ours.
@@ -430,6 +435,7 @@
         kind::REPORT => decode_report(datagram)?,
         kind::DIGEST => decode_digest(datagram)?,
         kind::CHUNK => decode_chunk(datagram)?,
+        kind::RETIRED => Body::Retired(prefix::<Preamble>(datagram)?.1),
         _ => return Err(MessageError::Field { field: "kind" }),
     };
     Ok(Message(body))
@@ -509,6 +515,7 @@
         confirmed_age_ms: header.confirmed_age_ms.get(),
         wants_answer: header.wants_answer != 0,
         stopping: header.stopping != 0,
+        is_young: header.is_young != 0,
         balancers: instances(rest, header.count)?,
     }))
 }
@@ -639,7 +646,7 @@
         wants_answer: u8::from(digest.wants_answer),
         stopping: u8::from(digest.stopping),
         count: digest.balancers.count(),
-        _reserved: 0,
+        is_young: u8::from(digest.is_young),
     };
     out.clear();
     out.extend_from_slice(header.as_bytes());
@@ -659,3 +666,10 @@
     out.extend_from_slice(header.as_bytes());
     out.extend_from_slice(chunk.bytes);
 }
+
+/// Writes a list of endpoints that left the catalog lately.
+pub(crate) fn write_retired(list: &[u8], out: &mut Vec<u8>) {
+    out.clear();
+    out.extend_from_slice(Preamble::new(kind::RETIRED).as_bytes());
+    out.extend_from_slice(list);
+}
--- a/crates/passthrough/src/snapshot.rs
+++ b/crates/passthrough/src/snapshot.rs
@@ -1,10 +1,11 @@
 //! A catalog in parts, for balancers that lack it.
 
-use units::Revision;
+use serde::{Deserialize, Serialize};
+use units::{Millis, Revision};
 
 use crate::{
-    Catalog,
-    message::{Chunk, write_chunk},
+    Catalog, Endpoint,
+    message::{Chunk, write_chunk, write_retired},
 };
 
 /// Bytes of a catalog in one message; keeps the datagram within a path of 1,500 bytes.
@@ -13,6 +14,32 @@
 /// Chunks of the largest catalog that is taken: 820 routes and 5,800 endpoints need about 400.
 const CHUNKS_MAX: u16 = 2_048;
 
+/// Endpoints in one message about retired ones; each takes about 40 bytes.
+const RETIRED_PER_MESSAGE: usize = 24;
+
+/// Endpoints that left the catalog lately, with the time since then.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub(crate) struct RetiredList(pub(crate) Vec<(Endpoint, Millis)>);
+
+/// Calls `send` with messages that list the retired endpoints.
+pub(crate) fn write_retired_lists(
+    now: Millis,
+    retired: &[Endpoint],
+    buffer: &mut Vec<u8>,
+    mut send: impl FnMut(&[u8]),
+) {
+    for part in retired.chunks(RETIRED_PER_MESSAGE) {
+        let aged = |it: &Endpoint| (*it, now.since(it.retired_at.unwrap_or(now)));
+        let list = RetiredList(part.iter().map(aged).collect());
+        let Ok(bytes) = postcard::to_stdvec(&list) else {
+            debug_assert!(false, "a list of endpoints can always be serialized");
+            return;
+        };
+        write_retired(&bytes, buffer);
+        send(buffer);
+    }
+}
+
 /// Calls `send` with each part of a catalog.
 pub(crate) fn write_chunks(
     catalog: &Catalog,
