--- a/crates/passthrough-node/src/balancer.rs
+++ b/crates/passthrough-node/src/balancer.rs
@@ -23,10 +23,18 @@
 /// Datagrams taken from one socket before the others get their turn.
 const BATCH: usize = 64;
 
+/// Time after the stop signal within which probes take an instance out of rotation: two probes half a
+/// second apart, and the time until the first.
+const ROTATION_MS: Millis = Millis::new(1_100);
+
 /// Time without packets of callers after which a stopping balancer is no longer used.
+const UNUSED_MS: Millis = Millis::new(150);
+
+/// Longest time for which a stopping balancer that is still used goes on.
 ///
-/// Longer than the two probes that take an instance out of rotation.
-const UNUSED_MS: Millis = Millis::new(1_300);
+/// It is still used if no other instance of its zone could take over; then staying only delays its
+/// return, and instances that stop one after the other would all be away at once.
+const STOP_MAX_MS: Millis = Millis::new(2_200);
 
 /// Time kept free at the end of the time that a stop may take.
 const STOP_MARGIN_MS: Millis = Millis::new(300);
@@ -134,7 +142,9 @@
             log.flush();
             return Ok(());
         }
-        let sleep_ms = balancer.next_deadline().min(next_metrics).since(now);
+        let deadline = balancer.next_deadline().min(next_metrics);
+        let deadline = stop_at.map_or(deadline, |_| deadline.min(now.plus(UNUSED_MS)));
+        let sleep_ms = deadline.since(now);
         let has_work = {
             tokio::select! {
                 biased;
@@ -152,7 +162,8 @@
                     log.write(Line::Belief, &LifeEvent::Stopping { grace_ms: grace.get() });
                     answers.set_ready(false);
                     balancer.stop(now, &mut sockets);
-                    stop_at.get_or_insert((now, now.plus(grace.since(STOP_MARGIN_MS))));
+                    let longest = grace.since(STOP_MARGIN_MS).min(STOP_MAX_MS);
+                    stop_at.get_or_insert((now, now.plus(longest)));
                     false
                 }
                 _ = hangup.recv() => {
