--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -213,6 +213,9 @@
             self.counters.openings_repeated += 1;
             self.place(now, opening, out);
         }
+        while let Some((flow, packet)) = self.lookups.take_repeat(now) {
+            self.repeat_lookup(now, flow, &packet, out);
+        }
         if now >= self.next_notice {
             self.next_notice = now.plus(NOTICE_INTERVAL_MS);
             self.flows.sweep(now, self.view.catalog().idle_timeout_ms);
@@ -232,9 +235,9 @@
     #[must_use]
     pub fn next_deadline(&mut self) -> Millis {
         let regular = self.next_notice.min(self.next_digest);
-        self.openings
-            .next_deadline()
-            .map_or(regular, |it| it.min(regular))
+        let opening = self.openings.next_deadline().unwrap_or(regular);
+        let lookup = self.lookups.next_repeat().unwrap_or(regular);
+        regular.min(opening).min(lookup)
     }
 
     fn route(&mut self, now: Millis, segment: &Segment, packet: &mut [u8], out: &mut impl Outbox) {
@@ -301,8 +304,16 @@
                 it.zone != zone,
             )
         });
+        // An endpoint that started anew under another id shares its agent with the old entry.
         let mut candidates = Candidates::default();
         for endpoint in &self.window {
+            if candidates
+                .as_slice()
+                .iter()
+                .any(|it| it.agent() == endpoint.agent())
+            {
+                continue;
+            }
             let slots = u8::try_from(endpoint.slots.get()).unwrap_or(u8::MAX);
             if !candidates.push(Candidate::new(endpoint.agent(), slots)) {
                 break;
@@ -369,7 +380,9 @@
         let chains = sure.len().div_ceil(CHAIN_MAX);
         let chain_len = sure.len().div_ceil(chains.max(1)).max(1);
         let count = sure.chunks(chain_len).len() + doubtful.len();
-        let (ticket, round) = self.lookups.start(now, flow, count, segment.acknowledged);
+        let (ticket, round) = self
+            .lookups
+            .start(now, flow, count, segment.acknowledged, packet);
         let chains = sure.chunks(chain_len).chain(doubtful.chunks(1));
         for chain in chains {
             let mut candidates = Candidates::default();
@@ -396,6 +409,15 @@
         }
     }
 
+    /// Asks all endpoints once more with a packet that nobody wanted.
+    fn repeat_lookup(&mut self, now: Millis, flow: Flow, packet: &[u8], out: &mut impl Outbox) {
+        let route = self.view.catalog().route(flow.service_address);
+        let service = route.and_then(|it| it.target(flow.hash()));
+        if let (Some(service), Ok(segment)) = (service, F::decode(packet)) {
+            self.look_up(now, flow, service, &segment, packet, None, out);
+        }
+    }
+
     fn on_bound(&mut self, now: Millis, agent: Ipv4Addr, bound: Bound, out: &mut impl Outbox) {
         let flow = bound.flow;
         self.agents.note_answer(now, agent, bound.fullness, out);
--- a/crates/passthrough/src/balancer/lookups.rs
+++ b/crates/passthrough/src/balancer/lookups.rs
@@ -1,6 +1,6 @@
 //! Searches for the agent that holds a flow.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use units::Millis;
 
@@ -17,7 +17,10 @@
 /// Time after which a flow's failures are forgotten.
 const FORGOTTEN_MS: Millis = Millis::new(5_000);
 
-#[derive(Debug, Clone, Copy)]
+/// Packets kept at once for a second lookup; 256 of 1,232 bytes are a third of a megabyte.
+const KEPT_MAX: usize = 256;
+
+#[derive(Debug)]
 struct Lookup {
     ticket: u16,
     /// Lookups of this flow before, since one succeeded.
@@ -29,6 +32,8 @@
     first_failure: Option<Millis>,
     /// What the caller acknowledged last, where a reset has to begin.
     acknowledged: u32,
+    /// The packet, for a second lookup without the caller's help; empty if too many are kept.
+    packet: Vec<u8>,
 }
 
 /// A lookup in which no agent holds the flow.
@@ -43,7 +48,9 @@
 /// The searches under way.
 #[derive(Debug, Default)]
 pub(crate) struct Lookups {
-    lookups: HashMap<Flow, Lookup>,
+    by_flow: HashMap<Flow, Lookup>,
+    /// When failed lookups are repeated, oldest first.
+    repeats: VecDeque<(Millis, Flow)>,
     last_ticket: u16,
 }
 
@@ -56,34 +63,62 @@
         flow: Flow,
         chains: usize,
         acknowledged: u32,
+        packet: &[u8],
     ) -> (u16, usize) {
-        let known = self.lookups.get(&flow).copied();
-        let round = known.map_or(0, |it| it.round + 1);
-        if known.is_some_and(|it| it.open_chains > 0 && now.since(it.started) < LOST_MS) {
-            return (0, round);
-        }
-        self.last_ticket = self.last_ticket.wrapping_add(1).max(1);
-        let lookup = Lookup {
-            ticket: self.last_ticket,
-            round,
-            open_chains: chains,
+        let keeps = self.by_flow.len() < KEPT_MAX;
+        let lookup = self.by_flow.entry(flow).or_insert_with(|| Lookup {
+            ticket: 0,
+            round: 0,
+            open_chains: 0,
             started: now,
-            failures: known.map_or(0, |it| it.failures),
-            first_failure: known.and_then(|it| it.first_failure),
+            failures: 0,
+            first_failure: None,
             acknowledged,
-        };
-        self.lookups.insert(flow, lookup);
+            packet: if keeps { packet.to_vec() } else { Vec::new() },
+        });
+        if lookup.open_chains > 0 && now.since(lookup.started) < LOST_MS {
+            return (0, lookup.round + 1);
+        }
+        self.last_ticket = self.last_ticket.wrapping_add(1).max(1);
+        let round = lookup.round;
+        lookup.round += 1;
+        lookup.ticket = self.last_ticket;
+        lookup.open_chains = chains;
+        lookup.started = now;
+        lookup.acknowledged = acknowledged;
         (self.last_ticket, round)
     }
 
+    /// Takes the packet of a failed lookup that is due to be repeated.
+    pub(crate) fn take_repeat(&mut self, now: Millis) -> Option<(Flow, Vec<u8>)> {
+        while let Some((due, flow)) = self.repeats.front().copied() {
+            if due > now {
+                return None;
+            }
+            self.repeats.pop_front();
+            let Some(lookup) = self.by_flow.get_mut(&flow) else {
+                continue;
+            };
+            if !lookup.packet.is_empty() {
+                return Some((flow, std::mem::take(&mut lookup.packet)));
+            }
+        }
+        None
+    }
+
+    /// Returns when the next failed lookup is repeated.
+    pub(crate) fn next_repeat(&self) -> Option<Millis> {
+        self.repeats.front().map(|it| it.0)
+    }
+
     /// The holder was found, or the search is over; returns whether one was under way.
     pub(crate) fn finish(&mut self, flow: Flow) -> bool {
-        self.lookups.remove(&flow).is_some()
+        self.by_flow.remove(&flow).is_some()
     }
 
     /// A chain ended without a holder; returns the failure if it was the last.
     pub(crate) fn chain_ended(&mut self, now: Millis, flow: Flow, ticket: u16) -> Option<Failed> {
-        let lookup = self.lookups.get_mut(&flow)?;
+        let lookup = self.by_flow.get_mut(&flow)?;
         if lookup.ticket != ticket || lookup.open_chains == 0 {
             return None;
         }
@@ -92,6 +127,9 @@
             return None;
         }
         lookup.failures = lookup.failures.saturating_add(1);
+        if lookup.first_failure.is_none() && !lookup.packet.is_empty() {
+            self.repeats.push_back((now.plus(PROOF_MS), flow));
+        }
         let first = *lookup.first_failure.get_or_insert(now);
         Some(Failed {
             rounds: lookup.failures,
@@ -101,7 +139,7 @@
     }
 
     pub(crate) fn sweep(&mut self, now: Millis) {
-        self.lookups
+        self.by_flow
             .retain(|_, it| now.since(it.started) <= FORGOTTEN_MS);
     }
 }
