A failed lookup ends in a reset as soon as the store confirms the list

Cause: after the final fault the first request on each forgotten flow waited 150 ms for a second lookup. A lookup in which every endpoint said no is proof as soon as the list is known to be the newest. Change: the balancer asks the store, ten times a second at most, on a connection of its own.

--- a/crates/lovagehall/src/run.rs
+++ b/crates/lovagehall/src/run.rs
@@ -40,7 +40,9 @@
                 return Ok(());
             }
             let store = Store::new(settings.store_address);
-            let run = passthrough_node::run_balancer::<PlatformPackets, _>(settings, store);
+            let confirming = Store::new(settings.store_address);
+            let run =
+                passthrough_node::run_balancer::<PlatformPackets, _>(settings, store, confirming);
             small_runtime()?.block_on(run).map_err(RunError::Node)
         }
         LovagehallCmd::PassthroughAgent(cmd) => {
--- a/crates/passthrough-node/src/balancer.rs
+++ b/crates/passthrough-node/src/balancer.rs
@@ -10,13 +10,13 @@
     signal::unix::{SignalKind, signal},
     sync::{mpsc, watch},
 };
-use units::Millis;
+use units::{Millis, Revision};
 
 use crate::{
     EventLog, Line, NodeError, clock,
     http_server::{self, Answers},
     metrics::Exposition,
-    source::{self, CatalogSource, Reading},
+    source::{self, CatalogSource, Confirmation, Reading},
     udp,
 };
 
@@ -96,6 +96,7 @@
 pub async fn run<F: PacketFormat, S: CatalogSource>(
     settings: PassthroughBalancerSettings,
     source: S,
+    confirming_source: S,
 ) -> Result<(), NodeError> {
     let log = EventLog::new(settings.instance.as_str());
     let mut sockets = Sockets {
@@ -118,6 +119,14 @@
     let (duty, on_duty) = watch::channel(true);
     let (readings, mut changes) = mpsc::channel::<Reading>(4);
     tokio::spawn(source::read(source, on_duty, readings, log.clone()));
+    let (questions, asked) = mpsc::channel::<Revision>(1);
+    let (confirmed, mut confirmations) = mpsc::channel::<Confirmation>(1);
+    tokio::spawn(source::confirm(
+        confirming_source,
+        asked,
+        confirmed,
+        log.clone(),
+    ));
 
     let config = BalancerConfig {
         address: settings.address,
@@ -155,6 +164,11 @@
                     balancer.on_store(clock::now(), reading.catalog, &mut sockets);
                     false
                 }
+                Some(it) = confirmations.recv() => {
+                    let now = clock::now();
+                    balancer.on_confirmed(now, it.asked_at, it.revision, &mut sockets);
+                    false
+                }
                 () = tokio::time::sleep(sleep_ms.to_duration()) => false,
                 _ = terminate.recv() => {
                     let now = clock::now();
@@ -182,6 +196,10 @@
         if now >= balancer.next_deadline() {
             balancer.on_timer(now, &mut sockets);
         }
+        if let Some(revision) = balancer.take_confirmation_wish(now) {
+            // While a question is under way, the next wish comes soon enough.
+            let _busy = questions.try_send(revision);
+        }
         let is_ready = balancer.is_ready();
         if is_ready != was_ready {
             was_ready = is_ready;
--- a/crates/passthrough-node/src/source.rs
+++ b/crates/passthrough-node/src/source.rs
@@ -5,9 +5,9 @@
 use passthrough::Catalog;
 use serde::Serialize;
 use tokio::sync::{mpsc, watch};
-use units::Millis;
+use units::{Millis, Revision};
 
-use crate::{EventLog, event_log::Line};
+use crate::{EventLog, clock, event_log::Line};
 
 /// Time that one watch waits for a change; each answer confirms the list in force.
 const WATCH_WAIT_MS: Millis = Millis::new(1_000);
@@ -40,6 +40,16 @@
         wait: Millis,
     ) -> impl Future<Output = Result<Option<Catalog>, Self::Error>> + Send;
 
+    /// Asks whether anything newer than `revision` exists, without waiting.
+    ///
+    /// # Errors
+    ///
+    /// Says why the source could not be asked.
+    fn is_newest(
+        &mut self,
+        revision: Revision,
+    ) -> impl Future<Output = Result<bool, Self::Error>> + Send;
+
     /// Takes the items that could not be used since the last call.
     fn take_skipped(&mut self) -> Vec<Self::Skipped>;
 
@@ -56,12 +66,21 @@
     pub(crate) calls: u64,
 }
 
+/// The source's word that nothing newer existed.
+#[derive(Debug)]
+pub(crate) struct Confirmation {
+    /// When the source was asked.
+    pub(crate) asked_at: Millis,
+    pub(crate) revision: Revision,
+}
+
 #[derive(Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 enum SourceEvent<'a> {
     StoreLost { cause: &'a str },
     StoreRegained { failed_calls: u32 },
     ItemSkipped { cause: &'a str },
+    ConfirmationFailed { cause: &'a str },
 }
 
 /// Reads the source while `on_duty` says so, and hands on what it learned.
@@ -105,3 +124,35 @@
         }
     }
 }
+
+/// Answers questions whether a revision is the newest; a source that fails gives no answer.
+pub(crate) async fn confirm<S: CatalogSource>(
+    mut source: S,
+    mut questions: mpsc::Receiver<Revision>,
+    answers: mpsc::Sender<Confirmation>,
+    log: EventLog,
+) {
+    while let Some(revision) = questions.recv().await {
+        let asked_at = clock::now();
+        match source.is_newest(revision).await {
+            Ok(true) => {
+                if answers
+                    .send(Confirmation { asked_at, revision })
+                    .await
+                    .is_err()
+                {
+                    return;
+                }
+            }
+            // The watch brings what is newer.
+            Ok(false) => {}
+            Err(err) => {
+                let cause = err.to_string();
+                log.write(
+                    Line::Failure,
+                    &SourceEvent::ConfirmationFailed { cause: &cause },
+                );
+            }
+        }
+    }
+}
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -47,6 +47,12 @@
 /// Long enough for a digest to reach balancers that it learns of from agents' answers.
 const YOUNG_MS: Millis = Millis::new(3_000);
 
+/// Time between two questions to the store whether the list in force is the newest.
+///
+/// One answer serves all lookups that failed before; ten a second bound the calls after a fault that
+/// ended many flows.
+const CONFIRMATION_INTERVAL_MS: Millis = Millis::new(100);
+
 /// Balancers that read the store while all is well; two, so that losing one costs nothing.
 const READERS: usize = 2;
 
@@ -85,6 +91,7 @@
     reads_store: bool,
     next_notice: Millis,
     next_digest: Millis,
+    next_confirmation: Millis,
     /// Holds the endpoints that may hold a flow.
     window: Vec<Endpoint>,
     /// Holds the message being written.
@@ -116,6 +123,7 @@
             reads_store: true,
             next_notice: now,
             next_digest: now,
+            next_confirmation: now,
             window: Vec::new(),
             scratch: Vec::new(),
             counters: BalancerCounters::default(),
@@ -207,6 +215,35 @@
         replaced
     }
 
+    /// Returns the revision that the store should be asked to confirm, if any.
+    ///
+    /// A lookup in which no agent holds the flow proves that nobody does only if the list of endpoints
+    /// was the newest.
+    pub fn take_confirmation_wish(&mut self, now: Millis) -> Option<Revision> {
+        if now < self.next_confirmation || !self.lookups.awaits_confirmation() {
+            return None;
+        }
+        self.next_confirmation = now.plus(CONFIRMATION_INTERVAL_MS);
+        Some(self.view.catalog().revision)
+    }
+
+    /// Takes the store's answer that nothing newer than `revision` existed after `asked_at`.
+    pub fn on_confirmed(
+        &mut self,
+        now: Millis,
+        asked_at: Millis,
+        revision: Revision,
+        out: &mut impl Outbox,
+    ) {
+        if revision != self.view.catalog().revision {
+            return;
+        }
+        self.confirmed_at = Some(now);
+        for (flow, sequence) in self.lookups.take_failed(asked_at) {
+            self.reset(flow, sequence, ResetReason::HeldByNone, out);
+        }
+    }
+
     /// Does what is due by `now`.
     pub fn on_timer(&mut self, now: Millis, out: &mut impl Outbox) {
         while let Some(opening) = self.openings.take_overdue(now) {
--- a/crates/passthrough/src/balancer/lookups.rs
+++ b/crates/passthrough/src/balancer/lookups.rs
@@ -36,6 +36,12 @@
     packet: Vec<u8>,
 }
 
+impl Lookup {
+    const fn is_failed(&self) -> bool {
+        self.failures > 0 && self.open_chains == 0
+    }
+}
+
 /// A lookup in which no agent holds the flow.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Failed {
@@ -138,6 +144,24 @@
         })
     }
 
+    /// Returns whether a lookup failed that no confirmation of the list has followed.
+    pub(crate) fn awaits_confirmation(&self) -> bool {
+        self.by_flow.values().any(Lookup::is_failed)
+    }
+
+    /// Takes the flows whose lookups began before `since` and failed, with the position where a reset
+    /// has to begin.
+    pub(crate) fn take_failed(&mut self, since: Millis) -> Vec<(Flow, u32)> {
+        let is_proved = |it: &Lookup| it.is_failed() && it.started <= since;
+        let proved = self.by_flow.iter().filter(|it| is_proved(it.1));
+        let mut failed: Vec<_> = proved.map(|it| (*it.0, it.1.acknowledged)).collect();
+        failed.sort_unstable();
+        for (flow, _) in &failed {
+            self.by_flow.remove(flow);
+        }
+        failed
+    }
+
     pub(crate) fn sweep(&mut self, now: Millis) {
         self.by_flow
             .retain(|_, it| now.since(it.started) <= FORGOTTEN_MS);
--- a/crates/passthrough/tests/flow_lookup.rs
+++ b/crates/passthrough/tests/flow_lookup.rs
@@ -140,6 +140,35 @@
     assert_eq!(world.resets(caller), 1);
 }
 
+#[test]
+fn confirmed_list_proves_that_nobody_holds_a_flow() {
+    for newer in [false, true] {
+        let mut world = World::new(1, 3);
+        let (holder, caller, sequence) = open_at(&mut world, |_| true);
+        world
+            .endpoints
+            .get_mut(&agent_ip(holder))
+            .unwrap()
+            .restart();
+        for number in 0..3 {
+            world.start_agent(number, support::SERVICE);
+        }
+        world.start_balancer(0);
+        world.run(100);
+        world.request(0, caller, sequence, 2);
+        world.run(20);
+        let asked = world.take_confirmation_wish(0).expect("a lookup failed");
+        world.run(5);
+        if newer {
+            // The confirmation is about a list that is no longer in force.
+            world.change(&[0], |_| {});
+        }
+        world.confirmed(0, asked);
+        world.run(5);
+        assert_eq!(world.resets(caller), usize::from(!newer));
+    }
+}
+
 #[test]
 fn unreachable_agent_prevents_a_reset() {
     let mut world = World::new(1, 3);
--- a/crates/passthrough/tests/support/format.rs
+++ b/crates/passthrough/tests/support/format.rs
@@ -12,6 +12,7 @@
 const RETURNED: u8 = 16;
 
 /// Flags of a packet.
+#[derive(Clone, Copy)]
 pub(crate) struct Flags(pub(crate) u8);
 
 impl Flags {
--- a/crates/passthrough/tests/support/mod.rs
+++ b/crates/passthrough/tests/support/mod.rs
@@ -210,6 +210,20 @@
         });
     }
 
+    /// Returns what a balancer wants the store to confirm, and when it asked.
+    pub(crate) fn take_confirmation_wish(&mut self, number: u8) -> Option<(Millis, Revision)> {
+        let now = Millis::new(self.now);
+        let balancer = self.balancers.get_mut(&balancer_ip(number))?;
+        balancer.take_confirmation_wish(now).map(|it| (now, it))
+    }
+
+    /// Lets the store confirm to a balancer what it asked.
+    pub(crate) fn confirmed(&mut self, number: u8, (asked_at, revision): (Millis, Revision)) {
+        self.at_balancer(balancer_ip(number), |balancer, now, out| {
+            balancer.on_confirmed(now, asked_at, revision, out);
+        });
+    }
+
     /// Asks a balancer to stop; it still forwards.
     pub(crate) fn stop_balancer(&mut self, number: u8) {
         self.at_balancer(balancer_ip(number), |balancer, now, out| {
