Balancers with narrow links stand by where faster ones make up half of a zone

Ruled out: processor time (a run without charging it has the same losses). Change: digests tell zone and link; a balancer is not ready while able balancers four times as fast make up half of its zone. Routers use all instances when fewer are in rotation, so nothing is lost when a fast one goes.

--- a/crates/passthrough-node/src/balancer.rs
+++ b/crates/passthrough-node/src/balancer.rs
@@ -131,6 +131,7 @@
     let config = BalancerConfig {
         address: settings.address,
         zone: ZoneKey::from_name(settings.availability_zone.as_str()),
+        link_mbps: settings.link_mbps,
         seeds: settings.seed_instances(),
     };
     let mut balancer: Balancer<F> = Balancer::new(config, clock::now());
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -26,7 +26,7 @@
 use flows::FlowCache;
 use lookups::Lookups;
 use openings::{Opening, Openings};
-use peers::Peers;
+use peers::{Peers, Standing};
 
 /// Time between two notices to an agent; three unanswered ones are needed to call it lost.
 const NOTICE_INTERVAL_MS: Millis = Millis::new(1_000);
@@ -69,6 +69,8 @@
     pub address: Ipv4Addr,
     /// The availability zone it runs in.
     pub zone: ZoneKey,
+    /// What its link carries, in Mbit/s; above zero.
+    pub link_mbps: u32,
     /// Balancers that may be running, to ask for what they know.
     pub seeds: Vec<Ipv4Addr>,
 }
@@ -88,6 +90,7 @@
     confirmed_at: Option<Millis>,
     started: Millis,
     stopping: bool,
+    stands_by: bool,
     reads_store: bool,
     next_notice: Millis,
     next_digest: Millis,
@@ -120,6 +123,7 @@
             confirmed_at: None,
             started: now,
             stopping: false,
+            stands_by: false,
             reads_store: true,
             next_notice: now,
             next_digest: now,
@@ -149,11 +153,16 @@
         self.flows.len()
     }
 
-    /// Returns whether callers may be sent here: settings and endpoints are known, and the process
-    /// isn't about to end.
+    /// Returns whether callers should be sent here: settings and endpoints are known, the process isn't
+    /// about to end, and no faster instances can do without it.
     #[must_use]
     pub const fn is_ready(&self) -> bool {
-        !self.stopping && self.view.catalog().settings_version.get() > 0
+        !self.stopping && !self.stands_by && self.is_able()
+    }
+
+    /// Returns whether callers can be served.
+    const fn is_able(&self) -> bool {
+        self.view.catalog().settings_version.get() > 0
     }
 
     /// Announces that the process will end; what arrives is still forwarded.
@@ -264,6 +273,7 @@
             self.next_digest = now.plus(DIGEST_INTERVAL_MS);
             self.peers.sweep(now, out);
             self.send_digests(now, out);
+            self.decide_standby(now, out);
         }
         self.decide_store_duty(now, out);
     }
@@ -634,6 +644,12 @@
             wants_answer,
             stopping: self.stopping,
             is_young: now.since(self.started) < YOUNG_MS,
+            zone: self.config.zone,
+            link_mbps: if self.is_able() {
+                self.config.link_mbps
+            } else {
+                0
+            },
             balancers: Instances::new(&others[..len]),
         };
         write_digest(digest, &mut self.scratch);
@@ -647,7 +663,12 @@
         digest: Digest<'_>,
         out: &mut impl Outbox,
     ) {
-        self.peers.heard(now, peer, digest.stopping, out);
+        let standing = Standing {
+            zone: digest.zone,
+            link_mbps: digest.link_mbps,
+            is_able: digest.link_mbps > 0,
+        };
+        self.peers.heard(now, peer, digest.stopping, standing, out);
         if digest.is_young {
             // The store doesn't know who left lately.
             write_retired_lists(now, self.view.retired(), &mut self.scratch, |list| {
@@ -728,6 +749,24 @@
         });
     }
 
+    fn decide_standby(&mut self, now: Millis, out: &mut impl Outbox) {
+        let standing = Standing {
+            zone: self.config.zone,
+            link_mbps: self.config.link_mbps,
+            is_able: true,
+        };
+        let stands_by = self.peers.stands_by(now, self.config.address, standing);
+        if stands_by == self.stands_by {
+            return;
+        }
+        self.stands_by = stands_by;
+        out.event(Event::Standby {
+            stands_by,
+            link_mbps: self.config.link_mbps,
+            peers: self.peers.addresses().len(),
+        });
+    }
+
     fn decide_store_duty(&mut self, now: Millis, out: &mut impl Outbox) {
         let is_stale = self
             .confirmed_at
--- a/crates/passthrough/src/balancer/peers.rs
+++ b/crates/passthrough/src/balancer/peers.rs
@@ -5,7 +5,7 @@
 use units::Millis;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{Event, Outbox, message::INSTANCES_MAX};
+use crate::{Event, Outbox, ZoneKey, message::INSTANCES_MAX};
 
 /// Time without a digest after which a balancer counts as lost: three digests.
 const LOST_MS: Millis = Millis::new(1_600);
@@ -13,6 +13,11 @@
 /// Time without a digest after which a balancer is forgotten.
 const FORGOTTEN_MS: Millis = Millis::new(20_000);
 
+/// A link is narrow beside others that are this many times as fast.
+///
+/// With half as many instances, each carries twice as much; twice that leaves room for a crest.
+const NARROW: u32 = 4;
+
 /// Time between two catalogs sent to the same balancer.
 const CATALOG_INTERVAL_MS: Millis = Millis::new(200);
 
@@ -24,9 +29,20 @@
     added: Millis,
     is_lost: bool,
     stopping: bool,
+    standing: Standing,
     catalog_sent: Option<Millis>,
 }
 
+/// What a balancer says of itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Standing {
+    pub(crate) zone: ZoneKey,
+    /// What its link carries.
+    pub(crate) link_mbps: u32,
+    /// It has settings and may be sent callers.
+    pub(crate) is_able: bool,
+}
+
 /// The other balancers.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
@@ -49,6 +65,7 @@
             added: now,
             is_lost: true,
             stopping: false,
+            standing: Standing::default(),
             catalog_sent: None,
         };
         self.peers.insert(idx, peer);
@@ -60,6 +77,7 @@
         now: Millis,
         address: Ipv4Addr,
         stopping: bool,
+        standing: Standing,
         out: &mut impl Outbox,
     ) {
         self.add(address, now);
@@ -69,6 +87,7 @@
         let peer = &mut self.peers[idx];
         peer.heard = Some(now);
         peer.stopping = stopping;
+        peer.standing = standing;
         if std::mem::replace(&mut peer.is_lost, false) {
             out.event(Event::PeerFound { balancer: address });
         }
@@ -107,6 +126,29 @@
             .count()
     }
 
+    /// Returns whether balancers with much faster links make up half of the zone without this one.
+    ///
+    /// Routers spread packets evenly over the instances in rotation, as long as these are half of a
+    /// zone or more; a narrow link then gets what it can't carry.
+    pub(crate) fn stands_by(&self, now: Millis, own: Ipv4Addr, standing: Standing) -> bool {
+        let in_zone = |it: &&Peer| it.standing.zone == standing.zone;
+        let known = 1 + self.peers.iter().filter(in_zone).count();
+        let is_able = |it: &&Peer| {
+            it.standing.is_able
+                && !it.stopping
+                && it.heard.is_some_and(|heard| now.since(heard) <= LOST_MS)
+        };
+        let able = self.peers.iter().filter(in_zone).filter(is_able);
+        let mut links: Vec<_> = able.map(|it| (it.standing.link_mbps, it.address)).collect();
+        links.push((standing.link_mbps, own));
+        links.sort_unstable_by(|a, b| b.cmp(a));
+        let half = known.div_ceil(2);
+        let Some(slowest_needed) = links.get(half - 1) else {
+            return false;
+        };
+        standing.link_mbps.saturating_mul(NARROW) <= slowest_needed.0
+    }
+
     /// Returns whether a catalog may be sent to the peer now, and counts it as sent.
     pub(crate) fn may_send_catalog(&mut self, now: Millis, address: Ipv4Addr) -> bool {
         let Ok(idx) = self.find(address) else {
--- a/crates/passthrough/src/event.rs
+++ b/crates/passthrough/src/event.rs
@@ -135,6 +135,12 @@
     },
     /// A list of endpoints and routes that isn't newer was ignored.
     CatalogIgnored { revision: u64, in_force: u64 },
+    /// This balancer leaves callers to instances with faster links, or no longer.
+    Standby {
+        stands_by: bool,
+        link_mbps: u32,
+        peers: usize,
+    },
     /// This balancer reads the platform's store itself from now on, or no longer.
     StoreDuty {
         reads: bool,
--- a/crates/passthrough/src/message.rs
+++ b/crates/passthrough/src/message.rs
@@ -11,7 +11,7 @@
     byteorder::network_endian::{U16, U32, U64},
 };
 
-use crate::{EndpointState, Flow, ServiceKey, flow::FLOW_BYTES};
+use crate::{EndpointState, Flow, ServiceKey, ZoneKey, flow::FLOW_BYTES};
 
 /// Marks a datagram as one of ours.
 const MAGIC: u16 = 0x4C47;
@@ -341,6 +341,10 @@
     pub(crate) stopping: bool,
     /// The sender started a moment ago and lacks what only other balancers know.
     pub(crate) is_young: bool,
+    /// The availability zone the sender runs in.
+    pub(crate) zone: ZoneKey,
+    /// What the sender's link carries.
+    pub(crate) link_mbps: u32,
     pub(crate) balancers: Instances<'a>,
 }
 
@@ -349,6 +353,8 @@
 struct DigestHeader {
     preamble: Preamble,
     revision: U64,
+    zone: U64,
+    link_mbps: U32,
     confirmed_age_ms: U32,
     wants_answer: u8,
     stopping: u8,
@@ -516,6 +522,8 @@
         wants_answer: header.wants_answer != 0,
         stopping: header.stopping != 0,
         is_young: header.is_young != 0,
+        zone: ZoneKey::new(header.zone.get()),
+        link_mbps: header.link_mbps.get(),
         balancers: instances(rest, header.count)?,
     }))
 }
@@ -642,6 +650,8 @@
     let header = DigestHeader {
         preamble: Preamble::new(kind::DIGEST),
         revision: U64::new(digest.revision),
+        zone: U64::new(digest.zone.get()),
+        link_mbps: U32::new(digest.link_mbps),
         confirmed_age_ms: U32::new(digest.confirmed_age_ms),
         wants_answer: u8::from(digest.wants_answer),
         stopping: u8::from(digest.stopping),
--- a/crates/passthrough/tests/support/mod.rs
+++ b/crates/passthrough/tests/support/mod.rs
@@ -100,6 +100,8 @@
     pub(crate) events: Vec<(Ipv4Addr, Event)>,
     /// What the store holds.
     pub(crate) catalog: Catalog,
+    /// Links of balancers that differ from the usual 1,000 Mbit/s.
+    pub(crate) links: BTreeMap<u8, u32>,
 }
 
 impl World {
@@ -170,6 +172,7 @@
         let config = BalancerConfig {
             address: balancer_ip(number),
             zone: ZoneKey::from_name("a"),
+            link_mbps: self.links.get(&number).copied().unwrap_or(1_000),
             seeds: vec![balancer_ip(0)],
         };
         let balancer = Balancer::new(config, Millis::new(self.now));
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -38,6 +38,18 @@
     })
 }
 
+/// Checks that a link carries anything.
+pub(crate) fn link(field: &'static str, link_mbps: u32) -> Result<(), SettingsError> {
+    if link_mbps > 0 {
+        return Ok(());
+    }
+    Err(SettingsError::Field {
+        field,
+        cause: "a link of 0 Mbit/s carries nothing".to_owned(),
+        remedy: "give the link's speed in Mbit/s, 1 or more",
+    })
+}
+
 /// Checks that a name is not empty.
 pub(crate) fn name(field: &'static str, name: &str) -> Result<(), SettingsError> {
     if !name.is_empty() {
--- a/crates/settings/src/passthrough.rs
+++ b/crates/settings/src/passthrough.rs
@@ -2,7 +2,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de};
 use units::{InstanceId, Millis, Zone};
 
 use crate::{Checked, SettingsError, check};
@@ -21,6 +21,9 @@
     pub caller_address: SocketAddr,
     /// Port on which all our processes talk to each other.
     pub peer_port: u16,
+    /// What this instance's link carries, in Mbit/s; a fraction is dropped.
+    #[serde(deserialize_with = "whole_mbps")]
+    pub link_mbps: u32,
     /// Addresses at which other balancers may run; only the host counts.
     #[serde(default)]
     pub seeds: Vec<SocketAddrV4>,
@@ -62,6 +65,7 @@
         check::address("store_address", self.store_address)?;
         check::address("readiness_address", self.readiness_address)?;
         check::distinct_ports(self.peer_port, self.caller_address.port())?;
+        check::link("link_mbps", self.link_mbps)?;
         check::drain_timeout(self.stop_grace_ms())
     }
 }
@@ -113,3 +117,18 @@
         check::distinct_ports(self.peer_port, self.outbound_address.port())
     }
 }
+
+/// Reads a speed that may be written with a fraction.
+fn whole_mbps<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
+    let speed = f64::deserialize(deserializer)?;
+    if !(0.0..=f64::from(u32::MAX)).contains(&speed) {
+        return Err(de::Error::custom(format!("`{speed}` is no speed in Mbit/s")));
+    }
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the range was checked, and the fraction is dropped on purpose"
+    )]
+    let whole = speed as u32;
+    Ok(whole)
+}
