Agents fan searches out, openings are repeated twice at most

A balancer sent each packet of an unknown flow along seven chains and more, and offered openings anew every 70 ms, up to 16 times; narrow links filled with it, so answers came later still. Ruled out: processor time (0.015 of 0.038 cores), endpoints (base site recovers in 2 s). Change: a balancer sends one copy with the list of agents, and an agent sends it along the chains; a chain that ends without a holder answers without the packet. An opening is repeated after 70 and 330 ms only. A lookup proves that nobody holds a flow only if every endpoint of the service was asked.

--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -15,8 +15,9 @@
     DropReason, EndpointState, Event, Flow, Message, Outbox, PacketFormat, ResetReason, Segment,
     ServiceKey,
     message::{
-        Body, Bound, Carried, Carry, FULLNESS_CLOSED, Fullness, INSTANCES_MAX, Instances, Notice,
-        Report, Returned, write_bound, write_carry, write_report, write_returned,
+        Body, Bound, Candidate, Candidates, Carried, Carry, FULLNESS_CLOSED, Fullness,
+        INSTANCES_MAX, Instances, NotHeld, Notice, Report, Returned, Search, write_bound,
+        write_carry, write_not_held, write_report, write_returned,
     },
 };
 use health::EndpointHealth;
@@ -126,6 +127,9 @@
     ) {
         let (carry, packet_bytes) = match crate::decode(datagram) {
             Ok(Message(Body::Carry(carry, packet))) => (carry, packet.len()),
+            Ok(Message(Body::Search(search, packet))) => {
+                return self.on_search(now, &search, packet, out);
+            }
             Ok(Message(Body::Notice(notice))) => return self.on_notice(now, sender, notice, out),
             Ok(_) | Err(_) => return self.drop(DropReason::Malformed, out),
         };
@@ -208,6 +212,35 @@
         self.on_segment(now, flow, carry, &segment, packet, out);
     }
 
+    /// Sends copies of a packet along the chains that a balancer named.
+    fn on_search(
+        &mut self,
+        now: Millis,
+        search: &Search<'_>,
+        packet: &[u8],
+        out: &mut impl Outbox,
+    ) {
+        self.counters.searches += 1;
+        let sure = search.sure.chains(search.chain_len);
+        for chain in sure.chain(search.doubtful.chains(1)) {
+            let mut candidates = Candidates::default();
+            for agent in chain.iter() {
+                candidates.push(Candidate::new(agent, 0));
+            }
+            let Some(first) = candidates.as_slice().first().copied() else {
+                continue;
+            };
+            let carry = Carry::new(search.service, search.origin, Carried::Lookup, candidates)
+                .with_ticket(search.ticket);
+            if first.agent() == self.config.address {
+                self.on_carry(now, carry, &mut packet.to_vec(), out);
+                continue;
+            }
+            write_carry(&carry, packet, &mut self.scratch);
+            out.send_peer(first.agent(), &self.scratch);
+        }
+    }
+
     fn on_opening(
         &mut self,
         now: Millis,
@@ -400,7 +433,19 @@
         out: &mut impl Outbox,
     ) {
         self.counters.sent_back += 1;
-        write_returned(Returned { carried, ticket }, packet, &mut self.scratch);
+        if carried == Carried::Lookup {
+            // The balancer keeps the packet of a lookup.
+            let Ok(segment) = F::decode(packet) else {
+                return;
+            };
+            let flow = Flow {
+                caller: segment.source,
+                service_address: segment.destination,
+            };
+            write_not_held(NotHeld { flow, ticket }, &mut self.scratch);
+        } else {
+            write_returned(Returned { carried }, packet, &mut self.scratch);
+        }
         out.send_peer(origin, &self.scratch);
     }
 
--- a/crates/passthrough/src/agent/counters.rs
+++ b/crates/passthrough/src/agent/counters.rs
@@ -11,6 +11,8 @@
     pub segments: u64,
     /// Packets of the endpoint sent to callers.
     pub answers: u64,
+    /// Searches for a flow's holder on a balancer's behalf.
+    pub searches: u64,
     /// Packets that the endpoint handed back.
     pub returned: u64,
     /// Packets passed on to another agent or back.
@@ -28,12 +30,13 @@
 impl AgentCounters {
     /// Lists names and values.
     #[must_use]
-    pub const fn list(&self) -> [(&'static str, u64); 10] {
+    pub const fn list(&self) -> [(&'static str, u64); 11] {
         [
             ("openings_offered", self.offered),
             ("openings_unanswered", self.unanswered),
             ("segments", self.segments),
             ("answers", self.answers),
+            ("searches", self.searches),
             ("packets_returned", self.returned),
             ("packets_passed_on", self.passed_on),
             ("packets_sent_back", self.sent_back),
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -18,7 +18,8 @@
     PacketFormat, ResetReason, Segment, ServiceKey, ZoneKey,
     message::{
         Body, Bound, Candidate, Candidates, Carried, Carry, Chunk, Digest, INSTANCES_MAX,
-        Instances, Notice, Report, Returned, write_carry, write_digest, write_notice,
+        Instances, Notice, Report, Returned, SEARCHED_MAX, Search, write_carry, write_digest,
+        write_notice, write_search,
     },
     snapshot::{Assembly, RetiredList, write_chunks, write_retired_lists},
 };
@@ -200,6 +201,9 @@
             Ok(Message(Body::Report(report))) => return self.on_report(now, sender, report, out),
             Ok(Message(Body::Digest(digest))) => return self.on_digest(now, sender, digest, out),
             Ok(Message(Body::Chunk(chunk))) => return self.on_chunk(now, chunk, out),
+            Ok(Message(Body::NotHeld(it))) => {
+                return self.on_chain_end(now, it.flow, it.ticket, out);
+            }
             Ok(Message(Body::Retired(list))) => return self.on_retired(now, list, out),
             Ok(_) | Err(_) => return self.drop(DropReason::Malformed, out),
         };
@@ -415,37 +419,44 @@
         let is_doubtful = |it: &Endpoint| {
             it.state == EndpointState::Retired || agents.is_doubtful(now, it.agent())
         };
+        // Entries of an endpoint that started anew, or whose address was used again, share an agent.
         self.window
-            .sort_by_key(|it| (is_doubtful(it), it.zone != zone));
+            .sort_unstable_by_key(|it| (it.agent(), it.state == EndpointState::Retired));
         self.window.dedup_by_key(|it| it.agent());
+        self.window
+            .sort_by_key(|it| (is_doubtful(it), it.zone != zone));
         if self.window.is_empty() {
             return self.drop(DropReason::NoEndpoint, out);
         }
-        let (sure, doubtful) = self
-            .window
-            .split_at(self.window.partition_point(|it| !is_doubtful(it)));
-        let chains = sure.len().div_ceil(CHAIN_MAX);
-        let chain_len = sure.len().div_ceil(chains.max(1)).max(1);
-        let count = sure.chunks(chain_len).len() + doubtful.len();
+        let sure = self.window.partition_point(|it| !is_doubtful(it));
+        let is_complete = self.window.len() <= SEARCHED_MAX;
+        self.window.truncate(SEARCHED_MAX);
+        let sure = sure.min(self.window.len());
+        let chains = sure.div_ceil(CHAIN_MAX);
+        let chain_len = sure.div_ceil(chains.max(1)).max(1);
+        let count = sure.div_ceil(chain_len) + self.window.len() - sure;
         let (ticket, round) = self
             .lookups
             .start(now, flow, count, segment.acknowledged, packet);
-        let chains = sure.chunks(chain_len).chain(doubtful.chunks(1));
-        for chain in chains {
-            let mut candidates = Candidates::default();
-            // Each round begins at another agent, so that a gone one hides others only once.
-            let (last, first) = chain.split_at(round % chain.len());
-            for endpoint in first.iter().chain(last) {
-                candidates.push(Candidate::new(endpoint.agent(), 0));
-            }
-            let Some(first) = candidates.as_slice().first().copied() else {
-                continue;
-            };
-            let carry = Carry::new(service, self.config.address, Carried::Lookup, candidates)
-                .with_ticket(ticket);
-            write_carry(&carry, packet, &mut self.scratch);
-            out.send_peer(first.agent(), &self.scratch);
-        }
+        // Without every endpoint's word nothing is proved, and nobody needs to count.
+        let ticket = if is_complete { ticket } else { 0 };
+        // Each round begins at another agent, so that a gone one hides others only once.
+        self.window[..sure].rotate_left(round % sure.max(1));
+        let mut agents = [[0; 4]; SEARCHED_MAX];
+        for (octets, endpoint) in agents.iter_mut().zip(&self.window) {
+            *octets = endpoint.agent().octets();
+        }
+        let (sure, doubtful) = agents[..self.window.len()].split_at(sure);
+        let search = Search {
+            service,
+            origin: self.config.address,
+            ticket,
+            chain_len: u8::try_from(chain_len).unwrap_or(u8::MAX),
+            sure: Instances::new(sure),
+            doubtful: Instances::new(doubtful),
+        };
+        write_search(&search, packet, &mut self.scratch);
+        out.send_peer(self.window[0].agent(), &self.scratch);
         self.counters.lookups += 1;
         if ticket != 0 {
             out.event(Event::LookupStarted {
@@ -503,7 +514,7 @@
                 self.flows.remove_if(flow, agent);
                 self.look_up(now, flow, service, &segment, packet, Some(agent), out);
             }
-            Carried::Lookup => self.on_chain_end(now, flow, returned.ticket, out),
+            Carried::Lookup => {}
         }
     }
 
--- a/crates/passthrough/src/balancer/openings.rs
+++ b/crates/passthrough/src/balancer/openings.rs
@@ -15,6 +15,10 @@
 /// them, and well below the 200 ms after which callers send a copy.
 const REPEAT_MS: Millis = Millis::new(70);
 
+/// Time after which an opening that was repeated once is offered a last time without the caller's
+/// help. Repeats stop there: answers that are late because a link is full would only get later.
+const LAST_REPEAT_MS: Millis = Millis::new(330);
+
 /// Time after which the caller has given the opening up.
 const EXPIRY_MS: Millis = Millis::new(1_400);
 
@@ -56,7 +60,11 @@
 
     pub(crate) fn offered_to(&mut self, now: Millis, agent: Ipv4Addr) {
         self.tried.push(agent);
-        self.due = now.plus(REPEAT_MS);
+        self.due = now.plus(match self.tried.len() {
+            1 => REPEAT_MS,
+            2 => LAST_REPEAT_MS,
+            _ => EXPIRY_MS,
+        });
     }
 }
 
--- a/crates/passthrough/src/catalog.rs
+++ b/crates/passthrough/src/catalog.rs
@@ -24,7 +24,7 @@
 /// Endpoints at most among which a flow is placed and looked up.
 ///
 /// Bounds the cost of both however large a service is; with fewer endpoints all of them count.
-pub(crate) const WINDOW: usize = 64;
+pub(crate) const WINDOW: usize = 128;
 
 macro_rules! hashed_name {
     ($(#[$doc:meta])* $name:ident) => {
--- a/crates/passthrough/src/message.rs
+++ b/crates/passthrough/src/message.rs
@@ -25,6 +25,9 @@
 /// Instances that one message can name.
 pub(crate) const INSTANCES_MAX: usize = 32;
 
+/// Agents that one search can name; with a packet of 1,232 bytes they fit a path of 1,500.
+pub(crate) const SEARCHED_MAX: usize = 56;
+
 /// Kinds of messages, as written in the preamble.
 mod kind {
     pub(super) const CARRY: u8 = 1;
@@ -35,6 +38,8 @@
     pub(super) const DIGEST: u8 = 6;
     pub(super) const CHUNK: u8 = 7;
     pub(super) const RETIRED: u8 = 8;
+    pub(super) const SEARCH: u8 = 9;
+    pub(super) const NOT_HELD: u8 = 10;
 }
 
 /// Why a datagram is not a message.
@@ -265,6 +270,51 @@
     pub(crate) fullness: Fullness,
 }
 
+/// A packet whose holder an agent is asked to look for on a balancer's behalf.
+///
+/// Balancers may have narrow links; the agent sends the copies.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Search<'a> {
+    pub(crate) service: ServiceKey,
+    /// The balancer that gets the results.
+    pub(crate) origin: Ipv4Addr,
+    pub(crate) ticket: u16,
+    /// Agents that a chain visits.
+    pub(crate) chain_len: u8,
+    /// Agents that are visited in chains.
+    pub(crate) sure: Instances<'a>,
+    /// Agents that may be gone, each visited alone.
+    pub(crate) doubtful: Instances<'a>,
+}
+
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct SearchHeader {
+    preamble: Preamble,
+    service: U64,
+    origin: [u8; 4],
+    ticket: U16,
+    chain_len: u8,
+    sure: u8,
+    doubtful: u8,
+    _reserved: u8,
+}
+
+/// The end of a chain on which no agent holds the flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct NotHeld {
+    pub(crate) flow: Flow,
+    pub(crate) ticket: u16,
+}
+
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct NotHeldHeader {
+    preamble: Preamble,
+    flow: [u8; FLOW_BYTES],
+    ticket: U16,
+}
+
 #[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
 #[repr(C)]
 struct BoundHeader {
@@ -277,7 +327,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Returned {
     pub(crate) carried: Carried,
-    pub(crate) ticket: u16,
 }
 
 #[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
@@ -285,8 +334,6 @@
 struct ReturnHeader {
     preamble: Preamble,
     carried: u8,
-    _reserved: u8,
-    ticket: U16,
 }
 
 /// What a balancer tells an agent about the endpoint beside it.
@@ -387,9 +434,15 @@
 pub(crate) struct Instances<'a>(&'a [[u8; 4]]);
 
 impl<'a> Instances<'a> {
-    /// Wraps a list; what is past `INSTANCES_MAX` is left out.
-    pub(crate) fn new(list: &'a [[u8; 4]]) -> Self {
-        Self(&list[..list.len().min(INSTANCES_MAX)])
+    /// Wraps a list of at most 255 instances.
+    pub(crate) const fn new(list: &'a [[u8; 4]]) -> Self {
+        debug_assert!(list.len() <= u8::MAX as usize, "the count is one byte");
+        Self(list)
+    }
+
+    /// Splits the list into chains of `chain_len` instances.
+    pub(crate) fn chains(self, chain_len: u8) -> impl Iterator<Item = Instances<'a>> {
+        self.0.chunks(usize::from(chain_len)).map(Instances)
     }
 
     pub(crate) fn iter(self) -> impl Iterator<Item = Ipv4Addr> + 'a {
@@ -398,7 +451,7 @@
 
     #[expect(
         clippy::cast_possible_truncation,
-        reason = "a list has at most 32 instances"
+        reason = "a list has at most 255 instances"
     )]
     const fn count(self) -> u8 {
         self.0.len() as u8
@@ -421,6 +474,8 @@
     Chunk(Chunk<'a>),
     /// Serialized [`crate::snapshot::RetiredList`].
     Retired(&'a [u8]),
+    Search(Search<'a>, &'a [u8]),
+    NotHeld(NotHeld),
 }
 
 /// Decodes a datagram from another process of ours.
@@ -441,6 +496,8 @@
         kind::REPORT => decode_report(datagram)?,
         kind::DIGEST => decode_digest(datagram)?,
         kind::CHUNK => decode_chunk(datagram)?,
+        kind::SEARCH => decode_search(datagram)?,
+        kind::NOT_HELD => decode_not_held(datagram)?,
         kind::RETIRED => Body::Retired(prefix::<Preamble>(datagram)?.1),
         _ => return Err(MessageError::Field { field: "kind" }),
     };
@@ -476,7 +533,6 @@
     let (header, packet) = prefix::<ReturnHeader>(datagram)?;
     let returned = Returned {
         carried: Carried::from_byte(header.carried)?,
-        ticket: header.ticket.get(),
     };
     Ok(Body::Returned(returned, packet))
 }
@@ -489,6 +545,35 @@
     }))
 }
 
+fn decode_search(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
+    let (header, rest) = prefix::<SearchHeader>(datagram)?;
+    if header.chain_len == 0 || usize::from(header.chain_len) > CANDIDATES_MAX {
+        return Err(MessageError::Field { field: "chain_len" });
+    }
+    let (sure, rest) = list::<[u8; 4]>(rest, usize::from(header.sure))?;
+    let (doubtful, packet) = list::<[u8; 4]>(rest, usize::from(header.doubtful))?;
+    if sure.len() + doubtful.len() > SEARCHED_MAX {
+        return Err(MessageError::Field { field: "sure" });
+    }
+    let search = Search {
+        service: ServiceKey::new(header.service.get()),
+        origin: header.origin.into(),
+        ticket: header.ticket.get(),
+        chain_len: header.chain_len,
+        sure: Instances(sure),
+        doubtful: Instances(doubtful),
+    };
+    Ok(Body::Search(search, packet))
+}
+
+fn decode_not_held(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
+    let (header, _) = prefix::<NotHeldHeader>(datagram)?;
+    Ok(Body::NotHeld(NotHeld {
+        flow: Flow::from_bytes(header.flow),
+        ticket: header.ticket.get(),
+    }))
+}
+
 fn decode_notice(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
     let (header, _) = prefix::<NoticeHeader>(datagram)?;
     let state = match header.state {
@@ -589,13 +674,41 @@
     out.extend_from_slice(packet);
 }
 
+/// Writes a packet whose holder an agent is asked to look for.
+pub(crate) fn write_search(search: &Search<'_>, packet: &[u8], out: &mut Vec<u8>) {
+    let header = SearchHeader {
+        preamble: Preamble::new(kind::SEARCH),
+        service: U64::new(search.service.get()),
+        origin: search.origin.octets(),
+        ticket: U16::new(search.ticket),
+        chain_len: search.chain_len,
+        sure: search.sure.count(),
+        doubtful: search.doubtful.count(),
+        _reserved: 0,
+    };
+    out.clear();
+    out.extend_from_slice(header.as_bytes());
+    out.extend_from_slice(search.sure.0.as_bytes());
+    out.extend_from_slice(search.doubtful.0.as_bytes());
+    out.extend_from_slice(packet);
+}
+
+/// Writes the end of a chain on which no agent holds the flow.
+pub(crate) fn write_not_held(not_held: NotHeld, out: &mut Vec<u8>) {
+    let header = NotHeldHeader {
+        preamble: Preamble::new(kind::NOT_HELD),
+        flow: not_held.flow.to_bytes(),
+        ticket: U16::new(not_held.ticket),
+    };
+    out.clear();
+    out.extend_from_slice(header.as_bytes());
+}
+
 /// Writes a packet that goes back to its balancer.
 pub(crate) fn write_returned(returned: Returned, packet: &[u8], out: &mut Vec<u8>) {
     let header = ReturnHeader {
         preamble: Preamble::new(kind::RETURN),
         carried: returned.carried.to_byte(),
-        _reserved: 0,
-        ticket: U16::new(returned.ticket),
     };
     out.clear();
     out.extend_from_slice(header.as_bytes());
--- a/crates/passthrough/tests/flow_lookup.rs
+++ b/crates/passthrough/tests/flow_lookup.rs
@@ -203,3 +203,26 @@
     let heard: BTreeSet<_> = world.events.iter().map(|it| it.0).collect();
     assert!(heard.contains(&balancer_ip(0)));
 }
+
+#[test]
+fn balancer_sends_one_copy_of_a_packet_looked_up() {
+    let mut world = World::new(1, 30);
+    let sequence = world.open(0, caller(1)).unwrap();
+    world.run(50);
+    world.start_balancer(0);
+    world.run(1_200);
+    let before = world.sent_bytes(balancer_ip(0));
+    let request = support::packet(
+        caller(1),
+        support::SERVICE_ADDRESS,
+        support::Flags::ACK,
+        100,
+        sequence + 1,
+        1_200,
+    );
+    world.send(0, &request);
+    let sent = world.sent_bytes(balancer_ip(0)) - before;
+    assert!(sent < 1_500, "{sent} bytes sent for one packet");
+    world.run(50);
+    assert_eq!(world.answers(caller(1)), 2);
+}
--- a/crates/passthrough/tests/openings.rs
+++ b/crates/passthrough/tests/openings.rs
@@ -122,3 +122,19 @@
         .count();
     assert!(placed >= 20);
 }
+
+#[test]
+fn late_answers_cause_two_repeats_at_most() {
+    let mut world = World::new(1, 8);
+    // No answer reaches the balancer, as behind a link that is full.
+    world.cut.insert(support::balancer_ip(0));
+    let syn = packet(caller(1), SERVICE_ADDRESS, Flags::SYN, 1, 0, 0);
+    world.send(0, &syn);
+    world.run(1_300);
+    let placed = world
+        .events
+        .iter()
+        .filter(|it| matches!(it.1, Event::OpeningPlaced { .. }))
+        .count();
+    assert_eq!(placed, 3);
+}
--- a/crates/passthrough/tests/support/mod.rs
+++ b/crates/passthrough/tests/support/mod.rs
@@ -100,6 +100,8 @@
     pub(crate) events: Vec<(Ipv4Addr, Event)>,
     /// What the store holds.
     pub(crate) catalog: Catalog,
+    /// Bytes that each instance sent to others.
+    sent_bytes: BTreeMap<Ipv4Addr, usize>,
     /// Links of balancers that differ from the usual 1,000 Mbit/s.
     pub(crate) links: BTreeMap<u8, u32>,
 }
@@ -310,6 +312,11 @@
         self.endpoints.iter().find(holds).map(|it| *it.0)
     }
 
+    /// Returns the bytes that an instance sent so far.
+    pub(crate) fn sent_bytes(&self, instance: Ipv4Addr) -> usize {
+        self.sent_bytes.get(&instance).copied().unwrap_or(0)
+    }
+
     /// Lets time pass.
     pub(crate) fn run(&mut self, ms: u64) {
         let end = self.now + ms;
@@ -405,6 +412,7 @@
             .extend(sent.events.into_iter().map(|it| (ip, it)));
         let at = self.now + DELAY_MS;
         for (place, bytes) in sent.list {
+            *self.sent_bytes.entry(ip).or_default() += bytes.len();
             let is_cut = match place {
                 Place::Peer { from, to } => self.cut.contains(&from) || self.cut.contains(&to),
                 Place::Caller(_) => self.cut.contains(&ip),
--- a/crates/settings/src/passthrough.rs
+++ b/crates/settings/src/passthrough.rs
@@ -122,7 +122,9 @@
 fn whole_mbps<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
     let speed = f64::deserialize(deserializer)?;
     if !(0.0..=f64::from(u32::MAX)).contains(&speed) {
-        return Err(de::Error::custom(format!("`{speed}` is no speed in Mbit/s")));
+        return Err(de::Error::custom(format!(
+            "`{speed}` is no speed in Mbit/s"
+        )));
     }
     #[expect(
         clippy::cast_possible_truncation,
