A stopping balancer waits until it is out of rotation; calls to the store back off

Change: questions to the store back off from 100 to 1,600 ms, retries up to 750 ms; the stop condition uses the rotation time; the balancer's process is a struct of short methods.

--- a/crates/passthrough-node/src/balancer.rs
+++ b/crates/passthrough-node/src/balancer.rs
@@ -46,7 +46,7 @@
 #[serde(tag = "event", rename_all = "snake_case")]
 enum LifeEvent {
     Started { role: &'static str },
-    Ready,
+    Readiness { is_ready: bool },
     Stopping { grace_ms: u64 },
     Stopped { after_ms: u64 },
     Reloaded,
@@ -90,6 +90,8 @@
 
 /// Runs a balancer until the stop signal.
 ///
+/// `confirming_source` answers whether a list is the newest while `source` waits for changes.
+///
 /// # Errors
 ///
 /// Fails if a socket can't be opened or signals can't be received.
@@ -98,122 +100,186 @@
     source: S,
     confirming_source: S,
 ) -> Result<(), NodeError> {
-    let log = EventLog::new(settings.instance.as_str());
-    let mut sockets = Sockets {
-        callers: udp::bind("callers", settings.caller_address)?,
-        peers: udp::bind("other instances", settings.peer_address())?,
-        caller_port: settings.caller_address.port(),
-        peer_port: settings.peer_port,
-        log: log.clone(),
-        unsent: 0,
-    };
-    let answers = Answers::default();
-    listen("readiness", settings.readiness_address, &answers)?;
-    if let Some(address) = settings.metrics_address {
-        listen("metrics", address, &answers)?;
-    }
+    let mut process: Process<F> = Process::start(&settings)?;
+    let log = process.sockets.log.clone();
     let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signal)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(NodeError::Signal)?;
-    log.write(Line::Belief, &LifeEvent::Started { role: "balancer" });
-
     let (duty, on_duty) = watch::channel(true);
     let (readings, mut changes) = mpsc::channel::<Reading>(4);
     tokio::spawn(source::read(source, on_duty, readings, log.clone()));
     let (questions, asked) = mpsc::channel::<Revision>(1);
     let (confirmed, mut confirmations) = mpsc::channel::<Confirmation>(1);
-    tokio::spawn(source::confirm(
-        confirming_source,
-        asked,
-        confirmed,
-        log.clone(),
-    ));
+    tokio::spawn(source::confirm(confirming_source, asked, confirmed, log));
+    while !process.is_over(clock::now()) {
+        let sleep = process.next_deadline().since(clock::now()).to_duration();
+        let has_work = tokio::select! {
+            biased;
+            res = process.sockets.callers.readable() => res.is_ok(),
+            res = process.sockets.peers.readable() => res.is_ok(),
+            Some(reading) = changes.recv() => {
+                process.on_reading(reading);
+                false
+            }
+            Some(it) = confirmations.recv() => {
+                process.on_confirmation(&it);
+                false
+            }
+            () = tokio::time::sleep(sleep) => false,
+            _ = terminate.recv() => {
+                process.stop(settings.stop_grace_ms());
+                false
+            }
+            _ = hangup.recv() => {
+                process.sockets.log.write(Line::Belief, &LifeEvent::Reloaded);
+                false
+            }
+        };
+        process.turn(has_work);
+        if let Some(revision) = process.balancer.take_confirmation_wish(clock::now()) {
+            // While a question is under way, the next wish comes soon enough.
+            let _busy = questions.try_send(revision);
+        }
+        let reads_store = process.balancer.reads_store();
+        duty.send_if_modified(|it| std::mem::replace(it, reads_store) != reads_store);
+    }
+    Ok(())
+}
 
-    let config = BalancerConfig {
-        address: settings.address,
-        zone: ZoneKey::from_name(settings.availability_zone.as_str()),
-        link_mbps: settings.link_mbps,
-        seeds: settings.seed_instances(),
-    };
-    let mut balancer: Balancer<F> = Balancer::new(config, clock::now());
-    let mut buffer = vec![0; udp::DATAGRAM_MAX_BYTES];
-    let mut was_ready = false;
-    let mut store_calls = 0;
-    let mut next_metrics = clock::now();
-    let mut last_packet = clock::now();
-    let mut stop_at: Option<(Millis, Millis)> = None;
-    loop {
-        let now = clock::now();
-        if let Some((since, latest)) = stop_at
-            && (now >= latest
-                || (now.since(last_packet) > UNUSED_MS && now.since(since) > UNUSED_MS))
-        {
-            let after_ms = now.since(since).get();
-            log.write(Line::Belief, &LifeEvent::Stopped { after_ms });
-            log.flush();
-            return Ok(());
+/// The state of the process between two waits.
+struct Process<F> {
+    balancer: Balancer<F>,
+    sockets: Sockets,
+    answers: Answers,
+    buffer: Vec<u8>,
+    was_ready: bool,
+    store_calls: u64,
+    next_metrics: Millis,
+    last_packet: Millis,
+    stop: Option<Stop>,
+}
+
+/// A stop under way.
+#[derive(Debug, Clone, Copy)]
+struct Stop {
+    since: Millis,
+    /// When the process ends even if it is still used.
+    latest: Millis,
+}
+
+impl<F: PacketFormat> Process<F> {
+    /// Opens the sockets and starts with nothing in force.
+    fn start(settings: &PassthroughBalancerSettings) -> Result<Self, NodeError> {
+        let log = EventLog::new(settings.instance.as_str());
+        let sockets = Sockets {
+            callers: udp::bind("callers", settings.caller_address)?,
+            peers: udp::bind("other instances", settings.peer_address())?,
+            caller_port: settings.caller_address.port(),
+            peer_port: settings.peer_port,
+            log: log.clone(),
+            unsent: 0,
+        };
+        let answers = Answers::default();
+        listen("readiness", settings.readiness_address, &answers)?;
+        if let Some(address) = settings.metrics_address {
+            listen("metrics", address, &answers)?;
         }
-        let deadline = balancer.next_deadline().min(next_metrics);
-        let deadline = stop_at.map_or(deadline, |_| deadline.min(now.plus(UNUSED_MS)));
-        let sleep_ms = deadline.since(now);
-        let has_work = {
-            tokio::select! {
-                biased;
-                res = sockets.callers.readable() => res.is_ok(),
-                res = sockets.peers.readable() => res.is_ok(),
-                Some(reading) = changes.recv() => {
-                    store_calls = reading.calls;
-                    balancer.on_store(clock::now(), reading.catalog, &mut sockets);
-                    false
-                }
-                Some(it) = confirmations.recv() => {
-                    let now = clock::now();
-                    balancer.on_confirmed(now, it.asked_at, it.revision, &mut sockets);
-                    false
-                }
-                () = tokio::time::sleep(sleep_ms.to_duration()) => false,
-                _ = terminate.recv() => {
-                    let now = clock::now();
-                    let grace = settings.stop_grace_ms();
-                    log.write(Line::Belief, &LifeEvent::Stopping { grace_ms: grace.get() });
-                    answers.set_ready(false);
-                    balancer.stop(now, &mut sockets);
-                    let longest = grace.since(STOP_MARGIN_MS).min(STOP_MAX_MS);
-                    stop_at.get_or_insert((now, now.plus(longest)));
-                    false
-                }
-                _ = hangup.recv() => {
-                    log.write(Line::Belief, &LifeEvent::Reloaded);
-                    false
-                }
-            }
+        log.write(Line::Belief, &LifeEvent::Started { role: "balancer" });
+        let config = BalancerConfig {
+            address: settings.address,
+            zone: ZoneKey::from_name(settings.availability_zone.as_str()),
+            link_mbps: settings.link_mbps,
+            seeds: settings.seed_instances(),
         };
+        let now = clock::now();
+        Ok(Self {
+            balancer: Balancer::new(config, now),
+            sockets,
+            answers,
+            buffer: vec![0; udp::DATAGRAM_MAX_BYTES],
+            was_ready: false,
+            store_calls: 0,
+            next_metrics: now,
+            last_packet: now,
+            stop: None,
+        })
+    }
+
+    /// Returns whether a stop has come to its end, and says so in the log.
+    fn is_over(&self, now: Millis) -> bool {
+        let Some(stop) = self.stop else {
+            return false;
+        };
+        let is_unused =
+            now.since(self.last_packet) > UNUSED_MS && now.since(stop.since) > ROTATION_MS;
+        if now < stop.latest && !is_unused {
+            return false;
+        }
+        let after_ms = now.since(stop.since).get();
+        let log = &self.sockets.log;
+        log.write(Line::Belief, &LifeEvent::Stopped { after_ms });
+        log.flush();
+        true
+    }
+
+    fn next_deadline(&mut self) -> Millis {
+        let deadline = self.balancer.next_deadline().min(self.next_metrics);
+        if self.stop.is_some() {
+            return deadline.min(clock::now().plus(UNUSED_MS));
+        }
+        deadline
+    }
+
+    fn on_reading(&mut self, reading: Reading) {
+        self.store_calls = reading.calls;
+        self.balancer
+            .on_store(clock::now(), reading.catalog, &mut self.sockets);
+    }
+
+    fn on_confirmation(&mut self, it: &Confirmation) {
+        self.balancer
+            .on_confirmed(clock::now(), it.asked_at, it.revision, &mut self.sockets);
+    }
+
+    /// Takes the stop signal.
+    fn stop(&mut self, grace: Millis) {
+        let now = clock::now();
+        let grace_ms = grace.get();
+        let log = &self.sockets.log;
+        log.write(Line::Belief, &LifeEvent::Stopping { grace_ms });
+        self.answers.set_ready(false);
+        self.balancer.stop(now, &mut self.sockets);
+        let longest = grace.since(STOP_MARGIN_MS).min(STOP_MAX_MS);
+        self.stop.get_or_insert(Stop {
+            since: now,
+            latest: now.plus(longest),
+        });
+    }
+
+    /// Forwards what has come and does what is due.
+    fn turn(&mut self, has_work: bool) {
         let now = clock::now();
         if has_work {
-            if forward_callers(now, &mut balancer, &mut sockets, &mut buffer) {
-                last_packet = now;
+            let (balancer, sockets) = (&mut self.balancer, &mut self.sockets);
+            if forward_callers(now, balancer, sockets, &mut self.buffer) {
+                self.last_packet = now;
             }
-            receive_peers(now, &mut balancer, &mut sockets, &mut buffer);
+            receive_peers(now, balancer, sockets, &mut self.buffer);
         }
-        if now >= balancer.next_deadline() {
-            balancer.on_timer(now, &mut sockets);
+        if now >= self.balancer.next_deadline() {
+            self.balancer.on_timer(now, &mut self.sockets);
         }
-        if let Some(revision) = balancer.take_confirmation_wish(now) {
-            // While a question is under way, the next wish comes soon enough.
-            let _busy = questions.try_send(revision);
-        }
-        let is_ready = balancer.is_ready();
-        if is_ready != was_ready {
-            was_ready = is_ready;
-            answers.set_ready(is_ready);
-            if is_ready {
-                log.write(Line::Belief, &LifeEvent::Ready);
-            }
+        let is_ready = self.balancer.is_ready();
+        if is_ready != self.was_ready {
+            self.was_ready = is_ready;
+            self.answers.set_ready(is_ready);
+            let log = &self.sockets.log;
+            log.write(Line::Belief, &LifeEvent::Readiness { is_ready });
         }
-        duty.send_if_modified(|it| std::mem::replace(it, balancer.reads_store()) != *it);
-        if now >= next_metrics {
-            next_metrics = now.plus(METRICS_INTERVAL_MS);
-            answers.set_metrics(metrics(&balancer, store_calls, sockets.unsent));
-            log.flush();
+        if now >= self.next_metrics {
+            self.next_metrics = now.plus(METRICS_INTERVAL_MS);
+            let text = metrics(&self.balancer, self.store_calls, self.sockets.unsent);
+            self.answers.set_metrics(text);
+            self.sockets.log.flush();
         }
     }
 }
--- a/crates/passthrough-node/src/source.rs
+++ b/crates/passthrough-node/src/source.rs
@@ -21,7 +21,9 @@
 const RETRY_PAUSE_MIN: Duration = Duration::from_millis(60);
 
 /// Longest pause after failed calls; a store that is back is found within it.
-const RETRY_PAUSE_MAX: Duration = Duration::from_millis(400);
+///
+/// A quarter of the three seconds within which a change has to hold.
+const RETRY_PAUSE_MAX: Duration = Duration::from_millis(750);
 
 /// A source of catalogs that can be read and watched.
 pub trait CatalogSource: Send + 'static {
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -48,11 +48,14 @@
 /// Long enough for a digest to reach balancers that it learns of from agents' answers.
 const YOUNG_MS: Millis = Millis::new(3_000);
 
-/// Time between two questions to the store whether the list in force is the newest.
+/// Shortest time between two questions to the store whether the list in force is the newest.
 ///
-/// One answer serves all lookups that failed before; ten a second bound the calls after a fault that
-/// ended many flows.
-const CONFIRMATION_INTERVAL_MS: Millis = Millis::new(100);
+/// One answer serves all lookups that failed before.
+const CONFIRMATION_MIN_MS: Millis = Millis::new(100);
+
+/// Longest time between two such questions; each one doubles the time to the next, so that a fault that
+/// ended many flows costs few calls. Lookups are proved by a second failure meanwhile.
+const CONFIRMATION_MAX_MS: Millis = Millis::new(1_600);
 
 /// Balancers that read the store while all is well; two, so that losing one costs nothing.
 const READERS: usize = 2;
@@ -96,6 +99,8 @@
     next_notice: Millis,
     next_digest: Millis,
     next_confirmation: Millis,
+    /// Time from the last question to the store to the next.
+    confirmation_pause: Millis,
     /// Holds the endpoints that may hold a flow.
     window: Vec<Endpoint>,
     /// Holds the message being written.
@@ -129,6 +134,7 @@
             next_notice: now,
             next_digest: now,
             next_confirmation: now,
+            confirmation_pause: CONFIRMATION_MIN_MS,
             window: Vec::new(),
             scratch: Vec::new(),
             counters: BalancerCounters::default(),
@@ -236,7 +242,15 @@
         if now < self.next_confirmation || !self.lookups.awaits_confirmation() {
             return None;
         }
-        self.next_confirmation = now.plus(CONFIRMATION_INTERVAL_MS);
+        let is_first = now.since(self.next_confirmation) > CONFIRMATION_MAX_MS;
+        self.confirmation_pause = if is_first {
+            CONFIRMATION_MIN_MS
+        } else {
+            self.confirmation_pause
+                .plus(self.confirmation_pause)
+                .min(CONFIRMATION_MAX_MS)
+        };
+        self.next_confirmation = now.plus(self.confirmation_pause);
         Some(self.view.catalog().revision)
     }
 
--- a/crates/passthrough/tests/support/mod.rs
+++ b/crates/passthrough/tests/support/mod.rs
@@ -232,7 +232,7 @@
     /// Asks a balancer to stop; it still forwards.
     pub(crate) fn stop_balancer(&mut self, number: u8) {
         self.at_balancer(balancer_ip(number), |balancer, now, out| {
-            balancer.stop(now, out)
+            balancer.stop(now, out);
         });
     }
 
@@ -244,7 +244,7 @@
     pub(crate) fn checked(&mut self, number: u8, refused: bool) {
         let ip = agent_ip(number);
         self.at_agent(ip, |agent, now, out| {
-            agent.on_endpoint_checked(now, refused, out)
+            agent.on_endpoint_checked(now, refused, out);
         });
     }
 
@@ -348,16 +348,16 @@
             match place {
                 Place::Peer { from, to } => {
                     self.at_balancer(to, |it, now, out| {
-                        it.on_datagram(now, from, &mut bytes, out)
+                        it.on_datagram(now, from, &mut bytes, out);
                     });
                     self.at_agent(to, |it, now, out| {
-                        it.on_datagram(now, from, &mut bytes, out)
+                        it.on_datagram(now, from, &mut bytes, out);
                     });
                 }
                 Place::Endpoint(ip) => self.at_endpoint(ip, &bytes),
                 Place::Outbound(ip) => {
                     self.at_agent(ip, |it, now, out| {
-                        it.on_endpoint_packet(now, &mut bytes, out)
+                        it.on_endpoint_packet(now, &mut bytes, out);
                     });
                 }
                 Place::Caller(ip) => {
