--- a/crates/passthrough-node/src/source.rs
+++ b/crates/passthrough-node/src/source.rs
@@ -25,6 +25,9 @@
 /// A quarter of the three seconds within which a change has to hold.
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(750);
 
+/// Longest pause after failed calls of a process that has not read anything yet and so serves nobody.
+const FIRST_RETRY_PAUSE_MAX: Duration = Duration::from_millis(150);
+
 /// A source of catalogs that can be read and watched.
 pub trait CatalogSource: Send + 'static {
     /// Why a call failed.
@@ -93,6 +96,7 @@
     log: EventLog,
 ) {
     let mut failed_calls = 0;
+    let mut longest_pause = FIRST_RETRY_PAUSE_MAX;
     while on_duty.wait_for(|it| *it).await.is_ok() {
         let result = source.next(WATCH_WAIT_MS).await;
         for skipped in source.take_skipped() {
@@ -101,6 +105,7 @@
         }
         match result {
             Ok(catalog) => {
+                longest_pause = RETRY_PAUSE_MAX;
                 if failed_calls > 0 {
                     log.write(Line::Belief, &SourceEvent::StoreRegained { failed_calls });
                     failed_calls = 0;
@@ -121,7 +126,7 @@
                 }
                 let pause = RETRY_PAUSE_MIN * 2_u32.saturating_pow(failed_calls.min(8));
                 failed_calls += 1;
-                tokio::time::sleep(pause.min(RETRY_PAUSE_MAX)).await;
+                tokio::time::sleep(pause.min(longest_pause)).await;
             }
         }
     }
--- a/crates/passthrough/tests/catalog_spread.rs
+++ b/crates/passthrough/tests/catalog_spread.rs
@@ -10,7 +10,7 @@
 fn change_reaches_balancers_that_cannot_read() {
     let mut world = World::new(5, 3);
     world.change(&[2], |catalog| {
-        catalog.settings_version = SettingsVersion::new(7)
+        catalog.settings_version = SettingsVersion::new(7);
     });
     world.run(700);
     for number in 0..5 {
@@ -37,7 +37,7 @@
     let mut world = World::new(1, 3);
     let old = world.catalog.clone();
     world.change(&[0], |catalog| {
-        catalog.settings_version = SettingsVersion::new(9)
+        catalog.settings_version = SettingsVersion::new(9);
     });
     let newest = world.catalog.revision;
     world.catalog = old;
