--- a/crates/lovagehall/src/run.rs
+++ b/crates/lovagehall/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::{fs, path::Path};
 
+use passthrough_node::SettingsFile;
 use platform::{PlatformPackets, Store};
 use settings::{
     AgentSettings, BalancerSettings, Checked, PassthroughAgentSettings, PassthroughBalancerSettings,
@@ -41,8 +42,8 @@
             }
             let store = Store::new(settings.store_address);
             let confirming = Store::new(settings.store_address);
-            let run =
-                passthrough_node::run_balancer::<PlatformPackets, _>(settings, store, confirming);
+            let file = SettingsFile::new(cmd.settings.clone(), settings);
+            let run = passthrough_node::run_balancer::<PlatformPackets, _>(file, store, confirming);
             small_runtime()?.block_on(run).map_err(RunError::Node)
         }
         LovagehallCmd::PassthroughAgent(cmd) => {
@@ -50,7 +51,8 @@
             if cmd.check_settings {
                 return Ok(());
             }
-            let run = passthrough_node::run_agent::<PlatformPackets>(settings);
+            let file = SettingsFile::new(cmd.settings.clone(), settings);
+            let run = passthrough_node::run_agent::<PlatformPackets>(file);
             small_runtime()?.block_on(run).map_err(RunError::Node)
         }
     }
--- a/crates/passthrough-node/src/agent.rs
+++ b/crates/passthrough-node/src/agent.rs
@@ -17,7 +17,7 @@
 use units::Millis;
 
 use crate::{
-    EventLog, Line, NodeError, clock,
+    EventLog, Line, NodeError, SettingsFile, clock,
     http_server::{self, Answers},
     metrics::Exposition,
     udp,
@@ -44,7 +44,7 @@
     Started { role: &'static str },
     Stopping { running: u32 },
     Stopped { running: u32 },
-    Reloaded,
+    RestartNeeded { field: &'static str },
 }
 
 struct Sockets {
@@ -102,7 +102,10 @@
 /// # Errors
 ///
 /// Fails if a socket can't be opened or signals can't be received.
-pub async fn run<F: PacketFormat>(settings: PassthroughAgentSettings) -> Result<(), NodeError> {
+pub async fn run<F: PacketFormat>(
+    mut file: SettingsFile<PassthroughAgentSettings>,
+) -> Result<(), NodeError> {
+    let settings = file.current().clone();
     let log = EventLog::new(settings.instance.as_str());
     let (checks, mut checked) = mpsc::channel(4);
     let mut sockets = Sockets {
@@ -162,7 +165,9 @@
                 false
             }
             _ = hangup.recv() => {
-                log.write(Line::Belief, &LifeEvent::Reloaded);
+                if let Some(settings) = file.read(&log) {
+                    apply(&settings, &mut agent, &mut sockets);
+                }
                 false
             }
         };
@@ -173,6 +178,9 @@
         if now >= agent.next_deadline() {
             agent.on_timer(now, &mut sockets);
         }
+        if let Some(settings) = file.read_if_changed(now, &log) {
+            apply(&settings, &mut agent, &mut sockets);
+        }
         if now >= next_metrics {
             next_metrics = now.plus(METRICS_INTERVAL_MS);
             answers.set_metrics(metrics(&agent, sockets.unsent));
@@ -181,6 +189,21 @@
     }
 }
 
+/// Takes changed settings; what belongs to open sockets needs a new start.
+fn apply<F: PacketFormat>(
+    settings: &PassthroughAgentSettings,
+    agent: &mut Agent<F>,
+    sockets: &mut Sockets,
+) {
+    agent.set_service(ServiceKey::from_name(&settings.service));
+    sockets.endpoint_address = settings.endpoint_address;
+    sockets.caller_port = settings.caller_address.port();
+    if settings.peer_port != sockets.peer_port {
+        let event = LifeEvent::RestartNeeded { field: "peer_port" };
+        sockets.log.write(Line::Belief, &event);
+    }
+}
+
 /// Takes what the endpoint and other instances sent.
 fn receive<F: PacketFormat>(
     now: Millis,
--- a/crates/passthrough-node/src/balancer.rs
+++ b/crates/passthrough-node/src/balancer.rs
@@ -13,7 +13,7 @@
 use units::{Millis, Revision};
 
 use crate::{
-    EventLog, Line, NodeError, clock,
+    EventLog, Line, NodeError, SettingsFile, clock,
     http_server::{self, Answers},
     metrics::Exposition,
     source::{self, CatalogSource, Confirmation, Reading},
@@ -49,7 +49,7 @@
     Readiness { is_ready: bool },
     Stopping { grace_ms: u64 },
     Stopped { after_ms: u64 },
-    Reloaded,
+    RestartNeeded { field: &'static str },
 }
 
 struct Sockets {
@@ -96,11 +96,11 @@
 ///
 /// Fails if a socket can't be opened or signals can't be received.
 pub async fn run<F: PacketFormat, S: CatalogSource>(
-    settings: PassthroughBalancerSettings,
+    mut settings: SettingsFile<PassthroughBalancerSettings>,
     source: S,
     confirming_source: S,
 ) -> Result<(), NodeError> {
-    let mut process: Process<F> = Process::start(&settings)?;
+    let mut process: Process<F> = Process::start(settings.current())?;
     let log = process.sockets.log.clone();
     let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signal)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(NodeError::Signal)?;
@@ -126,15 +126,21 @@
             }
             () = tokio::time::sleep(sleep) => false,
             _ = terminate.recv() => {
-                process.stop(settings.stop_grace_ms());
+                process.stop(settings.current().stop_grace_ms());
                 false
             }
             _ = hangup.recv() => {
-                process.sockets.log.write(Line::Belief, &LifeEvent::Reloaded);
+                if let Some(settings) = settings.read(&process.sockets.log) {
+                    process.apply(&settings);
+                }
                 false
             }
         };
         process.turn(has_work);
+        let reread = settings.read_if_changed(clock::now(), &process.sockets.log);
+        if let Some(settings) = reread {
+            process.apply(&settings);
+        }
         if let Some(revision) = process.balancer.take_confirmation_wish(clock::now()) {
             // While a question is under way, the next wish comes soon enough.
             let _busy = questions.try_send(revision);
@@ -240,6 +246,28 @@
             .on_confirmed(clock::now(), it.asked_at, it.revision, &mut self.sockets);
     }
 
+    /// Takes changed settings; what belongs to open sockets needs a new start.
+    fn apply(&mut self, settings: &PassthroughBalancerSettings) {
+        let now = clock::now();
+        self.balancer.add_seeds(now, &settings.seed_instances());
+        self.balancer.set_link(settings.link_mbps);
+        let log = &self.sockets.log;
+        if settings.caller_address.port() != self.sockets.caller_port {
+            log.write(
+                Line::Belief,
+                &LifeEvent::RestartNeeded {
+                    field: "caller_address",
+                },
+            );
+        }
+        if settings.peer_port != self.sockets.peer_port {
+            log.write(
+                Line::Belief,
+                &LifeEvent::RestartNeeded { field: "peer_port" },
+            );
+        }
+    }
+
     /// Takes the stop signal.
     fn stop(&mut self, grace: Millis) {
         let now = clock::now();
--- a/crates/passthrough-node/src/lib.rs
+++ b/crates/passthrough-node/src/lib.rs
@@ -12,6 +12,7 @@
 mod event_log;
 mod http_server;
 mod metrics;
+mod reload;
 mod source;
 mod udp;
 
@@ -19,4 +20,5 @@
 pub use balancer::run as run_balancer;
 pub use error::NodeError;
 pub use event_log::{EventLog, Line};
+pub use reload::SettingsFile;
 pub use source::CatalogSource;
--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Changes the service of the endpoint beside the agent; packets of another are not delivered.
+    pub const fn set_service(&mut self, service: ServiceKey) {
+        self.config.service = service;
+    }
+
     /// Returns what has been counted.
     #[must_use]
     pub const fn counters(&self) -> &AgentCounters {
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     Catalog, CatalogView, DropReason, Endpoint, EndpointState, Event, Flow, Message, Outbox,
-    PacketFormat, ResetReason, Segment, ServiceKey, ZoneKey,
+    PacketFormat, ResetReason, Segment, ServiceKey, StoreState, ZoneKey,
     message::{
         Body, Bound, Candidate, Candidates, Carried, Carry, Chunk, Digest, INSTANCES_MAX,
         Instances, Notice, Report, Returned, SEARCHED_MAX, Search, write_carry, write_digest,
@@ -57,6 +57,13 @@
 /// ended many flows costs few calls. Lookups are proved by a second failure meanwhile.
 const CONFIRMATION_MAX_MS: Millis = Millis::new(1_600);
 
+/// Age of the last confirmation from which the store counts as having been away: less than the three
+/// heartbeats after which entries lapse, and more than the readers' pauses.
+const STORE_AWAY_MS: Millis = Millis::new(1_900);
+
+/// Time after the store's return in which missing entries may belong to living endpoints.
+const LAPSE_MS: Millis = Millis::new(2_000);
+
 /// Balancers that read the store while all is well; two, so that losing one costs nothing.
 const READERS: usize = 2;
 
@@ -95,6 +102,8 @@
     started: Millis,
     stopping: bool,
     stands_by: bool,
+    /// When the store answered again after it had been away.
+    store_back_at: Option<Millis>,
     reads_store: bool,
     next_notice: Millis,
     next_digest: Millis,
@@ -113,23 +122,21 @@
     /// Starts with nothing in force.
     #[must_use]
     pub fn new(config: BalancerConfig, now: Millis) -> Self {
-        let mut peers = Peers::default();
-        for seed in config.seeds.iter().filter(|it| **it != config.address) {
-            peers.add(*seed, now);
-        }
-        Self {
+        let seeds = config.seeds.clone();
+        let mut balancer = Self {
             config,
             view: CatalogView::default(),
             flows: FlowCache::default(),
             openings: Openings::default(),
             lookups: Lookups::default(),
             agents: Agents::default(),
-            peers,
+            peers: Peers::default(),
             assembly: Assembly::default(),
             confirmed_at: None,
             started: now,
             stopping: false,
             stands_by: false,
+            store_back_at: None,
             reads_store: true,
             next_notice: now,
             next_digest: now,
@@ -139,9 +146,23 @@
             scratch: Vec::new(),
             counters: BalancerCounters::default(),
             format: PhantomData,
+        };
+        balancer.add_seeds(now, &seeds);
+        balancer
+    }
+
+    /// Adds balancers that may be running.
+    pub fn add_seeds(&mut self, now: Millis, seeds: &[Ipv4Addr]) {
+        for seed in seeds.iter().filter(|it| **it != self.config.address) {
+            self.peers.add(*seed, now);
         }
     }
 
+    /// Changes what the instance's link carries, in Mbit/s; above zero.
+    pub const fn set_link(&mut self, link_mbps: u32) {
+        self.config.link_mbps = link_mbps;
+    }
+
     /// Returns what has been counted.
     #[must_use]
     pub const fn counters(&self) -> &BalancerCounters {
@@ -226,6 +247,7 @@
         catalog: Option<Catalog>,
         out: &mut impl Outbox,
     ) -> bool {
+        self.note_store_back(now);
         let replaced = catalog.is_some_and(|it| self.put_in_force(now, it, None, out));
         self.confirmed_at = Some(now);
         if replaced {
@@ -284,7 +306,9 @@
             self.next_notice = now.plus(NOTICE_INTERVAL_MS);
             self.flows.sweep(now, self.view.catalog().idle_timeout_ms);
             self.lookups.sweep(now);
-            self.view.prune(now);
+            if self.view.prune(now) {
+                self.agents.update(now, &self.view);
+            }
             self.send_notices(now, out);
         }
         if now >= self.next_digest {
@@ -571,7 +595,11 @@
         out: &mut impl Outbox,
     ) -> bool {
         let revision = catalog.revision;
-        if !self.view.replace(now, catalog) {
+        let store = match self.store_back_at {
+            Some(at) if now.since(at) <= LAPSE_MS => StoreState::BackSince(at),
+            _ => StoreState::Steady,
+        };
+        if !self.view.replace(now, catalog, store) {
             let in_force = self.view.catalog().revision;
             if revision < in_force {
                 out.event(Event::CatalogIgnored {
@@ -723,6 +751,7 @@
         let Some(catalog) = self.assembly.take(&chunk) else {
             return;
         };
+        self.note_store_back(now);
         if self.put_in_force(now, catalog, Some(self.config.address), out) {
             self.confirmed_at = None;
             self.adopt_confirmation(now, revision, chunk.confirmed_age_ms);
@@ -750,10 +779,21 @@
         }
         let at = Millis::new(now.get() - age);
         if self.confirmed_at.is_none_or(|it| it < at) {
+            self.note_store_back(at);
             self.confirmed_at = Some(at);
         }
     }
 
+    /// The store's word came at `at`; remembers it if the store had been away before.
+    fn note_store_back(&mut self, at: Millis) {
+        let was_away = self
+            .confirmed_at
+            .is_some_and(|it| at.since(it) > STORE_AWAY_MS);
+        if was_away {
+            self.store_back_at = Some(at);
+        }
+    }
+
     fn confirmed_age_ms(&self, now: Millis) -> u32 {
         let age = self.confirmed_at.map(|it| now.since(it).get());
         age.and_then(|it| u32::try_from(it).ok())
--- a/crates/passthrough/src/catalog.rs
+++ b/crates/passthrough/src/catalog.rs
@@ -17,6 +17,9 @@
 /// The longest life of a flow that the users protect.
 const RETIRED_KEPT_MS: Millis = Millis::new(60_000);
 
+/// Time after the store's return within which the entries of living endpoints are back, by the users.
+const LAPSED_KEPT_MS: Millis = Millis::new(2_000);
+
 /// Endpoints that left the list and are remembered at once; a minute of the 2,300 changes a day that
 /// the system is sized for is 2, and a whole service may be replaced at once.
 const RETIRED_MAX: usize = 1_024;
@@ -114,7 +117,8 @@
     pub born_ms: u64,
     /// When it left the list, on the clock of the process that holds this catalog.
     ///
-    /// Invariant: set exactly if `state` is `Retired`.
+    /// Invariant: set if `state` is `Retired`; with another state, the entry may have lapsed while the
+    /// store was away, and this is when the store returned.
     #[serde(skip)]
     pub retired_at: Option<Millis>,
 }
@@ -210,6 +214,15 @@
     }
 }
 
+/// Whether the store's list can be taken at its word.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreState {
+    /// Entries that are missing belong to endpoints that left.
+    Steady,
+    /// The store was away; entries of living endpoints may have lapsed meanwhile and come back.
+    BackSince(Millis),
+}
+
 /// A catalog prepared for decisions, with the endpoints that left it lately.
 #[derive(Debug, Default)]
 pub struct CatalogView {
@@ -230,8 +243,9 @@
 impl CatalogView {
     /// Puts a catalog in force if it is newer than the one in force; returns whether it was.
     ///
-    /// Endpoints that it no longer lists are kept as retired.
-    pub fn replace(&mut self, now: Millis, catalog: Catalog) -> bool {
+    /// Endpoints that it no longer lists are kept as retired. If the store was away until a moment ago,
+    /// they keep their state for some time, since entries of living endpoints may have lapsed.
+    pub fn replace(&mut self, now: Millis, catalog: Catalog, store: StoreState) -> bool {
         if catalog.revision <= self.catalog.revision
             || catalog.settings_version < self.catalog.settings_version
         {
@@ -242,9 +256,13 @@
             if successor.is_some() {
                 continue;
             }
+            let (state, at) = match store {
+                StoreState::Steady => (EndpointState::Retired, now),
+                StoreState::BackSince(at) => (old.state, at),
+            };
             self.retired.push(Endpoint {
-                state: EndpointState::Retired,
-                retired_at: Some(now),
+                state,
+                retired_at: Some(at),
                 ..*old
             });
         }
@@ -277,13 +295,25 @@
         is_new
     }
 
-    /// Forgets endpoints that left the list long ago.
-    pub fn prune(&mut self, now: Millis) {
+    /// Forgets endpoints that left the list long ago, and takes as gone those whose entries did not come
+    /// back in time; returns whether any changed.
+    pub fn prune(&mut self, now: Millis) -> bool {
         let before = self.retired.len();
         self.retired.retain(|it| !is_forgotten(it, now));
-        if self.retired.len() != before {
+        let mut is_changed = self.retired.len() != before;
+        for endpoint in &mut self.retired {
+            let is_gone = endpoint
+                .retired_at
+                .is_some_and(|at| now.since(at) > LAPSED_KEPT_MS);
+            if endpoint.state != EndpointState::Retired && is_gone {
+                endpoint.state = EndpointState::Retired;
+                is_changed = true;
+            }
+        }
+        if is_changed {
             self.rebuild(now);
         }
+        is_changed
     }
 
     /// Returns the catalog in force.
--- a/crates/passthrough/src/lib.rs
+++ b/crates/passthrough/src/lib.rs
@@ -23,7 +23,7 @@
 pub use balancer::{Balancer, BalancerConfig, BalancerCounters};
 pub use catalog::{
     Catalog, CatalogView, Endpoint, EndpointKey, EndpointState, Route, RouteTarget, ServiceKey,
-    ZoneKey,
+    StoreState, ZoneKey,
 };
 pub use event::{DropReason, Event, EventKind, ResetReason};
 pub use flow::Flow;
--- a/crates/passthrough/tests/catalog_spread.rs
+++ b/crates/passthrough/tests/catalog_spread.rs
@@ -98,6 +98,58 @@
     assert_eq!(duties, 3);
 }
 
+#[test]
+fn lapsed_entries_keep_their_endpoints_for_two_seconds() {
+    let mut world = World::new(1, 3);
+    confirm(&mut world);
+    // The store is away; meanwhile all entries lapse.
+    world.run(4_000);
+    let entries = world.catalog.endpoints.clone();
+    world.change(&[0], |catalog| catalog.endpoints.clear());
+    world.run(100);
+    world
+        .open(0, support::caller(1))
+        .expect("the endpoints live");
+    // One entry comes back, the others belong to endpoints that are gone.
+    world.change(&[0], |catalog| catalog.endpoints.push(entries[0]));
+    for _ in 0..33 {
+        confirm(&mut world);
+        world.run(100);
+    }
+    let gone: Vec<_> = entries[1..]
+        .iter()
+        .map(passthrough::Endpoint::agent)
+        .collect();
+    let before: Vec<_> = gone.iter().map(|it| world.endpoints[it].openings).collect();
+    for number in 10..40 {
+        world
+            .open(0, support::caller(number))
+            .expect("one endpoint is left");
+    }
+    let after: Vec<_> = gone.iter().map(|it| world.endpoints[it].openings).collect();
+    assert_eq!(before, after);
+}
+
+#[test]
+fn missing_entry_of_a_steady_store_takes_no_openings() {
+    let mut world = World::new(1, 2);
+    for _ in 0..30 {
+        confirm(&mut world);
+        world.run(100);
+    }
+    let gone = world.catalog.endpoints[0];
+    world.change(&[0], |catalog| {
+        catalog.endpoints.retain(|it| it.key != gone.key);
+    });
+    let before = world.endpoints[&gone.agent()].openings;
+    for number in 0..20 {
+        world
+            .open(0, support::caller(number))
+            .expect("one endpoint is left");
+    }
+    assert_eq!(world.endpoints[&gone.agent()].openings, before);
+}
+
 /// The store confirms to its readers that nothing changed.
 fn confirm(world: &mut World) {
     for number in 0..6 {
