A fault soak of the passthrough processes

Real balancers and agents as processes on loopback; stand-ins for callers, routers, endpoints and store; a proxy between balancers and store that delays, resets, cuts one way and silences; signals that stop, pause, kill and restart; endpoints that crash, leave, lapse and come back; settings that change or can't be read. Checked while it runs: packets as written and of their own service only, no reset of a flow that its endpoint holds, no openings 3 s after a drain, all requests served in the calm at the end, processes end only when told, memory, and that each log line parses.

--- /dev/null
+++ b/crates/soak/src/network.rs
@@ -0,0 +1,224 @@
+//! All that runs in one soak.
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddrV4},
+    path::{Path, PathBuf},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use rand::{Rng as _, rngs::StdRng};
+use serde_json::{Value, json};
+
+use crate::{
+    caller::Caller, endpoint::Endpoint, ledger::Ledger, process::Process, proxy::Proxy,
+    router::Router, store::Store,
+};
+
+const PEER_PORT: u16 = 27_720;
+const CALLER_PORT: u16 = 27_721;
+const READY_PORT: u16 = 27_722;
+const ENDPOINT_PORT: u16 = 27_723;
+const OUTBOUND_PORT: u16 = 27_724;
+
+const BALANCERS: u8 = 3;
+const CALLERS: u8 = 12;
+
+/// Services with their addresses and endpoints.
+const SERVICES: [(&str, SocketAddrV4, u8); 2] = [
+    (
+        "ledger",
+        SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443),
+        4,
+    ),
+    (
+        "tariff",
+        SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443),
+        2,
+    ),
+];
+
+/// The processes and stand-ins of one run.
+#[derive(Debug)]
+pub(crate) struct Network {
+    /// Second octet of the loopback addresses, so that runs at the same time don't meet.
+    subnet: u8,
+    pub(crate) balancers: Vec<Process>,
+    pub(crate) agents: Vec<Process>,
+    pub(crate) proxies: Vec<Proxy>,
+    pub(crate) endpoints: Arc<Mutex<Vec<Endpoint>>>,
+    pub(crate) store: Store,
+    router: Router,
+    ledger: Arc<Ledger>,
+    pub(crate) settings_version: u64,
+    folder: PathBuf,
+}
+
+impl Network {
+    /// Starts store, endpoints, agents and balancers.
+    pub(crate) async fn start(program: &Path, seed: u64, ledger: &Arc<Ledger>) -> io::Result<Self> {
+        let subnet = u8::try_from(64 + std::process::id() % 128).unwrap_or(64);
+        let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let store = Store::new();
+        let store_address = store.serve().await?;
+        let mut network = Self {
+            subnet,
+            balancers: Vec::new(),
+            agents: Vec::new(),
+            proxies: Vec::new(),
+            endpoints: Arc::default(),
+            store,
+            router: Router::start(
+                (0..BALANCERS).map(|it| balancer_ip(subnet, it)).collect(),
+                READY_PORT,
+            ),
+            ledger: Arc::clone(ledger),
+            settings_version: 1,
+            folder,
+        };
+        network.publish_settings();
+        let mut number = 0;
+        for (service, address, count) in SERVICES {
+            for _ in 0..count {
+                network
+                    .start_endpoint(program, number, service, address)
+                    .await?;
+                number += 1;
+            }
+        }
+        for number in 0..BALANCERS {
+            let proxy = Proxy::start(store_address).await?;
+            let settings = network.balancer_settings(number, &proxy);
+            let name = format!("balancer-{number}");
+            let folder = &network.folder;
+            let role = "passthrough-balancer";
+            let process = Process::start(program, folder, role, (name, &settings), ledger)?;
+            network.balancers.push(process);
+            network.proxies.push(proxy);
+        }
+        Ok(network)
+    }
+
+    /// Waits until all balancers are ready.
+    pub(crate) async fn wait_ready(&self) -> bool {
+        for _ in 0..50 {
+            if self.router.ready() == usize::from(BALANCERS) {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        false
+    }
+
+    /// Starts the callers, half with a flow for each request and half with long flows.
+    pub(crate) fn start_callers(&self, rng: &mut StdRng) {
+        for number in 0..CALLERS {
+            let caller = Caller {
+                ip: Ipv4Addr::new(127, self.subnet, 3, number + 1),
+                packet_port: CALLER_PORT,
+                service_address: SERVICES[usize::from(number % 3 / 2)].1,
+                router: self.router.clone(),
+                endpoints: Arc::clone(&self.endpoints),
+                ledger: Arc::clone(&self.ledger),
+                requests_per_flow: if number.is_multiple_of(2) { 1 } else { 40 },
+            };
+            let (seed, ledger) = (rng.random(), Arc::clone(&self.ledger));
+            tokio::spawn(async move {
+                if let Err(err) = caller.run(seed).await {
+                    ledger.broken(format!("a caller can't run: {err}"));
+                }
+            });
+        }
+    }
+
+    /// Publishes the operator's settings in their present version.
+    pub(crate) fn publish_settings(&self) {
+        let route = |(name, address, _): &(&str, SocketAddrV4, u8)| {
+            json!({
+                "name": format!("r-{name}"), "hostname": address.ip().to_string(),
+                "prefix": format!("/{}/", address.port()), "type": "idempotent",
+                "timeout_ms": 2000, "goal_ms": 200, "priority": 1, "service": name,
+            })
+        };
+        let routes: Vec<Value> = SERVICES.iter().map(route).collect();
+        let config = json!({
+            "version": self.settings_version, "routes": routes, "services": [],
+            "limits": {"idle_timeout_ms": 15_000 + self.settings_version},
+        });
+        self.store.put("op/config", &config);
+    }
+
+    /// Ends everything; logs of a run that broke a promise are kept.
+    pub(crate) async fn stop(&mut self, ledger: &Ledger) {
+        for process in self.balancers.iter_mut().chain(&mut self.agents) {
+            process.check();
+        }
+        for process in &mut self.balancers {
+            process.kill();
+        }
+        for process in &mut self.agents {
+            process.terminate().await;
+        }
+        if ledger.is_clean() {
+            // Left-over logs would only take room.
+            let _left = std::fs::remove_dir_all(&self.folder);
+        } else {
+            eprintln!("soak: logs are kept in {}", self.folder.display());
+        }
+    }
+
+    async fn start_endpoint(
+        &mut self,
+        program: &Path,
+        number: u8,
+        service: &'static str,
+        service_address: SocketAddrV4,
+    ) -> io::Result<()> {
+        let ip = Ipv4Addr::new(127, self.subnet, 2, number + 1);
+        let at = |port| SocketAddrV4::new(ip, port);
+        let settings = json!({
+            "instance": format!("agent-{number}"), "availability_zone": "a", "address": ip,
+            "service": service, "endpoint_address": at(ENDPOINT_PORT).to_string(),
+            "outbound_address": at(OUTBOUND_PORT).to_string(),
+            "caller_address": at(CALLER_PORT).to_string(), "peer_port": PEER_PORT,
+            "readiness_address": at(READY_PORT).to_string(),
+        });
+        let name = format!("agent-{number}");
+        let (folder, ledger) = (&self.folder, &self.ledger);
+        let role = "passthrough-agent";
+        let process = Process::start(program, folder, role, (name, &settings), ledger)?;
+        self.agents.push(process);
+        let endpoint = Endpoint::start(
+            format!("e-{number}"),
+            (service, service_address),
+            (at(ENDPOINT_PORT), at(OUTBOUND_PORT)),
+            self.store.clone(),
+            Arc::clone(&self.ledger),
+        )
+        .await?;
+        let mut endpoints = self
+            .endpoints
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        endpoints.push(endpoint);
+        Ok(())
+    }
+
+    fn balancer_settings(&self, number: u8, proxy: &Proxy) -> Value {
+        let ip = balancer_ip(self.subnet, number);
+        let at = |port| SocketAddrV4::new(ip, port).to_string();
+        let seed = SocketAddrV4::new(balancer_ip(self.subnet, 0), PEER_PORT).to_string();
+        json!({
+            "instance": format!("balancer-{number}"), "availability_zone": "a", "address": ip,
+            "caller_address": at(CALLER_PORT), "peer_port": PEER_PORT, "link_mbps": 1_000,
+            "seeds": [seed], "store_address": proxy.address.to_string(),
+            "readiness_address": at(READY_PORT), "stop_grace_s": 6,
+        })
+    }
+}
+
+const fn balancer_ip(subnet: u8, number: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, subnet, 1, number + 1)
+}
--- /dev/null
+++ b/crates/soak/src/store.rs
@@ -0,0 +1,193 @@
+//! A stand-in for the platform's store: two reads and a watch over HTTP.
+
+use std::{
+    collections::BTreeMap,
+    convert::Infallible,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::{net::TcpListener, sync::Notify};
+
+/// What the store does with calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Mode {
+    /// Answers.
+    Up,
+    /// Refuses with 503.
+    Busy,
+    /// Answers after a while.
+    Slow,
+    /// Doesn't answer.
+    Silent,
+}
+
+#[derive(Debug)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, (u64, String)>,
+    /// Revision, key and value, none for a deletion.
+    history: Vec<(u64, String, Option<String>)>,
+    /// Changes up to here are forgotten.
+    forgotten: u64,
+    mode: Mode,
+}
+
+/// The store; clones share it.
+#[derive(Debug, Clone)]
+pub(crate) struct Store {
+    state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
+}
+
+impl Store {
+    pub(crate) fn new() -> Self {
+        let state = State {
+            revision: 1,
+            items: BTreeMap::new(),
+            history: Vec::new(),
+            forgotten: 0,
+            mode: Mode::Up,
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+            changed: Arc::new(Notify::new()),
+        }
+    }
+
+    /// Serves calls at an address that the system chooses.
+    pub(crate) async fn serve(&self) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let store = self.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let store = store.clone();
+                tokio::spawn(async move {
+                    let service = service_fn(|request| store.answer(request));
+                    // A broken connection concerns its caller only.
+                    let _broken = http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                });
+            }
+        });
+        Ok(address)
+    }
+
+    pub(crate) fn put(&self, key: &str, value: &Value) {
+        self.change(key, Some(STANDARD.encode(value.to_string())));
+    }
+
+    pub(crate) fn remove(&self, key: &str) {
+        self.change(key, None);
+    }
+
+    pub(crate) fn set_mode(&self, mode: Mode) {
+        self.lock().mode = mode;
+        self.changed.notify_waiters();
+    }
+
+    /// Forgets all changes so far; watches that need them are told so.
+    pub(crate) fn forget_history(&self) {
+        let mut state = self.lock();
+        state.history.clear();
+        state.forgotten = state.revision;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    fn change(&self, key: &str, value: Option<String>) {
+        let mut state = self.lock();
+        state.revision += 1;
+        let revision = state.revision;
+        match &value {
+            Some(text) => {
+                state.items.insert(key.to_owned(), (revision, text.clone()));
+            }
+            None => {
+                state.items.remove(key);
+            }
+        }
+        state.history.push((revision, key.to_owned(), value));
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
+        let mode = self.lock().mode;
+        match mode {
+            Mode::Up => {}
+            Mode::Busy => return Ok(response(StatusCode::SERVICE_UNAVAILABLE, &json!({}))),
+            Mode::Slow => tokio::time::sleep(Duration::from_millis(300)).await,
+            Mode::Silent => tokio::time::sleep(Duration::from_mins(1)).await,
+        }
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        if request.uri().path() == "/kv-watch" {
+            return Ok(self.watch(&query).await);
+        }
+        let state = self.lock();
+        let item = |(key, (revision, value)): (&String, &(u64, String))| json!({"key": key, "value": value, "revision": revision, "created": revision, "lease": 0});
+        let items: Vec<Value> = state.items.iter().map(item).collect();
+        let body = json!({"items": items, "has_more": false, "as_of": state.revision});
+        Ok(response(StatusCode::OK, &body))
+    }
+
+    async fn watch(&self, query: &str) -> Response<Full<Bytes>> {
+        let after = number(query, "after");
+        let end = tokio::time::Instant::now() + Duration::from_millis(number(query, "wait_ms"));
+        loop {
+            let changed = self.changed.notified();
+            {
+                let state = self.lock();
+                if after < state.forgotten {
+                    return response(StatusCode::GONE, &json!({}));
+                }
+                let events: Vec<Value> = state
+                    .history
+                    .iter()
+                    .filter(|it| it.0 > after)
+                    .map(|(revision, key, value)| match value {
+                        Some(value) => json!({"key": key, "value": value, "revision": revision}),
+                        None => json!({"key": key, "revision": revision, "tombstone": true}),
+                    })
+                    .collect();
+                if !events.is_empty() || tokio::time::Instant::now() >= end {
+                    let body = json!({"events": events, "as_of": state.revision});
+                    return response(StatusCode::OK, &body);
+                }
+            }
+            // Woken by a change or by the end of the wait, the loop looks again.
+            let _woken = tokio::time::timeout_at(end, changed).await;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn number(query: &str, name: &str) -> u64 {
+    let value = query
+        .split('&')
+        .find_map(|it| it.strip_prefix(name)?.strip_prefix('='));
+    value.and_then(|it| it.parse().ok()).unwrap_or(0)
+}
+
+fn response(status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    *response.status_mut() = status;
+    response
+}
--- a/xtask/src/flags.rs
+++ b/xtask/src/flags.rs
@@ -17,6 +17,15 @@
             /// Length of the load in seconds.
             optional --seconds seconds: u64
         }
+        /// Runs the real programs under random faults and checks the promises.
+        cmd soak {
+            /// Seed of the first run.
+            optional --seed seed: u64
+            /// Runs, each with the next seed.
+            optional --runs runs: u64
+            /// Length of the faults in each run, in seconds.
+            optional --seconds seconds: u64
+        }
         /// Runs one bench, or lists the benches when no name is given.
         cmd bench {
             /// The bench to run.
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -13,6 +13,7 @@
         flags::XtaskCmd::Ci(_) => ci::run(),
         flags::XtaskCmd::Codegen(cmd) => codegen::run(&cmd),
         flags::XtaskCmd::Demo(cmd) => process::run_bench("demo", None, cmd.seed, cmd.seconds),
+        flags::XtaskCmd::Soak(cmd) => process::run_soak(cmd.seed, cmd.runs, cmd.seconds),
         flags::XtaskCmd::Bench(cmd) => {
             process::run_bench("bench", cmd.name.as_deref(), cmd.seed, cmd.seconds)
         }
--- a/xtask/src/process.rs
+++ b/xtask/src/process.rs
@@ -113,3 +113,37 @@
     }
     cargo(&args)
 }
+
+/// Builds the programs and runs the soak.
+pub(crate) fn run_soak(seed: Option<u64>, runs: Option<u64>, seconds: Option<u64>) -> Result<()> {
+    cargo(&[
+        "build",
+        "--quiet",
+        "--release",
+        "--locked",
+        "-p",
+        "lovagehall",
+        "-p",
+        "soak",
+    ])?;
+    let numbers = [("--seed", seed), ("--runs", runs), ("--seconds", seconds)];
+    let mut args = [
+        "run",
+        "--quiet",
+        "--release",
+        "--locked",
+        "-p",
+        "soak",
+        "--",
+    ]
+    .map(str::to_owned)
+    .to_vec();
+    args.push("target/release/lovagehall".to_owned());
+    for (name, number) in numbers {
+        if let Some(number) = number {
+            args.extend([name.to_owned(), number.to_string()]);
+        }
+    }
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    cargo(&args)
+}
