Signals are handled from the first moment; the soak signals loaded processes only

Its log has no line of the new run: the signal came before the program had installed its handlers. Change: handlers come first, before sockets and settings. The soak waits 200 ms after a start, since a signal to a program that is still being loaded can't be handled by any program, and it holds nothing yet.

--- a/crates/passthrough-node/src/agent.rs
+++ b/crates/passthrough-node/src/agent.rs
@@ -105,6 +105,9 @@
 pub async fn run<F: PacketFormat>(
     mut file: SettingsFile<PassthroughAgentSettings>,
 ) -> Result<(), NodeError> {
+    // First of all: until then a signal ends the process.
+    let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signal)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(NodeError::Signal)?;
     let settings = file.current().clone();
     let log = EventLog::new(settings.instance.as_str());
     let (checks, mut checked) = mpsc::channel(4);
@@ -126,8 +129,6 @@
         let listener = http_server::bind("metrics", address)?;
         tokio::spawn(http_server::serve(listener, answers.clone()));
     }
-    let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signal)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(NodeError::Signal)?;
     log.write(Line::Belief, &LifeEvent::Started { role: "agent" });
 
     let config = AgentConfig {
--- a/crates/passthrough-node/src/balancer.rs
+++ b/crates/passthrough-node/src/balancer.rs
@@ -100,10 +100,11 @@
     source: S,
     confirming_source: S,
 ) -> Result<(), NodeError> {
-    let mut process: Process<F> = Process::start(settings.current())?;
-    let log = process.sockets.log.clone();
+    // First of all: until then a signal ends the process.
     let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signal)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(NodeError::Signal)?;
+    let mut process: Process<F> = Process::start(settings.current())?;
+    let log = process.sockets.log.clone();
     let (duty, on_duty) = watch::channel(true);
     let (readings, mut changes) = mpsc::channel::<Reading>(4);
     tokio::spawn(source::read(source, on_duty, readings, log.clone()));
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -119,12 +119,12 @@
             None
         }
         14 => {
-            network.balancers[balancer].signal(Signal::HUP);
-            network.agents[agent].signal(Signal::HUP);
+            network.balancers[balancer].reload().await;
+            network.agents[agent].reload().await;
             None
         }
         _ => {
-            reload_bad_settings(&network.balancers[balancer], ledger);
+            reload_bad_settings(&network.balancers[balancer], ledger).await;
             None
         }
     }
@@ -150,12 +150,15 @@
 }
 
 /// Gives a process settings that can't be used, and takes them back.
-fn reload_bad_settings(process: &Process, ledger: &Ledger) {
-    let result = process.settings().and_then(|good| {
-        process.write_settings("{\"instance\": 3")?;
-        process.signal(Signal::HUP);
-        process.write_settings(&good)
-    });
+async fn reload_bad_settings(process: &Process, ledger: &Ledger) {
+    // A process that starts meanwhile would refuse the bad settings, as it should.
+    let good = process.settings();
+    let written = process.write_settings("{\"instance\": 3");
+    process.reload().await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let result = written
+        .and(good)
+        .and_then(|good| process.write_settings(&good));
     if let Err(err) = result {
         ledger.broken(format!(
             "settings of {} can't be written: {err}",
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -7,7 +7,7 @@
     process::{Child, Command, Stdio},
     sync::{Arc, atomic::Ordering},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -18,6 +18,10 @@
 /// Resident memory of one process at most.
 const MEMORY_MAX_KB: u64 = 24 * 1_024;
 
+/// Time after which a process has begun to handle signals; before, a signal may end it as any program
+/// that is being loaded, and nothing is lost with it.
+const LOADED_AFTER: Duration = Duration::from_millis(200);
+
 /// Longest time that a process may take to end after the stop signal.
 const STOP_BOUND: Duration = Duration::from_secs(6);
 
@@ -30,6 +34,7 @@
     settings_path: PathBuf,
     log_path: PathBuf,
     child: Option<Child>,
+    started: Instant,
     ledger: Arc<Ledger>,
 }
 
@@ -49,6 +54,7 @@
             log_path: folder.join(format!("{name}.log")),
             name,
             child: None,
+            started: Instant::now(),
             ledger: Arc::clone(ledger),
         };
         process.write_settings(&settings.to_string())?;
@@ -85,9 +91,16 @@
             thread::spawn(move || keep_lines(BufReader::new(stdout), log, &ledger, &name));
         }
         self.child = Some(child);
+        self.started = Instant::now();
         Ok(())
     }
 
+    /// Asks the process to read its settings again, once it is loaded.
+    pub(crate) async fn reload(&self) {
+        tokio::time::sleep(LOADED_AFTER.saturating_sub(self.started.elapsed())).await;
+        self.signal(Signal::HUP);
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         let Some(pid) = self
             .child
@@ -110,6 +123,7 @@
 
     /// Asks the process to stop and waits until it has.
     pub(crate) async fn terminate(&mut self) {
+        tokio::time::sleep(LOADED_AFTER.saturating_sub(self.started.elapsed())).await;
         self.signal(Signal::TERM);
         let Some(mut child) = self.child.take() else {
             return;
