--- a/crates/lovagectl/src/flags.rs
+++ b/crates/lovagectl/src/flags.rs
@@ -92,6 +92,13 @@
             /// Prints JSON.
             optional --json
         }
+        /// Shows what the logs of passthrough processes say of one flow.
+        cmd explain {
+            /// Log files; standard input when none is given.
+            repeated files: PathBuf
+            /// The flow, or a part of its name, such as the caller's address and port.
+            required --flow flow: String
+        }
         /// Shows what happened, over all processes in one order.
         cmd timeline {
             /// Settings file of the operators' program, JSON.
--- a/crates/lovagectl/src/main.rs
+++ b/crates/lovagectl/src/main.rs
@@ -8,6 +8,7 @@
 mod collect;
 mod diff;
 mod error;
+mod explain;
 mod files;
 mod flags;
 mod key_sets;
@@ -60,6 +61,7 @@
             BundleCmd::Verify(cmd) => bundles::verify(&cmd)?,
             BundleCmd::Diff(cmd) => bundles::diff(&cmd)?,
         },
+        LovagectlCmd::Explain(cmd) => explain::run(&cmd)?,
         LovagectlCmd::Status(cmd) => return status::run(&cmd),
         LovagectlCmd::Timeline(cmd) => return timeline_view::run(&cmd),
     }
--- a/crates/settings/src/agent.rs
+++ b/crates/settings/src/agent.rs
@@ -59,6 +59,6 @@
         check::operator_keys(&self.operator_keys)?;
         check::process_tls(&self.tls)?;
         check::caller_tls(&self.caller_tls)?;
-        check::drain_timeout(self.drain_timeout_ms)
+        check::drain_timeout("drain_timeout_ms", self.drain_timeout_ms)
     }
 }
--- a/crates/settings/src/balancer.rs
+++ b/crates/settings/src/balancer.rs
@@ -62,6 +62,6 @@
         check::shared_keys("fleet_keys", &self.fleet_keys)?;
         check::operator_keys(&self.operator_keys)?;
         check::process_tls(&self.tls)?;
-        check::drain_timeout(self.drain_timeout_ms)
+        check::drain_timeout("drain_timeout_ms", self.drain_timeout_ms)
     }
 }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -146,14 +146,14 @@
 }
 
 /// Checks that a drain time is between one millisecond and one day.
-pub(crate) fn drain_timeout(timeout: Millis) -> Result<(), SettingsError> {
+pub(crate) fn drain_timeout(field: &'static str, timeout: Millis) -> Result<(), SettingsError> {
     if timeout.get() > 0 && timeout <= DRAIN_MAX {
         return Ok(());
     }
     Err(SettingsError::Field {
-        field: "drain_timeout_ms",
+        field,
         cause: format!("{timeout} is out of range"),
-        remedy: "give 1 to 86400000 milliseconds",
+        remedy: "give more than nothing and at most one day",
     })
 }
 
--- a/crates/settings/src/passthrough.rs
+++ b/crates/settings/src/passthrough.rs
@@ -66,7 +66,7 @@
         check::address("readiness_address", self.readiness_address)?;
         check::distinct_ports(self.peer_port, self.caller_address.port())?;
         check::link("link_mbps", self.link_mbps)?;
-        check::drain_timeout(self.stop_grace_ms())
+        check::drain_timeout("stop_grace_s", self.stop_grace_ms())
     }
 }
 
--- /dev/null
+++ b/crates/settings/tests/passthrough_settings.rs
@@ -0,0 +1,71 @@
+//! Settings of passthrough processes: what is wrong is named with a remedy.
+
+use serde_json::{Value, json};
+use settings::{PassthroughAgentSettings, PassthroughBalancerSettings, parse};
+
+fn balancer() -> Value {
+    json!({
+        "instance": "edge-1", "availability_zone": "a", "address": "10.1.0.10",
+        "caller_address": "10.1.0.10:8172", "peer_port": 7720, "link_mbps": 11.0,
+        "seeds": ["10.1.0.10:8166"], "store_address": "10.200.1.7:8169",
+        "readiness_address": "10.1.0.10:8167", "stop_grace_s": 6,
+    })
+}
+
+fn agent() -> Value {
+    json!({
+        "instance": "side-1", "availability_zone": "a", "address": "10.1.0.12",
+        "service": "ledger", "endpoint_address": "10.1.0.12:8165",
+        "outbound_address": "10.1.0.12:8162", "caller_address": "10.1.0.12:8172",
+        "peer_port": 7720, "readiness_address": "10.1.0.12:8167",
+    })
+}
+
+#[test]
+fn good_settings_are_taken() {
+    let settings: PassthroughBalancerSettings = parse(&balancer().to_string()).unwrap();
+    assert_eq!(settings.link_mbps, 11);
+    assert_eq!(settings.stop_grace_ms().get(), 6_000);
+    assert_eq!(settings.seed_instances().len(), 1);
+    let settings: PassthroughAgentSettings = parse(&agent().to_string()).unwrap();
+    assert_eq!(settings.peer_address(), "10.1.0.12:7720".parse().unwrap());
+}
+
+#[test]
+fn bad_balancer_settings_are_named() {
+    let cases = [
+        ("caller_address", json!("10.1.0.10:0"), "caller_address"),
+        ("peer_port", json!(8172), "peer_port"),
+        ("peer_port", json!(0), "peer_port"),
+        ("store_address", json!("store"), "invalid socket address"),
+        ("link_mbps", json!(0), "link_mbps"),
+        ("link_mbps", json!(-4), "no speed"),
+        ("stop_grace_s", json!(0), "stop_grace_s"),
+        ("instance", json!(""), "instance"),
+        ("unknown", json!(1), "unknown field"),
+    ];
+    for (field, value, expected) in cases {
+        let mut settings = balancer();
+        settings[field] = value;
+        let result = parse::<PassthroughBalancerSettings>(&settings.to_string());
+        let error = result.expect_err(field).to_string();
+        assert!(error.contains(expected), "{field}: {error}");
+    }
+}
+
+#[test]
+fn bad_agent_settings_are_named() {
+    let cases = [
+        ("service", json!(""), "`service`"),
+        ("endpoint_address", json!("10.1.0.12:0"), "endpoint_address"),
+        ("peer_port", json!(8162), "peer_port"),
+        ("address", json!("side-1"), "IP"),
+    ];
+    for (field, value, expected) in cases {
+        let mut settings = agent();
+        settings[field] = value;
+        let result = parse::<PassthroughAgentSettings>(&settings.to_string());
+        let error = result.expect_err(field).to_string();
+        assert!(error.contains(expected), "{field}: {error}");
+    }
+}
--- a/xtask/src/ci.rs
+++ b/xtask/src/ci.rs
@@ -1,11 +1,11 @@
-//! The checks of CI: generated code, format, lints, documentation and tests.
+//! The checks of CI: generated code, format, lints, documentation, tests and a short soak.
 
 use std::fs;
 
 use crate::{
     codegen,
     flags::Codegen,
-    process::{Result, XtaskError, cargo, cargo_with, workspace_dir},
+    process::{self, Result, XtaskError, cargo, cargo_with, workspace_dir},
 };
 
 /// Runs every check and stops at the first that fails.
@@ -32,6 +32,7 @@
         &[("RUSTDOCFLAGS", "-D warnings")],
     )?;
     cargo(&["test", "--workspace", "--locked"])?;
+    process::run_short_soak()?;
     print_known_red()
 }
 
--- a/xtask/src/process.rs
+++ b/xtask/src/process.rs
@@ -114,6 +114,27 @@
     cargo(&args)
 }
 
+/// Runs two short soaks with the programs that the tests have built.
+///
+/// Seeds 112 and 132 once ended with a process that a signal had met before it was loaded.
+pub(crate) fn run_short_soak() -> Result<()> {
+    cargo(&[
+        "build",
+        "--quiet",
+        "--locked",
+        "-p",
+        "lovagehall",
+        "-p",
+        "soak",
+    ])?;
+    for seed in ["112", "132"] {
+        let program = "target/debug/lovagehall";
+        let args = ["run", "--quiet", "--locked", "-p", "soak", "--", program];
+        cargo(&[&args[..], &["--seed", seed, "--seconds", "6"]].concat())?;
+    }
+    Ok(())
+}
+
 /// Builds the programs and runs the soak.
 pub(crate) fn run_soak(seed: Option<u64>, runs: Option<u64>, seconds: Option<u64>) -> Result<()> {
     cargo(&[
