The soak lets a paused process go on before it asks it to stop

Its log has no line about the stop: an earlier fault had paused it, and the soak waited for its end before it ended the pause. Change: the soak ends the pause first; a paused process can't act on a signal.

--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -124,6 +124,8 @@
     /// Asks the process to stop and waits until it has.
     pub(crate) async fn terminate(&mut self) {
         tokio::time::sleep(LOADED_AFTER.saturating_sub(self.started.elapsed())).await;
+        // A paused process would take the signal only when its pause ends.
+        self.signal(Signal::CONT);
         self.signal(Signal::TERM);
         let Some(mut child) = self.child.take() else {
             return;
