Openings fall due in the order of their times

Cause: openings wait in a queue that was taken for sorted; since repeats stop after three offers, one that waits to expire after 1.4 s stood before others due after 70 ms and held them up. Found by reading. Change: a heap by time. Test: given_up_opening_holds_no_other_up fails before.

--- a/crates/passthrough/src/balancer/openings.rs
+++ b/crates/passthrough/src/balancer/openings.rs
@@ -1,7 +1,8 @@
 //! Openings that no endpoint has accepted yet.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap},
     net::Ipv4Addr,
 };
 
@@ -72,13 +73,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct Openings {
     openings: HashMap<Flow, Opening>,
-    /// When each falls due, oldest first; entries of openings that ended stay until then.
-    due: VecDeque<(Millis, Flow)>,
+    /// When each falls due, the earliest on top; entries of openings that ended stay until then.
+    due: BinaryHeap<Reverse<(Millis, Flow)>>,
 }
 
 impl Openings {
     pub(crate) fn insert(&mut self, opening: Opening) {
-        self.due.push_back((opening.due, opening.flow));
+        self.due.push(Reverse((opening.due, opening.flow)));
         self.openings.insert(opening.flow, opening);
     }
 
@@ -87,11 +88,11 @@
     }
 
     pub(crate) fn take_overdue(&mut self, now: Millis) -> Option<Opening> {
-        while let Some((due, flow)) = self.due.front().copied() {
+        while let Some(Reverse((due, flow))) = self.due.peek().copied() {
             if due > now {
                 return None;
             }
-            self.due.pop_front();
+            self.due.pop();
             if self.openings.get(&flow).is_some_and(|it| it.due == due) {
                 return self.openings.remove(&flow);
             }
@@ -100,11 +101,11 @@
     }
 
     pub(crate) fn next_deadline(&mut self) -> Option<Millis> {
-        while let Some((due, flow)) = self.due.front().copied() {
+        while let Some(Reverse((due, flow))) = self.due.peek().copied() {
             if self.openings.get(&flow).is_some_and(|it| it.due == due) {
                 return Some(due);
             }
-            self.due.pop_front();
+            self.due.pop();
         }
         None
     }
--- a/crates/passthrough/tests/openings.rs
+++ b/crates/passthrough/tests/openings.rs
@@ -138,3 +138,28 @@
         .count();
     assert_eq!(placed, 3);
 }
+
+#[test]
+fn given_up_opening_holds_no_other_up() {
+    let mut world = World::new(1, 2);
+    world.kill_agent(0);
+    world.kill_agent(1);
+    let syn = |number| packet(caller(number), SERVICE_ADDRESS, Flags::SYN, 1, 0, 0);
+    // This one is offered three times and then waits to expire.
+    world.send(0, &syn(1));
+    world.run(450);
+    world.start_agent(0, SERVICE);
+    world.start_agent(1, SERVICE);
+    // Its first offer is lost; the next one must come after 70 ms all the same.
+    world.cut.insert(support::balancer_ip(0));
+    world.send(0, &syn(2));
+    world.run(10);
+    world.cut.clear();
+    world.run(100);
+    assert!(
+        world
+            .received
+            .iter()
+            .any(|it| it.1.syn && it.1.destination == caller(2))
+    );
+}
