--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -156,8 +156,8 @@
     }
 
     /// Takes the result of [`Outbox::check_endpoint`].
-    pub fn on_endpoint_checked(&mut self, now: Millis, refused: bool, out: &mut impl Outbox) {
-        if !self.health.checked(now, refused) {
+    pub fn on_endpoint_checked(&mut self, refused: bool, out: &mut impl Outbox) {
+        if !self.health.checked(refused) {
             return;
         }
         let gone = self.held.take_open();
--- a/crates/passthrough/src/agent/health.rs
+++ b/crates/passthrough/src/agent/health.rs
@@ -84,7 +84,7 @@
     }
 
     /// Takes a check's result; returns whether the endpoint's process counts as gone from now on.
-    pub(crate) const fn checked(&mut self, _now: Millis, refused: bool) -> bool {
+    pub(crate) const fn checked(&mut self, refused: bool) -> bool {
         if self.silent_since.is_none() || self.refusals >= REFUSALS_MIN {
             return false;
         }
--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -75,7 +75,7 @@
     }
 
     /// An agent was told of its endpoint's state.
-    pub(crate) fn told(&mut self, _now: Millis, agent: Ipv4Addr) {
+    pub(crate) fn told(&mut self, agent: Ipv4Addr) {
         if let Some(state) = self.find_mut(agent) {
             state.told = Some((state.endpoint.state, state.endpoint.slots.get()));
         }
--- a/crates/passthrough/tests/openings.rs
+++ b/crates/passthrough/tests/openings.rs
@@ -163,3 +163,23 @@
             .any(|it| it.1.syn && it.1.destination == caller(2))
     );
 }
+
+#[test]
+fn refused_listener_ends_the_flows_of_a_dead_endpoint() {
+    let mut world = World::new(1, 1);
+    let sequence = world.open(0, caller(1)).expect("accepted");
+    world.run(50);
+    world.endpoints.get_mut(&agent_ip(0)).unwrap().dark = true;
+    world.request(0, caller(1), sequence, 2);
+    // Two openings without an answer make the endpoint silent; its listener is checked then.
+    for number in 2..4 {
+        let syn = packet(caller(number), SERVICE_ADDRESS, Flags::SYN, 1, 0, 0);
+        world.send(0, &syn);
+        world.run(40);
+    }
+    world.checked(0, true);
+    assert_eq!(world.resets(caller(1)), 0, "one refusal proves nothing");
+    world.checked(0, true);
+    world.run(5);
+    assert_eq!(world.resets(caller(1)), 1);
+}
--- a/crates/passthrough/tests/support/mod.rs
+++ b/crates/passthrough/tests/support/mod.rs
@@ -131,6 +131,28 @@
         world
     }
 
+    /// Makes a network of one balancer and two endpoints that has just started.
+    pub(crate) fn small() -> Self {
+        let mut world = Self {
+            now: 100_000,
+            ..Self::default()
+        };
+        world.catalog.revision = Revision::new(10);
+        world.catalog.settings_version = SettingsVersion::new(1);
+        world.catalog.routes.push(route(SERVICE_ADDRESS, SERVICE));
+        for number in 0..2 {
+            world.add_endpoint(number, SERVICE);
+        }
+        world.start_balancer(0);
+        world
+    }
+
+    /// Puts a datagram between two instances on the network.
+    pub(crate) fn inject(&mut self, from: Ipv4Addr, to: Ipv4Addr, bytes: &[u8]) {
+        let place = Place::Peer { from, to };
+        self.under_way.push_front((self.now, place, bytes.to_vec()));
+    }
+
     /// Adds an endpoint with its agent to the network and to the store.
     pub(crate) fn add_endpoint(&mut self, number: u8, service: &str) {
         let ip = agent_ip(number);
@@ -243,8 +265,8 @@
     /// Gives an agent the result of a check of its endpoint.
     pub(crate) fn checked(&mut self, number: u8, refused: bool) {
         let ip = agent_ip(number);
-        self.at_agent(ip, |agent, now, out| {
-            agent.on_endpoint_checked(now, refused, out);
+        self.at_agent(ip, |agent, _, out| {
+            agent.on_endpoint_checked(refused, out);
         });
     }
 
