--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -151,7 +151,8 @@
 
 /// Gives a process settings that can't be used, and takes them back.
 async fn reload_bad_settings(process: &Process, ledger: &Ledger) {
-    // A process that starts meanwhile would refuse the bad settings, as it should.
+    // A process that is just starting would refuse the bad settings and end, as it should.
+    process.loaded().await;
     let good = process.settings();
     let written = process.write_settings("{\"instance\": 3");
     process.reload().await;
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -62,8 +62,16 @@
         Ok(process)
     }
 
+    /// Replaces the settings file as a whole.
     pub(crate) fn write_settings(&self, text: &str) -> io::Result<()> {
-        fs::write(&self.settings_path, text)
+        let next = self.settings_path.with_extension("next");
+        fs::write(&next, text)?;
+        fs::rename(next, &self.settings_path)
+    }
+
+    /// Waits until the process handles signals and has read its settings.
+    pub(crate) async fn loaded(&self) {
+        tokio::time::sleep(LOADED_AFTER.saturating_sub(self.started.elapsed())).await;
     }
 
     pub(crate) fn settings(&self) -> io::Result<String> {
@@ -97,7 +105,7 @@
 
     /// Asks the process to read its settings again, once it is loaded.
     pub(crate) async fn reload(&self) {
-        tokio::time::sleep(LOADED_AFTER.saturating_sub(self.started.elapsed())).await;
+        self.loaded().await;
         self.signal(Signal::HUP);
     }
 
@@ -123,7 +131,7 @@
 
     /// Asks the process to stop and waits until it has.
     pub(crate) async fn terminate(&mut self) {
-        tokio::time::sleep(LOADED_AFTER.saturating_sub(self.started.elapsed())).await;
+        self.loaded().await;
         // A paused process would take the signal only when its pause ends.
         self.signal(Signal::CONT);
         self.signal(Signal::TERM);
