--- a/crates/lovagectl/src/explain.rs
+++ b/crates/lovagectl/src/explain.rs
@@ -1,6 +1,11 @@
 //! The story of one flow, from the logs of several processes.
 
-use std::{collections::BTreeSet, fs, io::Read as _, path::PathBuf};
+use std::{
+    collections::BTreeSet,
+    fs, io,
+    io::{Read as _, Write as _},
+    path::PathBuf,
+};
 
 use serde_json::{Map, Value};
 
@@ -22,6 +27,10 @@
 
 /// Prints the lines of a flow, and what the processes that took part believed then.
 pub(crate) fn run(command: &Explain) -> Result<()> {
+    if command.flow.is_empty() {
+        let text = "`--flow` is empty; give the caller's address and port as in `100.65.0.20:1033`";
+        return Err(CtlError::Usage(text.to_owned()));
+    }
     let records = read_all(&command.files)?;
     let of_flow = |it: &&Record| it.flow().is_some_and(|flow| flow.contains(&command.flow));
     let own: Vec<&Record> = records.iter().filter(of_flow).collect();
@@ -35,12 +44,22 @@
     let from = first.time_ms.saturating_sub(AROUND_MS);
     let until = last.time_ms.saturating_add(AROUND_MS);
     let instances: BTreeSet<&str> = own.iter().map(|it| it.instance.as_str()).collect();
+    let mut out = std::io::stdout().lock();
     for record in &records {
         let is_near = (from..=until).contains(&record.time_ms);
         let took_part = instances.contains(record.instance.as_str());
         let is_belief = record.flow().is_none() && is_near && took_part;
-        if is_belief || of_flow(&record) {
-            println!("{}", record.line(first.time_ms));
+        if !is_belief && !of_flow(&record) {
+            continue;
+        }
+        match writeln!(out, "{}", record.line(first.time_ms)) {
+            Ok(()) => {}
+            // The reader has seen enough, as `head` has.
+            Err(err) if err.kind() == io::ErrorKind::BrokenPipe => return Ok(()),
+            Err(source) => {
+                let path = PathBuf::from("standard output");
+                return Err(CtlError::Write { path, source });
+            }
         }
     }
     Ok(())
--- a/crates/lovagectl/tests/explain.rs
+++ b/crates/lovagectl/tests/explain.rs
@@ -72,7 +72,28 @@
         "{}",
         ended.err
     );
+    let ended = run(&["explain", &balancer, "--flow", ""]);
+    assert_eq!(ended.status, 1);
+    assert!(ended.err.contains("`--flow` is empty"), "{}", ended.err);
     let ended = run(&["explain", &folder.path("missing.log"), "--flow", "x"]);
     assert_eq!(ended.status, 1);
     assert!(ended.err.contains("missing.log"), "{}", ended.err);
 }
+
+#[test]
+fn reader_may_leave_early() {
+    let folder = Folder::new("explain-pipe");
+    let many = format!(
+        "{}\n",
+        OTHER.replace("peer_lost\"", "peer_lost\",\"flow\":\"f\"")
+    )
+    .repeat(20_000);
+    let log = folder.write("many.log", &many);
+    let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_lovagectl"))
+        .args(["explain", &log, "--flow", "f"])
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    drop(child.stdout.take());
+    assert!(child.wait().unwrap().success());
+}
