One way from a packet to its caller's flow; reasons that nothing gives are gone

Cause: read again as a newcomer: the flow of a caller's packet was put together in six places, the choice between an opening and an established packet in two, and a reason to drop and one to reset were never given. Change: Segment::caller_flow, Carried::known; DropReason::Foreign and ResetReason::NoCapacity removed. Behaviour is unchanged. Checked: lints of the whole workspace, the tests of passthrough.

--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -207,10 +207,7 @@
             self.counters.other_service += 1;
             return self.pass_on(now, carry, FULLNESS_CLOSED, packet, out);
         }
-        let flow = Flow {
-            caller: segment.source,
-            service_address: segment.destination,
-        };
+        let flow = segment.caller_flow();
         if carry.carried == Carried::Opening && segment.is_opening() {
             return self.on_opening(now, flow, carry, packet, out);
         }
@@ -354,10 +351,7 @@
         packet: &mut [u8],
         out: &mut impl Outbox,
     ) {
-        let flow = Flow {
-            caller: segment.source,
-            service_address: segment.destination,
-        };
+        let flow = segment.caller_flow();
         let _silence = self.health.answered(now);
         self.counters.returned += 1;
         F::set_tag(packet, 0);
@@ -379,11 +373,7 @@
             out.event(Event::EndpointForgotFlow { flow });
             return self.reset(flow, segment.acknowledged, ResetReason::EndpointForgot, out);
         }
-        let carried = if segment.is_opening() {
-            Carried::Opening
-        } else {
-            Carried::Established
-        };
+        let carried = Carried::known(segment);
         self.send_back(held.origin, carried, 0, packet, out);
     }
 
@@ -417,10 +407,7 @@
         };
         if next.agent() == self.config.address && carry.forced {
             if let Ok(segment) = F::decode(packet) {
-                let flow = Flow {
-                    caller: segment.source,
-                    service_address: segment.destination,
-                };
+                let flow = segment.caller_flow();
                 self.offer(now, flow, carry, packet, out);
             }
             return;
@@ -443,10 +430,7 @@
             let Ok(segment) = F::decode(packet) else {
                 return;
             };
-            let flow = Flow {
-                caller: segment.source,
-                service_address: segment.destination,
-            };
+            let flow = segment.caller_flow();
             write_not_held(NotHeld { flow, ticket }, &mut self.scratch);
         } else {
             write_returned(Returned { carried }, packet, &mut self.scratch);
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -232,10 +232,7 @@
     }
 
     fn route(&mut self, now: Millis, segment: &Segment, packet: &mut [u8], out: &mut impl Outbox) {
-        let flow = Flow {
-            caller: segment.source,
-            service_address: segment.destination,
-        };
+        let flow = segment.caller_flow();
         if self.view.catalog().settings_version.get() == 0 {
             return self.drop(DropReason::NoSettings, out);
         }
@@ -245,11 +242,7 @@
             return self.drop(DropReason::NoRoute, out);
         };
         if let Some(agent) = self.flows.get(now, flow, segment) {
-            let carried = if segment.is_opening() {
-                Carried::Opening
-            } else {
-                Carried::Established
-            };
+            let carried = Carried::known(segment);
             return self.carry_to(service, carried, agent, packet, out);
         }
         if segment.is_opening() {
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -196,10 +196,7 @@
             return self.drop(DropReason::Malformed, out);
         };
         F::set_tag(packet, 0);
-        let flow = Flow {
-            caller: segment.source,
-            service_address: segment.destination,
-        };
+        let flow = segment.caller_flow();
         let route = self.view.catalog().route(flow.service_address);
         let Some(service) = route.and_then(|it| it.target(flow.hash())) else {
             return self.drop(DropReason::NoRoute, out);
--- a/crates/passthrough/src/event.rs
+++ b/crates/passthrough/src/event.rs
@@ -20,8 +20,6 @@
     NoSettings,
     /// The packet was returned and nothing is known of its way here.
     UnknownReturn,
-    /// The sender's address isn't the one that the packet names.
-    Foreign,
 }
 
 /// Why the system reset a flow.
@@ -34,8 +32,6 @@
     EndpointGone,
     /// Every endpoint of the service was asked, more than once, and none holds the flow.
     HeldByNone,
-    /// No endpoint can take the opening.
-    NoCapacity,
 }
 
 /// One decision or change of belief.
--- a/crates/passthrough/src/message.rs
+++ b/crates/passthrough/src/message.rs
@@ -20,7 +20,7 @@
     write_report, write_retired, write_returned, write_search,
 };
 
-use crate::{EndpointState, Flow, ServiceKey, ZoneKey, flow::FLOW_BYTES};
+use crate::{EndpointState, Flow, Segment, ServiceKey, ZoneKey, flow::FLOW_BYTES};
 
 /// Marks a datagram as one of ours.
 const MAGIC: u16 = 0x4C47;
@@ -115,6 +115,15 @@
 }
 
 impl Carried {
+    /// Returns what a packet is whose agent is known.
+    pub(crate) const fn known(segment: &Segment) -> Self {
+        if segment.is_opening() {
+            Self::Opening
+        } else {
+            Self::Established
+        }
+    }
+
     const fn to_byte(self) -> u8 {
         match self {
             Self::Opening => 0,
--- a/crates/passthrough/src/segment.rs
+++ b/crates/passthrough/src/segment.rs
@@ -2,6 +2,8 @@
 
 use std::{fmt, net::SocketAddrV4};
 
+use crate::Flow;
+
 /// A decoded packet header.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[expect(
@@ -39,6 +41,15 @@
     pub const fn is_opening(&self) -> bool {
         self.syn && !self.ack
     }
+
+    /// Returns the flow of a packet that its caller wrote.
+    #[must_use]
+    pub const fn caller_flow(&self) -> Flow {
+        Flow {
+            caller: self.source,
+            service_address: self.destination,
+        }
+    }
 }
 
 /// Why a datagram is not a packet.
