Openings go to endpoints whose idle flows are no more than usual

Fit queries use flows that stay open; an opening went to the first endpoint of its own zone with a free slot, so flows opened while it was quiet stayed on that zone's endpoints and queued there at the crest (90 answers 503). Change: agents count idle flows with the share of time in which such flows are used, report it, and pass an opening on if they have an eighth more than the service's mean, or if all slots are taken and they are fuller than the mean. Late openings take the first free slot. Messages' layout is 2, so the test of random datagrams writes that.

--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -15,7 +15,7 @@
     DropReason, EndpointState, Event, Flow, Message, Outbox, PacketFormat, ResetReason, Segment,
     ServiceKey,
     message::{
-        Body, Bound, Candidate, Candidates, Carried, Carry, FULLNESS_CLOSED, Fullness,
+        Body, Bound, Candidate, Candidates, Carried, Carry, FULL, FULLNESS_CLOSED, Fullness,
         INSTANCES_MAX, Instances, NotHeld, Notice, Report, Returned, Search, write_bound,
         write_carry, write_not_held, write_report, write_returned,
     },
@@ -30,9 +30,6 @@
 /// Time without a notice after which a balancer is no longer named to others: three notices.
 const BALANCER_HEARD_MS: Millis = Millis::new(3_000);
 
-/// Fullness of an endpoint whose slots are all taken.
-const FULL: u32 = 1_000;
-
 /// What an agent is told at its start.
 #[derive(Debug, Clone, Copy)]
 pub struct AgentConfig {
@@ -259,8 +256,9 @@
             return Self::deliver(packet, 0, out);
         }
         let fullness = self.fullness(now);
-        let accepts = u32::from(fullness) < FULL || (carry.forced && fullness != FULLNESS_CLOSED);
-        if accepts {
+        let is_light =
+            fullness <= carry.limits.fullness && self.idle_fullness() <= carry.limits.idle;
+        if fullness != FULLNESS_CLOSED && (is_light || carry.forced) {
             return self.offer(now, flow, carry, packet, out);
         }
         out.event(Event::OpeningPassed {
@@ -471,6 +469,7 @@
         }
         let report = Report {
             fullness: self.fullness(now),
+            idle_fullness: self.idle_fullness(),
             balancers: Instances::new(&others[..len]),
         };
         write_report(report, &mut self.scratch);
@@ -502,10 +501,17 @@
             return FULLNESS_CLOSED;
         }
         let slots = u32::from(self.slots.get().max(1));
-        let fullness = self.held.load().saturating_mul(FULL) / slots;
+        let load = self.held.load().saturating_mul(u32::from(FULL));
+        let fullness = load.saturating_add(self.held.idle_load()) / slots;
         u16::try_from(fullness).unwrap_or(FULLNESS_CLOSED - 1)
     }
 
+    /// Returns the part of the fullness that idle flows have.
+    fn idle_fullness(&self) -> Fullness {
+        let slots = u32::from(self.slots.get().max(1));
+        Fullness::try_from(self.held.idle_load() / slots).unwrap_or(FULLNESS_CLOSED - 1)
+    }
+
     fn load(&self) -> u16 {
         u16::try_from(self.held.load()).unwrap_or(u16::MAX)
     }
--- a/crates/passthrough/src/agent/held.rs
+++ b/crates/passthrough/src/agent/held.rs
@@ -23,6 +23,46 @@
 /// Time without packets after which a flow is forgotten, until a notice says otherwise.
 const IDLE_TIMEOUT_MS: Millis = Millis::new(60_000);
 
+/// Time that idle flows are counted with before any were seen: a hundred seconds with one of work.
+///
+/// Callers that keep a flow open use it for a hundredth to a tenth of the time.
+const IDLE_PRIOR: Usage = Usage {
+    busy_ms: 1_000,
+    open_ms: 100_000,
+};
+
+/// Share of the usage seen so far that is kept at each sweep, in sixteenths; halves it in 11 s, well
+/// below the time in which demand swings.
+const USAGE_KEPT_16THS: u64 = 15;
+
+/// How much of the time callers use the flows that they keep open.
+#[derive(Debug, Clone, Copy)]
+struct Usage {
+    /// Time for which requests ran on flows that had been answered before.
+    busy_ms: u64,
+    /// Time for which such flows were open.
+    open_ms: u64,
+}
+
+impl Usage {
+    /// Returns the requests that an idle flow stands for, in thousandths.
+    const fn per_flow(self) -> u32 {
+        let share =
+            self.busy_ms.saturating_mul(1_000) / if self.open_ms == 0 { 1 } else { self.open_ms };
+        if share > 1_000 { 1_000 } else { share as u32 }
+    }
+}
+
+/// What a flow means for the endpoint's load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Weight {
+    None,
+    /// Open after an answer; the caller may send another request at any time.
+    Idle,
+    /// A request runs or is about to come.
+    Working,
+}
+
 /// What is known about a flow's place at the endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -53,6 +93,8 @@
     caller_acknowledged: u32,
     caller_closed: bool,
     endpoint_closed: bool,
+    /// The endpoint answered a request on it.
+    answered: bool,
 }
 
 impl Held {
@@ -64,6 +106,16 @@
     const fn counts(&self) -> bool {
         self.expected || self.running_since.is_some()
     }
+
+    const fn weight(&self) -> Weight {
+        if self.counts() {
+            Weight::Working
+        } else if self.answered && !self.caller_closed && !self.endpoint_closed {
+            Weight::Idle
+        } else {
+            Weight::None
+        }
+    }
 }
 
 /// Whom to tell that a flow was found here.
@@ -79,8 +131,12 @@
 #[derive(Debug)]
 pub(crate) struct HeldFlows {
     flows: HashMap<Flow, Held>,
-    /// Invariant: the number of flows for which `Held::counts` holds.
+    /// Invariant: the number of flows whose weight is `Weight::Working`.
     load: u32,
+    /// Invariant: the number of flows whose weight is `Weight::Idle`.
+    idle: u32,
+    usage: Usage,
+    last_sweep: Option<Millis>,
     /// Flows that count as requests about to come, oldest first.
     expected: VecDeque<(Millis, Flow)>,
     idle_timeout: Millis,
@@ -91,6 +147,9 @@
         Self {
             flows: HashMap::new(),
             load: 0,
+            idle: 0,
+            usage: IDLE_PRIOR,
+            last_sweep: None,
             expected: VecDeque::new(),
             idle_timeout: IDLE_TIMEOUT_MS,
         }
@@ -107,6 +166,11 @@
         self.load
     }
 
+    /// Returns the requests that idle flows stand for, in thousandths.
+    pub(crate) const fn idle_load(&self) -> u32 {
+        self.idle.saturating_mul(self.usage.per_flow())
+    }
+
     pub(crate) fn set_idle_timeout(&mut self, timeout: Millis) {
         self.idle_timeout = timeout.max(CLOSED_KEPT_MS);
     }
@@ -137,13 +201,16 @@
             caller_acknowledged: 0,
             caller_closed: false,
             endpoint_closed: false,
+            answered: false,
         });
         held.origin = origin;
         held.tag = tag;
         if !held.counts() {
+            let before = held.weight();
             held.expected = true;
-            self.load += 1;
+            let after = held.weight();
             self.expected.push_back((now, flow));
+            self.recount(before, after);
         }
         self.expire_expected(now);
     }
@@ -163,7 +230,7 @@
         held.origin = origin;
         held.last_used = now;
         held.caller_acknowledged = segment.acknowledged;
-        let counted = held.counts();
+        let before = held.weight();
         let end = segment.sequence.wrapping_add(u32::from(segment.data_bytes));
         let is_new = held
             .caller_end
@@ -181,7 +248,8 @@
             held.endpoint_closed = true;
             held.running_since = None;
         }
-        Self::recount(&mut self.load, counted, held.counts());
+        let after = held.weight();
+        self.recount(before, after);
     }
 
     /// The endpoint sent a packet of the flow; returns whom to tell if that answers a question.
@@ -203,8 +271,9 @@
             caller_acknowledged: segment.sequence,
             caller_closed: false,
             endpoint_closed: false,
+            answered: false,
         });
-        let counted = held.counts();
+        let before = held.weight();
         held.last_used = now;
         held.phase = held.phase.max(if segment.syn {
             Phase::Accepted
@@ -212,8 +281,12 @@
             Phase::Open
         });
         if segment.data_bytes > 0 || segment.rst || segment.fin {
-            held.running_since = None;
+            let ran = held.running_since.take().map(|it| now.since(it).get());
             held.expected = false;
+            if held.answered {
+                self.usage.busy_ms += ran.unwrap_or(0);
+            }
+            held.answered |= segment.data_bytes > 0;
         }
         held.endpoint_closed |= segment.fin || segment.rst;
         held.caller_closed |= segment.rst;
@@ -222,7 +295,8 @@
             tag: held.tag,
         });
         held.tag = 0;
-        Self::recount(&mut self.load, counted, held.counts());
+        let after = held.weight();
+        self.recount(before, after);
         asked
     }
 
@@ -240,7 +314,7 @@
     /// Forgets a flow and returns what was known of it.
     pub(crate) fn remove(&mut self, flow: Flow) -> Option<Held> {
         let held = self.flows.remove(&flow)?;
-        Self::recount(&mut self.load, held.counts(), false);
+        self.recount(held.weight(), Weight::None);
         Some(held)
     }
 
@@ -248,6 +322,7 @@
     pub(crate) fn take_open(&mut self) -> Vec<(Flow, u32)> {
         let flows = std::mem::take(&mut self.flows);
         self.load = 0;
+        self.idle = 0;
         self.expected.clear();
         let mut open: Vec<_> = flows
             .into_iter()
@@ -261,9 +336,9 @@
     /// Forgets what is no longer used.
     pub(crate) fn sweep(&mut self, now: Millis) {
         self.expire_expected(now);
-        let (load, idle_timeout) = (&mut self.load, self.idle_timeout);
+        self.age_usage(now);
+        let idle_timeout = self.idle_timeout;
         self.flows.retain(|_, held| {
-            let counted = held.counts();
             if held
                 .running_since
                 .is_some_and(|it| now.since(it) > RUNNING_MAX_MS)
@@ -275,15 +350,29 @@
             } else {
                 idle_timeout
             };
-            let keep = now.since(held.last_used) <= kept;
-            Self::recount(load, counted, keep && held.counts());
-            keep
+            now.since(held.last_used) <= kept
+        });
+        // Counted anew, since flows went and requests timed out.
+        let weights = self.flows.values().map(Held::weight);
+        (self.load, self.idle) = weights.fold((0, 0), |(load, idle), it| match it {
+            Weight::Working => (load + 1, idle),
+            Weight::Idle => (load, idle + 1),
+            Weight::None => (load, idle),
         });
-        debug_assert_eq!(
-            self.load as usize,
-            self.flows.values().filter(|it| it.counts()).count(),
-            "the load must be the number of flows that count"
-        );
+    }
+
+    /// Counts the time for which idle flows were open, and lets what was seen before fade.
+    fn age_usage(&mut self, now: Millis) {
+        let Some(last) = self.last_sweep.replace(now) else {
+            return;
+        };
+        let passed_ms = now.since(last).get();
+        self.usage.open_ms += u64::from(self.idle) * passed_ms;
+        self.usage.open_ms = self.usage.open_ms * USAGE_KEPT_16THS / 16;
+        self.usage.busy_ms = self.usage.busy_ms * USAGE_KEPT_16THS / 16;
+        if self.usage.open_ms < IDLE_PRIOR.open_ms / 10 {
+            self.usage = IDLE_PRIOR;
+        }
     }
 
     fn expire_expected(&mut self, now: Millis) {
@@ -295,17 +384,23 @@
             let Some(held) = self.flows.get_mut(&flow) else {
                 continue;
             };
-            let counted = held.counts();
+            let before = held.weight();
             held.expected = false;
-            Self::recount(&mut self.load, counted, held.counts());
+            let after = held.weight();
+            self.recount(before, after);
         }
     }
 
-    const fn recount(load: &mut u32, before: bool, after: bool) {
-        match (before, after) {
-            (true, false) => *load = load.saturating_sub(1),
-            (false, true) => *load += 1,
-            _ => {}
+    const fn recount(&mut self, before: Weight, after: Weight) {
+        match before {
+            Weight::None => {}
+            Weight::Idle => self.idle = self.idle.saturating_sub(1),
+            Weight::Working => self.load = self.load.saturating_sub(1),
+        }
+        match after {
+            Weight::None => {}
+            Weight::Idle => self.idle += 1,
+            Weight::Working => self.load += 1,
         }
     }
 }
--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     CatalogView, Endpoint, EndpointState, Event, Outbox,
-    message::{FULLNESS_CLOSED, Fullness},
+    message::{AcceptLimits, FULL, FULLNESS_CLOSED, Fullness, Report},
 };
 
 /// Time without an answer to notices after which an agent counts as lost: two notices and a half.
@@ -18,6 +18,13 @@
 /// Time for which an agent's word that its endpoint takes nothing is believed.
 const CLOSED_BELIEVED_MS: Millis = Millis::new(1_200);
 
+/// Time for which an agent's word about its fullness counts: one notice and a half.
+const FULLNESS_BELIEVED_MS: Millis = Millis::new(1_500);
+
+/// Share, as a divisor, by which idle flows may exceed their mean: an eighth is about the spread that
+/// a hundred flows have by chance.
+const IDLE_SLACK: u32 = 8;
+
 #[derive(Debug, Clone, Copy)]
 struct AgentState {
     endpoint: Endpoint,
@@ -28,6 +35,18 @@
     is_lost: bool,
     fullness: Fullness,
     fullness_at: Millis,
+    /// Mean of the fullness that its answers to notices told, the last one counting half.
+    ///
+    /// Answers to openings don't count: they come when there is one request more than usual.
+    usual: Usual,
+}
+
+/// What an agent told of its fullness lately.
+#[derive(Debug, Clone, Copy, Default)]
+struct Usual {
+    fullness: Fullness,
+    /// The part of it that idle flows have.
+    idle: Fullness,
 }
 
 /// The agents of the endpoints in force and of those that left lately.
@@ -51,6 +70,7 @@
                 is_lost: known.is_some_and(|it| it.is_lost),
                 fullness: known.map_or(0, |it| it.fullness),
                 fullness_at: known.map_or(now, |it| it.fullness_at),
+                usual: known.map_or_else(Usual::default, |it| it.usual),
             });
         }
         agents.sort_by_key(|it| it.endpoint.agent());
@@ -100,6 +120,24 @@
         }
     }
 
+    /// An agent answered a notice.
+    pub(crate) fn note_report(
+        &mut self,
+        now: Millis,
+        agent: Ipv4Addr,
+        report: &Report<'_>,
+        out: &mut impl Outbox,
+    ) {
+        self.note_answer(now, agent, report.fullness, out);
+        if report.fullness == FULLNESS_CLOSED {
+            return;
+        }
+        if let Some(state) = self.find_mut(agent) {
+            state.usual.fullness = state.usual.fullness.midpoint(report.fullness);
+            state.usual.idle = state.usual.idle.midpoint(report.idle_fullness);
+        }
+    }
+
     /// Marks agents that have not answered.
     pub(crate) fn sweep(&mut self, now: Millis, out: &mut impl Outbox) {
         for state in &mut self.agents {
@@ -135,6 +173,33 @@
         })
     }
 
+    /// Returns how full an endpoint may be to take an opening at once: it has a free slot or, where
+    /// slots are short, it is no fuller than those in `window` are in the mean.
+    ///
+    /// Requests pass, but idle flows stay where they are: their part is compared even where all
+    /// endpoints have room, since at the next crest they can't be moved.
+    pub(crate) fn accept_limits(&self, now: Millis, window: &[Endpoint]) -> AcceptLimits {
+        let states = window.iter().filter_map(|it| self.find(it.agent()));
+        let open = states.filter(|it| {
+            it.fullness != FULLNESS_CLOSED && now.since(it.fullness_at) <= FULLNESS_BELIEVED_MS
+        });
+        let (mut fullness, mut idle, mut count) = (0, 0, 0);
+        for state in open {
+            fullness += u32::from(state.usual.fullness);
+            idle += u32::from(state.usual.idle);
+            count += 1;
+        }
+        if count == 0 {
+            return AcceptLimits::FREE_SLOT;
+        }
+        let idle = idle / count;
+        let limit = |it| Fullness::try_from(it).unwrap_or(FULLNESS_CLOSED - 1);
+        AcceptLimits {
+            fullness: limit((fullness / count).max(u32::from(FULL) - 1)),
+            idle: limit(idle + idle / IDLE_SLACK + 1),
+        }
+    }
+
     /// Returns the slots of an agent's endpoint, zero if they aren't known.
     pub(crate) fn slots(&self, agent: Ipv4Addr) -> u8 {
         let slots = self.find(agent).map_or(0, |it| it.endpoint.slots.get());
--- a/crates/passthrough/src/balancer/notices.rs
+++ b/crates/passthrough/src/balancer/notices.rs
@@ -47,7 +47,7 @@
         report: Report<'_>,
         out: &mut impl Outbox,
     ) {
-        self.agents.note_answer(now, agent, report.fullness, out);
+        self.agents.note_report(now, agent, &report, out);
         for balancer in report.balancers.iter() {
             if balancer != self.config.address {
                 self.peers.add(balancer, now);
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -9,8 +9,8 @@
     DropReason, Endpoint, EndpointState, Event, Flow, Outbox, PacketFormat, ResetReason, Segment,
     ServiceKey,
     message::{
-        Bound, Candidate, Candidates, Carried, Carry, Instances, Returned, SEARCHED_MAX, Search,
-        write_carry, write_search,
+        AcceptLimits, Bound, Candidate, Candidates, Carried, Carry, Instances, Returned,
+        SEARCHED_MAX, Search, write_carry, write_search,
     },
 };
 
@@ -57,12 +57,19 @@
         let Some(first) = candidates.as_slice().first().copied() else {
             return self.drop(DropReason::NoEndpoint, out);
         };
+        // An opening that is late already takes the first free slot.
+        let limits = if opening.attempts() == 0 {
+            self.agents.accept_limits(now, &self.window)
+        } else {
+            AcceptLimits::FREE_SLOT
+        };
         let carry = Carry::new(
             opening.service,
             self.config.address,
             Carried::Opening,
             candidates,
-        );
+        )
+        .with_limits(limits);
         write_carry(&carry, &opening.packet, &mut self.scratch);
         out.send_peer(first.agent(), &self.scratch);
         out.event(Event::OpeningPlaced {
--- a/crates/passthrough/src/message.rs
+++ b/crates/passthrough/src/message.rs
@@ -26,7 +26,7 @@
 const MAGIC: u16 = 0x4C47;
 
 /// Version of the messages' layout.
-const LAYOUT: u8 = 1;
+const LAYOUT: u8 = 2;
 
 /// Candidates that one carried packet can name.
 pub(crate) const CANDIDATES_MAX: usize = 8;
@@ -205,12 +205,31 @@
     }
 }
 
-/// How full an endpoint is that an opening visited: its requests per slot, in thousandths.
+/// How full an endpoint is: its requests per slot, in thousandths, with a part for each idle flow.
 pub(crate) type Fullness = u16;
 
+/// Fullness of an endpoint whose slots are all taken.
+pub(crate) const FULL: Fullness = 1_000;
+
 /// Fullness of an endpoint that can't take the opening at all.
 pub(crate) const FULLNESS_CLOSED: Fullness = u16::MAX;
 
+/// How full an endpoint may be to take an opening that it isn't forced to take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct AcceptLimits {
+    pub(crate) fullness: Fullness,
+    /// Limit on the part that idle flows have in the fullness.
+    pub(crate) idle: Fullness,
+}
+
+impl AcceptLimits {
+    /// Any endpoint with a free slot may take the opening.
+    pub(crate) const FREE_SLOT: Self = Self {
+        fullness: FULL - 1,
+        idle: FULLNESS_CLOSED - 1,
+    };
+}
+
 /// The way of a carried packet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Carry {
@@ -227,6 +246,8 @@
     /// Place in the list of the least full candidate so far.
     pub(crate) best: u8,
     pub(crate) best_fullness: Fullness,
+    /// Candidates above these limits pass the opening on.
+    pub(crate) limits: AcceptLimits,
     pub(crate) candidates: Candidates,
 }
 
@@ -247,10 +268,17 @@
             position: 0,
             best: 0,
             best_fullness: FULLNESS_CLOSED,
+            limits: AcceptLimits::FREE_SLOT,
             candidates,
         }
     }
 
+    /// Asks candidates above the limits to pass the opening on.
+    pub(crate) const fn with_limits(mut self, limits: AcceptLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
     pub(crate) const fn with_ticket(mut self, ticket: u16) -> Self {
         self.ticket = ticket;
         self
@@ -279,6 +307,8 @@
     best: u8,
     _reserved: u8,
     best_fullness: U16,
+    fullness_limit: U16,
+    idle_limit: U16,
 }
 
 /// Something the agent tells the balancer that sent a packet: it holds the flow.
@@ -381,6 +411,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Report<'a> {
     pub(crate) fullness: Fullness,
+    /// The part of it that idle flows have.
+    pub(crate) idle_fullness: Fullness,
     pub(crate) balancers: Instances<'a>,
 }
 
@@ -389,6 +421,7 @@
 struct ReportHeader {
     preamble: Preamble,
     fullness: U16,
+    idle_fullness: U16,
     count: u8,
     _reserved: u8,
 }
--- a/crates/passthrough/src/message/decode.rs
+++ b/crates/passthrough/src/message/decode.rs
@@ -3,10 +3,10 @@
 use zerocopy::{FromBytes, Immutable, KnownLayout, Ref, Unaligned};
 
 use super::{
-    Body, Bound, BoundHeader, CANDIDATES_MAX, Candidate, Candidates, Carried, Carry, CarryHeader,
-    Chunk, ChunkHeader, Digest, DigestHeader, INSTANCES_MAX, Instances, LAYOUT, MAGIC, Message,
-    MessageError, NotHeld, NotHeldHeader, Notice, NoticeHeader, Preamble, Report, ReportHeader,
-    ReturnHeader, Returned, SEARCHED_MAX, Search, SearchHeader, kind,
+    AcceptLimits, Body, Bound, BoundHeader, CANDIDATES_MAX, Candidate, Candidates, Carried, Carry,
+    CarryHeader, Chunk, ChunkHeader, Digest, DigestHeader, INSTANCES_MAX, Instances, LAYOUT, MAGIC,
+    Message, MessageError, NotHeld, NotHeldHeader, Notice, NoticeHeader, Preamble, Report,
+    ReportHeader, ReturnHeader, Returned, SEARCHED_MAX, Search, SearchHeader, kind,
 };
 use crate::{EndpointState, Flow, ServiceKey, ZoneKey};
 
@@ -56,6 +56,10 @@
         position: header.position,
         best: header.best,
         best_fullness: header.best_fullness.get(),
+        limits: AcceptLimits {
+            fullness: header.fullness_limit.get(),
+            idle: header.idle_limit.get(),
+        },
         candidates,
     };
     Ok(Body::Carry(carry, packet))
@@ -127,6 +131,7 @@
     let (header, rest) = prefix::<ReportHeader>(datagram)?;
     Ok(Body::Report(Report {
         fullness: header.fullness.get(),
+        idle_fullness: header.idle_fullness.get(),
         balancers: instances(rest, header.count)?,
     }))
 }
--- a/crates/passthrough/src/message/write.rs
+++ b/crates/passthrough/src/message/write.rs
@@ -26,6 +26,8 @@
         best: carry.best,
         _reserved: 0,
         best_fullness: U16::new(carry.best_fullness),
+        fullness_limit: U16::new(carry.limits.fullness),
+        idle_limit: U16::new(carry.limits.idle),
     };
     out.clear();
     out.extend_from_slice(header.as_bytes());
@@ -109,6 +111,7 @@
     let header = ReportHeader {
         preamble: Preamble::new(kind::REPORT),
         fullness: U16::new(report.fullness),
+        idle_fullness: U16::new(report.idle_fullness),
         count: report.balancers.count(),
         _reserved: 0,
     };
--- a/crates/passthrough/tests/messages.rs
+++ b/crates/passthrough/tests/messages.rs
@@ -21,7 +21,7 @@
             let mut world = World::small();
             let revision = world.balancer(0).view().catalog().revision;
             // The preamble of a message, then anything.
-            let mut bytes = vec![0x4C, 0x47, 1, kind % 12];
+            let mut bytes = vec![0x4C, 0x47, 2, kind % 12];
             bytes.extend(input);
             world.inject(agent_ip(0), balancer_ip(0), &bytes);
             world.inject(balancer_ip(9), agent_ip(0), &bytes);
