Openings whose requests are late count as load; late openings prefer agents that were heard

Cause: with the narrow balancers' links widened (a trial that leaves only their processors narrow) endpoints still answered 160 of 29,495 requests of a calm crest with 503. Requests that wait in a busy balancer came more than 40 ms after their flow opened, when the agent no longer counted on them, so it took too many openings. Ruled out: placement (the zone's endpoints were even in openings), links (widened in the trial). Change: an opened flow counts as a request for 250 ms, a caller's retransmission included; what doesn't come is taken off before each decision. As openings then wander more, one that is offered again prefers agents that were heard since it came.

--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -496,7 +496,8 @@
         out.event(Event::ResetSent { flow, reason });
     }
 
-    fn fullness(&self, now: Millis) -> Fullness {
+    fn fullness(&mut self, now: Millis) -> Fullness {
+        self.held.expire_expected(now);
         if self.stopping || self.state != EndpointState::Ready || self.health.is_closed(now) {
             return FULLNESS_CLOSED;
         }
--- a/crates/passthrough/src/agent/held.rs
+++ b/crates/passthrough/src/agent/held.rs
@@ -11,8 +11,9 @@
 
 /// Time for which a flow that just opened counts as a request about to come.
 ///
-/// A caller's first request follows the handshake by a round trip, a few milliseconds.
-const EXPECTED_MS: Millis = Millis::new(40);
+/// A caller's first request follows the handshake by a round trip, or by 200 ms more if its packet is lost
+/// or waits in a busy balancer.
+const EXPECTED_MS: Millis = Millis::new(250);
 
 /// Time after which an unanswered request no longer counts as work of the endpoint.
 const RUNNING_MAX_MS: Millis = Millis::new(6_000);
@@ -46,13 +47,24 @@
 
 impl Usage {
     /// Returns the requests that an idle flow stands for, in thousandths.
-    const fn per_flow(self) -> u32 {
-        let share =
-            self.busy_ms.saturating_mul(1_000) / if self.open_ms == 0 { 1 } else { self.open_ms };
-        if share > 1_000 { 1_000 } else { share as u32 }
+    fn per_flow(self) -> u32 {
+        let share = self.busy_ms.saturating_mul(1_000) / self.open_ms.max(1);
+        u32::try_from(share).map_or(1_000, |it| it.min(1_000))
     }
 }
 
+/// The endpoint's work on a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Work {
+    None,
+    /// A request is about to come.
+    Expected,
+    /// The caller waits for an answer.
+    Running {
+        since: Millis,
+    },
+}
+
 /// What a flow means for the endpoint's load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Weight {
@@ -83,10 +95,7 @@
     /// Tag of the packet that the endpoint was asked with, zero once it answered.
     tag: u32,
     last_used: Millis,
-    /// Since when the caller waits for an answer.
-    running_since: Option<Millis>,
-    /// The flow counts as a request about to come.
-    expected: bool,
+    work: Work,
     /// End of the caller's data seen so far; tells requests from copies of them.
     caller_end: Option<u32>,
     /// What the caller acknowledged last, where a reset has to begin.
@@ -102,13 +111,8 @@
         self.caller_closed && self.endpoint_closed
     }
 
-    /// Returns whether the flow counts as work of the endpoint.
-    const fn counts(&self) -> bool {
-        self.expected || self.running_since.is_some()
-    }
-
     const fn weight(&self) -> Weight {
-        if self.counts() {
+        if !matches!(self.work, Work::None) {
             Weight::Working
         } else if self.answered && !self.caller_closed && !self.endpoint_closed {
             Weight::Idle
@@ -167,7 +171,7 @@
     }
 
     /// Returns the requests that idle flows stand for, in thousandths.
-    pub(crate) const fn idle_load(&self) -> u32 {
+    pub(crate) fn idle_load(&self) -> u32 {
         self.idle.saturating_mul(self.usage.per_flow())
     }
 
@@ -195,8 +199,7 @@
             origin,
             tag,
             last_used: now,
-            running_since: None,
-            expected: false,
+            work: Work::None,
             caller_end: None,
             caller_acknowledged: 0,
             caller_closed: false,
@@ -205,9 +208,9 @@
         });
         held.origin = origin;
         held.tag = tag;
-        if !held.counts() {
+        if held.work == Work::None {
             let before = held.weight();
-            held.expected = true;
+            held.work = Work::Expected;
             let after = held.weight();
             self.expected.push_back((now, flow));
             self.recount(before, after);
@@ -237,16 +240,17 @@
             .is_none_or(|it| end.wrapping_sub(it).cast_signed() > 0);
         if segment.data_bytes > 0 && is_new {
             held.caller_end = Some(end);
-            held.running_since = Some(now);
-            held.expected = false;
+            held.work = Work::Running { since: now };
         }
         if segment.rst || segment.fin {
             held.caller_closed = true;
-            held.expected = false;
+            if held.work == Work::Expected {
+                held.work = Work::None;
+            }
         }
         if segment.rst {
             held.endpoint_closed = true;
-            held.running_since = None;
+            held.work = Work::None;
         }
         let after = held.weight();
         self.recount(before, after);
@@ -265,8 +269,7 @@
             origin: Ipv4Addr::UNSPECIFIED,
             tag: 0,
             last_used: now,
-            running_since: None,
-            expected: false,
+            work: Work::None,
             caller_end: None,
             caller_acknowledged: segment.sequence,
             caller_closed: false,
@@ -281,11 +284,12 @@
             Phase::Open
         });
         if segment.data_bytes > 0 || segment.rst || segment.fin {
-            let ran = held.running_since.take().map(|it| now.since(it).get());
-            held.expected = false;
-            if held.answered {
-                self.usage.busy_ms += ran.unwrap_or(0);
+            if let Work::Running { since } = held.work
+                && held.answered
+            {
+                self.usage.busy_ms += now.since(since).get();
             }
+            held.work = Work::None;
             held.answered |= segment.data_bytes > 0;
         }
         held.endpoint_closed |= segment.fin || segment.rst;
@@ -339,11 +343,10 @@
         self.age_usage(now);
         let idle_timeout = self.idle_timeout;
         self.flows.retain(|_, held| {
-            if held
-                .running_since
-                .is_some_and(|it| now.since(it) > RUNNING_MAX_MS)
+            if let Work::Running { since } = held.work
+                && now.since(since) > RUNNING_MAX_MS
             {
-                held.running_since = None;
+                held.work = Work::None;
             }
             let kept = if held.is_closed() {
                 CLOSED_KEPT_MS
@@ -375,7 +378,8 @@
         }
     }
 
-    fn expire_expected(&mut self, now: Millis) {
+    /// Stops counting requests that were about to come and did not.
+    pub(crate) fn expire_expected(&mut self, now: Millis) {
         while let Some((since, flow)) = self.expected.front().copied() {
             if now.since(since) < EXPECTED_MS {
                 return;
@@ -384,8 +388,11 @@
             let Some(held) = self.flows.get_mut(&flow) else {
                 continue;
             };
+            if held.work != Work::Expected {
+                continue;
+            }
             let before = held.weight();
-            held.expected = false;
+            held.work = Work::None;
             let after = held.weight();
             self.recount(before, after);
         }
--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -158,6 +158,11 @@
             .is_some_and(|it| now.since(it.heard) > LOST_MS)
     }
 
+    /// Returns whether the agent has said anything since `time`.
+    pub(crate) fn was_heard_since(&self, agent: Ipv4Addr, time: Millis) -> bool {
+        self.find(agent).is_some_and(|it| it.heard >= time)
+    }
+
     /// Returns whether the agent failed to answer the last notice.
     pub(crate) fn is_doubtful(&self, now: Millis, agent: Ipv4Addr) -> bool {
         self.find(agent)
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -32,10 +32,13 @@
             .window(opening.service, flow.hash(), &mut self.window);
         self.window.retain(|it| it.state == EndpointState::Ready);
         let (zone, agents) = (self.config.zone, &self.agents);
+        let is_late = opening.attempts() > 0;
         self.window.sort_by_key(|it| {
             (
                 opening.has_tried(it.agent()),
                 agents.is_avoided(now, it.agent()),
+                // The agent that swallowed it is not heard any more.
+                is_late && !agents.was_heard_since(it.agent(), opening.first_at),
                 it.zone != zone,
             )
         });
--- a/crates/passthrough/tests/balance.rs
+++ b/crates/passthrough/tests/balance.rs
@@ -100,3 +100,14 @@
     let requests: Vec<usize> = world.endpoints.values().map(|it| it.requests).collect();
     assert_eq!(requests, vec![6; 4]);
 }
+
+/// Load pattern: a crest at which requests wait in a busy balancer after their flows opened.
+#[test]
+fn openings_whose_requests_are_late_count() {
+    let mut world = World::new(1, 4);
+    for number in 0..8 {
+        open(&mut world, number);
+    }
+    let openings: Vec<usize> = world.endpoints.values().map(|it| it.openings).collect();
+    assert_eq!(openings, vec![2; 4], "two slots each");
+}
