Endpoints that fail requests or crash again and again are taken last

Cause: agents acted on silence only. Change: an agent keeps the last sixteen outcomes of its endpoint's requests, seen from packets alone. From four failures on, or for one to eight seconds after a crash, openings count the endpoint as fuller than it is; a failing one is tried four times a second. Where all are alike nothing is taken away. Tests: outliers.rs; failing (40 of 100 requests), flapping ([18, 13, 18, 23]) and overtaking ends fail before.

--- a/crates/passthrough-node/src/agent.rs
+++ b/crates/passthrough-node/src/agent.rs
@@ -167,7 +167,7 @@
             res = sockets.endpoint.readable() => res.is_ok(),
             res = sockets.peers.readable() => res.is_ok(),
             Some(refused) = checked.recv() => {
-                agent.on_endpoint_checked(refused, &mut sockets);
+                agent.on_endpoint_checked(clock::now(), refused, &mut sockets);
                 false
             }
             () = tokio::time::sleep(deadline.since(now).to_duration()) => false,
--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -3,6 +3,7 @@
 mod counters;
 mod health;
 mod held;
+mod record;
 mod visits;
 
 use std::{marker::PhantomData, net::Ipv4Addr};
@@ -22,6 +23,7 @@
 };
 use health::EndpointHealth;
 use held::{HeldFlows, Phase};
+use record::{EndpointRecord, Outcome};
 use visits::{Visit, Visits};
 
 /// Time between two looks at flows that nobody uses any more.
@@ -46,6 +48,7 @@
     held: HeldFlows,
     visits: Visits,
     health: EndpointHealth,
+    record: EndpointRecord,
     /// Requests that the endpoint runs at once, zero before anybody said so.
     slots: Slots,
     state: EndpointState,
@@ -71,6 +74,7 @@
             held: HeldFlows::default(),
             visits: Visits::default(),
             health: EndpointHealth::default(),
+            record: EndpointRecord::default(),
             slots: Slots::new(0),
             state: EndpointState::Ready,
             revision: 0,
@@ -153,12 +157,13 @@
     }
 
     /// Takes the result of [`Outbox::check_endpoint`].
-    pub fn on_endpoint_checked(&mut self, refused: bool, out: &mut impl Outbox) {
+    pub fn on_endpoint_checked(&mut self, now: Millis, refused: bool, out: &mut impl Outbox) {
         if !self.health.checked(refused) {
             return;
         }
         let gone = self.held.take_open();
         out.event(Event::EndpointGone { flows: gone.len() });
+        self.note_crash(now, out);
         for (flow, sequence) in gone {
             self.reset(flow, sequence, ResetReason::EndpointGone, out);
         }
@@ -255,7 +260,7 @@
             self.held.note_origin(flow, carry.origin);
             return Self::deliver(packet, 0, out);
         }
-        let fullness = self.fullness(now);
+        let fullness = self.fullness_to_openings(now);
         let is_light =
             fullness <= carry.limits.fullness && self.idle_fullness() <= carry.limits.idle;
         if fullness != FULLNESS_CLOSED && (is_light || carry.forced) {
@@ -268,6 +273,7 @@
             position: carry.position,
             leaving: self.state != EndpointState::Ready || self.stopping,
             silent: self.health.is_silent(),
+            penalty: self.record.penalty(now),
         });
         self.pass_on(now, carry, fullness, packet, out);
     }
@@ -286,6 +292,7 @@
             .insert(Visit::new(now, flow, carry).with_packet(now, packet));
         self.held.insert_asked(now, flow, carry.origin, tag);
         self.health.asked(now);
+        self.record.offered(now);
         self.counters.offered += 1;
         Self::deliver(packet, tag, out);
     }
@@ -301,7 +308,8 @@
     ) {
         self.counters.segments += 1;
         if self.held.is_known(flow) {
-            self.held.note_caller(now, flow, carry.origin, segment);
+            let outcome = self.held.note_caller(now, flow, carry.origin, segment);
+            self.note_outcome(now, outcome, out);
             if carry.carried == Carried::Lookup {
                 self.send_bound(now, carry.origin, flow, out);
             }
@@ -309,7 +317,7 @@
         }
         let tag = self.visits.insert(Visit::new(now, flow, carry));
         self.held.insert_asked(now, flow, carry.origin, tag);
-        self.held.note_caller(now, flow, carry.origin, segment);
+        let _fresh = self.held.note_caller(now, flow, carry.origin, segment);
         Self::deliver(packet, tag, out);
     }
 
@@ -322,8 +330,11 @@
         if let Some(silent_ms) = self.health.answered(now) {
             let silent_ms = silent_ms.get();
             out.event(Event::EndpointAnswers { silent_ms });
+            self.note_crash(now, out);
         }
-        let Some(asked) = self.held.note_endpoint(now, flow, segment) else {
+        let told = self.held.note_endpoint(now, flow, segment);
+        self.note_outcome(now, told.outcome, out);
+        let Some(asked) = told.asked else {
             return;
         };
         let wait = self
@@ -341,6 +352,21 @@
         self.send_bound(now, asked.origin, flow, out);
     }
 
+    fn note_outcome(&mut self, now: Millis, outcome: Option<Outcome>, out: &mut impl Outbox) {
+        if outcome.is_some_and(|it| self.record.note(now, it)) {
+            let failures = self.record.failures();
+            out.event(Event::EndpointRecordChanged { failures });
+        }
+    }
+
+    /// The endpoint lost its flows.
+    fn note_crash(&mut self, now: Millis, out: &mut impl Outbox) {
+        if let Some(hold_off) = self.record.crashed(now) {
+            let hold_off_ms = hold_off.get();
+            out.event(Event::EndpointCrashed { hold_off_ms });
+        }
+    }
+
     /// Takes back a packet that the endpoint doesn't want.
     fn on_returned(
         &mut self,
@@ -369,6 +395,7 @@
         if held.phase == Phase::Open && !segment.syn {
             // Only one endpoint ever holds a flow, and this one held it.
             out.event(Event::EndpointForgotFlow { flow });
+            self.note_crash(now, out);
             return self.reset(flow, segment.acknowledged, ResetReason::EndpointForgot, out);
         }
         let carried = Carried::known(segment);
@@ -507,6 +534,16 @@
         u16::try_from(fullness).unwrap_or(FULLNESS_CLOSED - 1)
     }
 
+    /// Returns the fullness by which openings choose: endpoints with a bad record come last.
+    fn fullness_to_openings(&mut self, now: Millis) -> Fullness {
+        let fullness = self.fullness(now);
+        if fullness == FULLNESS_CLOSED {
+            return FULLNESS_CLOSED;
+        }
+        let penalty = self.record.penalty(now);
+        fullness.saturating_add(penalty).min(FULLNESS_CLOSED - 1)
+    }
+
     /// Returns the part of the fullness that idle flows have.
     fn idle_fullness(&self) -> Fullness {
         let slots = u32::from(self.slots.get().max(1));
--- a/crates/passthrough/src/agent/held.rs
+++ b/crates/passthrough/src/agent/held.rs
@@ -7,6 +7,7 @@
 
 use units::Millis;
 
+use super::record::Outcome;
 use crate::{Flow, Segment};
 
 /// Time for which a flow that just opened counts as a request about to come.
@@ -98,6 +99,8 @@
     work: Work,
     /// End of the caller's data seen so far; tells requests from copies of them.
     caller_end: Option<u32>,
+    /// End of what the endpoint sent so far, none before anything was seen.
+    endpoint_end: Option<u32>,
     /// What the caller acknowledged last, where a reset has to begin.
     caller_acknowledged: u32,
     caller_closed: bool,
@@ -111,6 +114,23 @@
         self.caller_closed && self.endpoint_closed
     }
 
+    /// Returns how a request ended with a packet of the endpoint, none if that can't be told.
+    ///
+    /// The end of a flow may overtake the answer before it; then it lies past what was seen so far by
+    /// more than the one position that an opening takes.
+    fn outcome(&self, segment: &Segment) -> Option<Outcome> {
+        if segment.data_bytes > 0 {
+            return Some(Outcome::Answered);
+        }
+        let passed = segment.sequence.wrapping_sub(self.endpoint_end?);
+        let has_answer = passed.cast_signed() > 1;
+        Some(if has_answer {
+            Outcome::Answered
+        } else {
+            Outcome::Failed
+        })
+    }
+
     const fn weight(&self) -> Weight {
         if !matches!(self.work, Work::None) {
             Weight::Working
@@ -122,6 +142,15 @@
     }
 }
 
+/// What a packet of the endpoint tells.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Told {
+    /// Whom to tell that the flow is here, if somebody asked.
+    pub(crate) asked: Option<Asked>,
+    /// How a request ended, if one did.
+    pub(crate) outcome: Option<Outcome>,
+}
+
 /// Whom to tell that a flow was found here.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Asked {
@@ -201,6 +230,7 @@
             last_used: now,
             work: Work::None,
             caller_end: None,
+            endpoint_end: None,
             caller_acknowledged: 0,
             caller_closed: false,
             endpoint_closed: false,
@@ -218,18 +248,18 @@
         self.expire_expected(now);
     }
 
-    /// A packet of the caller is about to be given to the endpoint.
+    /// A packet of the caller is about to be given to the endpoint; returns how a request ended if the
+    /// caller gave it up.
     pub(crate) fn note_caller(
         &mut self,
         now: Millis,
         flow: Flow,
         origin: Ipv4Addr,
         segment: &Segment,
-    ) {
+    ) -> Option<Outcome> {
         self.expire_expected(now);
-        let Some(held) = self.flows.get_mut(&flow) else {
-            return;
-        };
+        let held = self.flows.get_mut(&flow)?;
+        let was_running = matches!(held.work, Work::Running { .. });
         held.origin = origin;
         held.last_used = now;
         held.caller_acknowledged = segment.acknowledged;
@@ -254,15 +284,11 @@
         }
         let after = held.weight();
         self.recount(before, after);
+        (was_running && segment.rst).then_some(Outcome::Failed)
     }
 
-    /// The endpoint sent a packet of the flow; returns whom to tell if that answers a question.
-    pub(crate) fn note_endpoint(
-        &mut self,
-        now: Millis,
-        flow: Flow,
-        segment: &Segment,
-    ) -> Option<Asked> {
+    /// The endpoint sent a packet of the flow.
+    pub(crate) fn note_endpoint(&mut self, now: Millis, flow: Flow, segment: &Segment) -> Told {
         self.expire_expected(now);
         let held = self.flows.entry(flow).or_insert(Held {
             phase: Phase::Accepted,
@@ -271,12 +297,14 @@
             last_used: now,
             work: Work::None,
             caller_end: None,
+            endpoint_end: None,
             caller_acknowledged: segment.sequence,
             caller_closed: false,
             endpoint_closed: false,
             answered: false,
         });
         let before = held.weight();
+        let mut outcome = None;
         held.last_used = now;
         held.phase = held.phase.max(if segment.syn {
             Phase::Accepted
@@ -284,14 +312,20 @@
             Phase::Open
         });
         if segment.data_bytes > 0 || segment.rst || segment.fin {
-            if let Work::Running { since } = held.work
-                && held.answered
-            {
-                self.usage.busy_ms += now.since(since).get();
+            if let Work::Running { since } = held.work {
+                if held.answered {
+                    self.usage.busy_ms += now.since(since).get();
+                }
+                outcome = held.outcome(segment);
             }
             held.work = Work::None;
             held.answered |= segment.data_bytes > 0;
         }
+        let end = segment.sequence.wrapping_add(segment.data_bytes.into());
+        let is_new = |it: u32| end.wrapping_sub(it).cast_signed() > 0;
+        if held.endpoint_end.is_none_or(is_new) {
+            held.endpoint_end = Some(end);
+        }
         held.endpoint_closed |= segment.fin || segment.rst;
         held.caller_closed |= segment.rst;
         let asked = (held.tag != 0).then_some(Asked {
@@ -301,7 +335,7 @@
         held.tag = 0;
         let after = held.weight();
         self.recount(before, after);
-        asked
+        Told { asked, outcome }
     }
 
     /// Forgets a flow that the endpoint did not accept.
--- a/crates/passthrough/src/event.rs
+++ b/crates/passthrough/src/event.rs
@@ -60,6 +60,8 @@
         position: u8,
         leaving: bool,
         silent: bool,
+        /// What the endpoint's record adds to its fullness, in thousandths of its slots.
+        penalty: u16,
     },
     /// The endpoint answered an opening.
     OpeningAccepted {
@@ -102,6 +104,10 @@
     EndpointAnswers { silent_ms: u64 },
     /// The endpoint beside the agent refuses connections; the flows it held are gone.
     EndpointGone { flows: usize },
+    /// The endpoint beside the agent lost its flows; openings prefer others for a time.
+    EndpointCrashed { hold_off_ms: u64 },
+    /// The endpoint beside the agent fails many of its requests, or no longer.
+    EndpointRecordChanged { failures: u32 },
     /// The list says that the endpoint beside the agent has another state.
     EndpointStateChanged {
         state: EndpointState,
--- a/crates/passthrough/tests/support/endpoint.rs
+++ b/crates/passthrough/tests/support/endpoint.rs
@@ -20,6 +20,10 @@
     pub(crate) dark: bool,
     /// Time that a request takes.
     pub(crate) work_ms: u64,
+    /// Requests of which it resets the flow of one, none if zero.
+    pub(crate) resets_one_in: usize,
+    /// Closes each flow, and the end of the flow overtakes the answer.
+    pub(crate) closes_early: bool,
     /// Openings, requests and other packets that reached this endpoint.
     pub(crate) openings: usize,
     pub(crate) requests: usize,
@@ -33,6 +37,8 @@
             run: u32::try_from(run).unwrap(),
             dark: false,
             work_ms: 0,
+            resets_one_in: 0,
+            closes_early: false,
             openings: 0,
             requests: 0,
             strays: 0,
@@ -87,6 +93,16 @@
             return Vec::new();
         }
         self.requests += 1;
+        if self.resets_one_in > 0 && self.requests.is_multiple_of(self.resets_one_in) {
+            self.flows.remove(&caller);
+            return vec![(0, send(Flags::RST, sequence + 1, 0))];
+        }
+        if self.closes_early {
+            return vec![
+                (0, send(Flags::FIN, sequence + 1 + 40, 0)),
+                (1, send(Flags::ACK, sequence + 1, 40)),
+            ];
+        }
         vec![
             (0, send(Flags::ACK, sequence + 1, 0)),
             (self.work_ms, send(Flags::ACK, sequence + 1, 40)),
--- a/crates/passthrough/tests/support/format.rs
+++ b/crates/passthrough/tests/support/format.rs
@@ -20,6 +20,7 @@
     pub(crate) const ACK: Self = Self(ACK);
     pub(crate) const SYN_ACK: Self = Self(SYN | ACK);
     pub(crate) const FIN: Self = Self(FIN | ACK);
+    pub(crate) const RST: Self = Self(RST);
 }
 
 /// Source and destination, flags, tag, sequence, acknowledged, length; then the data.
--- a/crates/passthrough/tests/support/mod.rs
+++ b/crates/passthrough/tests/support/mod.rs
@@ -265,8 +265,8 @@
     /// Gives an agent the result of a check of its endpoint.
     pub(crate) fn checked(&mut self, number: u8, refused: bool) {
         let ip = agent_ip(number);
-        self.at_agent(ip, |agent, _, out| {
-            agent.on_endpoint_checked(refused, out);
+        self.at_agent(ip, |agent, now, out| {
+            agent.on_endpoint_checked(now, refused, out);
         });
     }
 
