--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -3,7 +3,9 @@
 mod counters;
 mod health;
 mod held;
+mod held_flow;
 mod record;
+mod usage;
 mod visits;
 
 use std::{marker::PhantomData, net::Ipv4Addr};
@@ -22,7 +24,8 @@
     },
 };
 use health::EndpointHealth;
-use held::{HeldFlows, Phase};
+use held::HeldFlows;
+use held_flow::Phase;
 use record::{EndpointRecord, Outcome};
 use visits::{Visit, Visits};
 
--- a/crates/passthrough/src/agent/held.rs
+++ b/crates/passthrough/src/agent/held.rs
@@ -7,7 +7,11 @@
 
 use units::Millis;
 
-use super::record::Outcome;
+use super::{
+    held_flow::{Held, Phase, Weight, Work},
+    record::Outcome,
+    usage::Usage,
+};
 use crate::{Flow, Segment};
 
 /// Time for which a flow that just opened counts as a request about to come.
@@ -25,123 +29,6 @@
 /// Time without packets after which a flow is forgotten, until a notice says otherwise.
 const IDLE_TIMEOUT_MS: Millis = Millis::new(60_000);
 
-/// Time that idle flows are counted with before any were seen: a hundred seconds with one of work.
-///
-/// Callers that keep a flow open use it for a hundredth to a tenth of the time.
-const IDLE_PRIOR: Usage = Usage {
-    busy_ms: 1_000,
-    open_ms: 100_000,
-};
-
-/// Share of the usage seen so far that is kept at each sweep, in sixteenths; halves it in 11 s, well
-/// below the time in which demand swings.
-const USAGE_KEPT_16THS: u64 = 15;
-
-/// How much of the time callers use the flows that they keep open.
-#[derive(Debug, Clone, Copy)]
-struct Usage {
-    /// Time for which requests ran on flows that had been answered before.
-    busy_ms: u64,
-    /// Time for which such flows were open.
-    open_ms: u64,
-}
-
-impl Usage {
-    /// Returns the requests that an idle flow stands for, in thousandths.
-    fn per_flow(self) -> u32 {
-        let share = self.busy_ms.saturating_mul(1_000) / self.open_ms.max(1);
-        u32::try_from(share).map_or(1_000, |it| it.min(1_000))
-    }
-}
-
-/// The endpoint's work on a flow.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Work {
-    None,
-    /// A request is about to come.
-    Expected,
-    /// The caller waits for an answer.
-    Running {
-        since: Millis,
-    },
-}
-
-/// What a flow means for the endpoint's load.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Weight {
-    None,
-    /// Open after an answer; the caller may send another request at any time.
-    Idle,
-    /// A request runs or is about to come.
-    Working,
-}
-
-/// What is known about a flow's place at the endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Phase {
-    /// A packet was given to the endpoint, which has not answered.
-    Asked,
-    /// The endpoint accepted the opening; the caller may open the flow elsewhere.
-    Accepted,
-    /// The endpoint sent something that it sends on open flows only.
-    Open,
-}
-
-/// A flow at the endpoint.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Held {
-    pub(crate) phase: Phase,
-    /// The balancer that last sent a packet of the flow.
-    pub(crate) origin: Ipv4Addr,
-    /// Tag of the packet that the endpoint was asked with, zero once it answered.
-    tag: u32,
-    last_used: Millis,
-    work: Work,
-    /// End of the caller's data seen so far; tells requests from copies of them.
-    caller_end: Option<u32>,
-    /// End of what the endpoint sent so far, none before anything was seen.
-    endpoint_end: Option<u32>,
-    /// What the caller acknowledged last, where a reset has to begin.
-    caller_acknowledged: u32,
-    caller_closed: bool,
-    endpoint_closed: bool,
-    /// The endpoint answered a request on it.
-    answered: bool,
-}
-
-impl Held {
-    pub(crate) const fn is_closed(&self) -> bool {
-        self.caller_closed && self.endpoint_closed
-    }
-
-    /// Returns how a request ended with a packet of the endpoint, none if that can't be told.
-    ///
-    /// The end of a flow may overtake the answer before it; then it lies past what was seen so far by
-    /// more than the one position that an opening takes.
-    fn outcome(&self, segment: &Segment) -> Option<Outcome> {
-        if segment.data_bytes > 0 {
-            return Some(Outcome::Answered);
-        }
-        let passed = segment.sequence.wrapping_sub(self.endpoint_end?);
-        let has_answer = passed.cast_signed() > 1;
-        Some(if has_answer {
-            Outcome::Answered
-        } else {
-            Outcome::Failed
-        })
-    }
-
-    const fn weight(&self) -> Weight {
-        if !matches!(self.work, Work::None) {
-            Weight::Working
-        } else if self.answered && !self.caller_closed && !self.endpoint_closed {
-            Weight::Idle
-        } else {
-            Weight::None
-        }
-    }
-}
-
 /// What a packet of the endpoint tells.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Told {
@@ -181,7 +68,7 @@
             flows: HashMap::new(),
             load: 0,
             idle: 0,
-            usage: IDLE_PRIOR,
+            usage: Usage::default(),
             last_sweep: None,
             expected: VecDeque::new(),
             idle_timeout: IDLE_TIMEOUT_MS,
@@ -314,7 +201,7 @@
         if segment.data_bytes > 0 || segment.rst || segment.fin {
             if let Work::Running { since } = held.work {
                 if held.answered {
-                    self.usage.busy_ms += now.since(since).get();
+                    self.usage.note_request(now.since(since));
                 }
                 outcome = held.outcome(segment);
             }
@@ -374,7 +261,9 @@
     /// Forgets what is no longer used.
     pub(crate) fn sweep(&mut self, now: Millis) {
         self.expire_expected(now);
-        self.age_usage(now);
+        if let Some(last) = self.last_sweep.replace(now) {
+            self.usage.note_idle(self.idle, now.since(last));
+        }
         let idle_timeout = self.idle_timeout;
         self.flows.retain(|_, held| {
             if let Work::Running { since } = held.work
@@ -398,20 +287,6 @@
         });
     }
 
-    /// Counts the time for which idle flows were open, and lets what was seen before fade.
-    fn age_usage(&mut self, now: Millis) {
-        let Some(last) = self.last_sweep.replace(now) else {
-            return;
-        };
-        let passed_ms = now.since(last).get();
-        self.usage.open_ms += u64::from(self.idle) * passed_ms;
-        self.usage.open_ms = self.usage.open_ms * USAGE_KEPT_16THS / 16;
-        self.usage.busy_ms = self.usage.busy_ms * USAGE_KEPT_16THS / 16;
-        if self.usage.open_ms < IDLE_PRIOR.open_ms / 10 {
-            self.usage = IDLE_PRIOR;
-        }
-    }
-
     /// Stops counting requests that were about to come and did not.
     pub(crate) fn expire_expected(&mut self, now: Millis) {
         while let Some((since, flow)) = self.expected.front().copied() {
--- a/crates/passthrough/src/balancer/knowledge.rs
+++ b/crates/passthrough/src/balancer/knowledge.rs
@@ -35,6 +35,13 @@
 /// Balancers that read the store while all is well; two, so that losing one costs nothing.
 const READERS: usize = 2;
 
+/// Where a list comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Source {
+    Store,
+    Peer,
+}
+
 impl<F: PacketFormat> Balancer<F> {
     /// Returns the revision that the store should be asked to confirm, if any.
     ///
@@ -83,7 +90,7 @@
         out: &mut impl Outbox,
     ) -> bool {
         self.note_store_back(now);
-        let replaced = catalog.is_some_and(|it| self.put_in_force(now, it, None, out));
+        let replaced = catalog.is_some_and(|it| self.put_in_force(now, it, Source::Store, out));
         self.confirmed_at = Some(now);
         if replaced {
             self.send_catalog(now, out);
@@ -95,7 +102,7 @@
         &mut self,
         now: Millis,
         catalog: Catalog,
-        peer: Option<Ipv4Addr>,
+        source: Source,
         out: &mut impl Outbox,
     ) -> bool {
         let revision = catalog.revision;
@@ -119,7 +126,7 @@
             settings_version: catalog.settings_version.get(),
             routes: catalog.routes.len(),
             endpoints: catalog.endpoints.len(),
-            from_peer: peer.is_some(),
+            from_peer: source == Source::Peer,
         });
         self.agents.update(now, &self.view);
         self.send_changed_notices(out);
@@ -212,7 +219,7 @@
             return;
         };
         self.note_store_back(now);
-        if self.put_in_force(now, catalog, Some(self.config.address), out) {
+        if self.put_in_force(now, catalog, Source::Peer, out) {
             self.confirmed_at = None;
             self.adopt_confirmation(now, revision, chunk.confirmed_age_ms);
         }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -15,7 +15,7 @@
     endpoint::Endpoint,
     ledger::Ledger,
     packet::{self, flag},
-    router::Router,
+    router::{Router, Way},
 };
 
 /// Time that a caller waits for an answer.
@@ -31,6 +31,9 @@
 /// Time after which a request is sent again; doubles each time.
 const RESEND: Duration = Duration::from_millis(200);
 
+/// Time by which a delayed packet comes late.
+const WAY_DELAY: Duration = Duration::from_millis(60);
+
 /// Attempts of one request.
 const ATTEMPTS: u32 = 3;
 
@@ -231,6 +234,15 @@
             service_address: self.service_address,
         };
         let balancer = self.router.pick(hash.hash());
+        let is_hit = rand::rng().random_range(0..5) == 0;
+        match self.router.way() {
+            Way::Lossy if is_hit => return,
+            Way::Delayed if is_hit => tokio::time::sleep(WAY_DELAY).await,
+            Way::Doubled => {
+                let _lost = socket.send_to(&bytes, (balancer, self.packet_port)).await;
+            }
+            Way::Clean | Way::Lossy | Way::Delayed => {}
+        }
         // Lost if the balancer is away, as on any network.
         let _lost = socket.send_to(&bytes, (balancer, self.packet_port)).await;
     }
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -33,6 +33,8 @@
     /// Distinguishes runs; sequence numbers derive from it.
     run: u32,
     is_up: bool,
+    /// Resets one of three requests, although its health looks good.
+    is_grey: bool,
     draining_since: Option<Instant>,
     /// Flows whose opening was accepted, by caller and service address; `true` once open.
     flows: BTreeMap<(SocketAddrV4, SocketAddrV4), bool>,
@@ -73,6 +75,7 @@
             state: Arc::new(Mutex::new(State {
                 run: 1,
                 is_up: true,
+                is_grey: false,
                 draining_since: None,
                 flows: BTreeMap::new(),
                 ran: BTreeSet::new(),
@@ -122,6 +125,11 @@
         self.register("draining");
     }
 
+    /// Begins or ceases to reset one of three requests.
+    pub(crate) fn set_grey(&self, is_grey: bool) {
+        self.lock().is_grey = is_grey;
+    }
+
     /// Takes the entry away, as when its time has run out.
     pub(crate) fn lapse(&self) {
         self.store.remove(&self.key());
@@ -248,6 +256,11 @@
         if request.is_empty() {
             return Vec::new();
         }
+        if state.is_grey && state.ran.len().is_multiple_of(3) {
+            state.ran.insert(request.to_vec());
+            state.flows.remove(&id);
+            return vec![Self::answer(&segment, flag::RST, own_sequence + 1, &[])];
+        }
         let mut answer = Self::answer(&segment, flag::ACK, own_sequence + 1, request);
         if state.ran.insert(request.to_vec()) {
             answer.0 = WORK;
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -5,12 +5,12 @@
     time::{Duration, Instant},
 };
 
-use rand::{Rng as _, rngs::StdRng};
+use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
 use rustix::process::Signal;
 
 use crate::{
     endpoint::Endpoint, ledger::Ledger, network::Network, process::Process, proxy::Harm,
-    store::Mode,
+    router::Way, store::Mode,
 };
 
 /// What ends a fault that lasts.
@@ -23,6 +23,8 @@
     StoreUp,
     RestartEndpoint(usize),
     RegisterEndpoint(usize),
+    EndGrey(usize),
+    CleanWay,
 }
 
 /// Draws and plays faults for `length`, then ends those that still last.
@@ -33,9 +35,14 @@
     ledger: &Ledger,
 ) {
     let end = Instant::now() + length;
+    // Drawn apart, so that seeds kept from before these faults still play what they played.
+    let mut late_rng = StdRng::seed_from_u64(rng.clone().random());
     let mut undos: Vec<(Instant, Undo)> = Vec::new();
     while Instant::now() < end {
         if rng.random_range(0..20) == 0 {
+            // Whatever still lasts would go on meanwhile and count as over.
+            undo_due(network, &mut undos, end_of_all(), ledger).await;
+            ledger.disturb_until(Instant::now());
             drain_undisturbed(network, rng, ledger).await;
         }
         if let Some((lasts, undo)) = inflict(network, rng, ledger).await {
@@ -43,6 +50,12 @@
             ledger.disturb_until(until);
             undos.push((until, undo));
         }
+        if late_rng.random_range(0..6) == 0 {
+            let (lasts, undo) = inflict_late(network, &mut late_rng);
+            let until = Instant::now() + lasts;
+            ledger.disturb_until(until);
+            undos.push((until, undo));
+        }
         ledger.faults.fetch_add(1, Ordering::Relaxed);
         let pause = Duration::from_millis(rng.random_range(50..900));
         tokio::time::sleep(pause).await;
@@ -51,11 +64,15 @@
             process.check();
         }
     }
-    let never = Instant::now() + Duration::from_hours(1);
-    undo_due(network, &mut undos, never, ledger).await;
+    undo_due(network, &mut undos, end_of_all(), ledger).await;
     ledger.disturb_until(Instant::now());
 }
 
+/// Returns a moment by which every fault is over.
+fn end_of_all() -> Instant {
+    Instant::now() + Duration::from_hours(1)
+}
+
 /// Inflicts one fault; returns how long it lasts and what ends it, if anything has to.
 async fn inflict(
     network: &mut Network,
@@ -130,6 +147,21 @@
     }
 }
 
+/// Makes an endpoint grey or harms the callers' packets; returns how long that lasts and what ends it.
+fn inflict_late(network: &Network, rng: &mut StdRng) -> (Duration, Undo) {
+    let lasts = Duration::from_millis(rng.random_range(500..4_000));
+    let agent = rng.random_range(0..network.agents.len());
+    if rng.random() {
+        endpoint(network, agent).set_grey(true);
+        return (lasts, Undo::EndGrey(agent));
+    }
+    let ways = [Way::Lossy, Way::Doubled, Way::Delayed];
+    network
+        .router
+        .set_way(ways[rng.random_range(0..ways.len())]);
+    (lasts, Undo::CleanWay)
+}
+
 /// Lets an endpoint leave while nothing else happens, so that the bound on openings can be checked.
 async fn drain_undisturbed(network: &Network, rng: &mut StdRng, ledger: &Ledger) {
     let idx = rng.random_range(0..network.agents.len());
@@ -201,6 +233,14 @@
                 endpoint(network, idx).restart().await;
                 Ok(())
             }
+            Undo::EndGrey(idx) => {
+                endpoint(network, idx).set_grey(false);
+                Ok(())
+            }
+            Undo::CleanWay => {
+                network.router.set_way(Way::Clean);
+                Ok(())
+            }
             Undo::RegisterEndpoint(idx) => {
                 endpoint(network, idx).rejoin();
                 Ok(())
--- a/crates/soak/src/network.rs
+++ b/crates/soak/src/network.rs
@@ -49,7 +49,7 @@
     pub(crate) proxies: Vec<Proxy>,
     pub(crate) endpoints: Arc<Mutex<Vec<Endpoint>>>,
     pub(crate) store: Store,
-    router: Router,
+    pub(crate) router: Router,
     ledger: Arc<Ledger>,
     pub(crate) settings_version: u64,
     folder: PathBuf,
--- a/crates/soak/src/packet.rs
+++ b/crates/soak/src/packet.rs
@@ -17,6 +17,7 @@
     pub(crate) const SYN: u8 = 64;
     pub(crate) const ACK: u8 = 8;
     pub(crate) const FIN: u8 = 4;
+    pub(crate) const RST: u8 = 32;
     pub(crate) const BOUNCED: u8 = 2;
 }
 
--- a/crates/soak/src/router.rs
+++ b/crates/soak/src/router.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU8, Ordering},
+    },
     time::Duration,
 };
 
@@ -18,12 +21,29 @@
 /// Misses in a row that take an instance out of rotation.
 const MISSES_MAX: u32 = 2;
 
+/// What happens to callers' packets on their way to the balancers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub(crate) enum Way {
+    /// Nothing.
+    Clean,
+    /// One in five is lost.
+    Lossy,
+    /// Each comes twice.
+    Doubled,
+    /// One in five comes late.
+    Delayed,
+}
+
+const WAYS: [Way; 4] = [Way::Clean, Way::Lossy, Way::Doubled, Way::Delayed];
+
 /// The instances in rotation; clones share it.
 #[derive(Debug, Clone)]
 pub(crate) struct Router {
     all: Arc<Vec<Ipv4Addr>>,
     /// Misses in a row, in the order of `all`.
     misses: Arc<Mutex<Vec<u32>>>,
+    way: Arc<AtomicU8>,
 }
 
 impl Router {
@@ -31,6 +51,7 @@
     pub(crate) fn start(all: Vec<Ipv4Addr>, ready_port: u16) -> Self {
         let router = Self {
             misses: Arc::new(Mutex::new(vec![MISSES_MAX; all.len()])),
+            way: Arc::new(AtomicU8::new(Way::Clean as u8)),
             all: Arc::new(all),
         };
         for (idx, ip) in router.all.iter().copied().enumerate() {
@@ -46,6 +67,16 @@
         router
     }
 
+    /// Changes what happens to callers' packets.
+    pub(crate) fn set_way(&self, way: Way) {
+        self.way.store(way as u8, Ordering::Relaxed);
+    }
+
+    /// Returns what happens to callers' packets.
+    pub(crate) fn way(&self) -> Way {
+        WAYS[usize::from(self.way.load(Ordering::Relaxed)) % WAYS.len()]
+    }
+
     /// Returns how many instances answered the last probe.
     pub(crate) fn ready(&self) -> usize {
         let misses = self.misses.lock().unwrap_or_else(PoisonError::into_inner);
