Soak: endpoints' sequences are far apart

Sequences of neighbouring endpoints differed in their lowest bits only, so an opening that was offered to two of them ended as an open flow at both, which real endpoints exclude (a flow opens at the endpoint whose sequence is acknowledged). Change: addresses are spread over all bits. The check is unchanged, and now knows the one holder.

--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -219,7 +219,9 @@
             return Vec::new();
         }
         let id = (segment.source, segment.destination);
-        let own_sequence = state.run.wrapping_mul(0x9E37_79B9) ^ u32::from(*self.address.ip());
+        // Far apart for every endpoint and run, so that nobody takes the end of another's handshake.
+        let own = u32::from(*self.address.ip()).wrapping_mul(0x85EB_CA6B);
+        let own_sequence = state.run.wrapping_mul(0x9E37_79B9) ^ own;
         if segment.is_opening() {
             let is_late = state
                 .draining_since
