A balancer resets nothing before it was told who left the list, and asks endpoints that came in meanwhile

A balancer started while the entry of a living endpoint was gone from the store; 12 ms later a packet of a flow held there came, the three listed endpoints said no, the store confirmed the list, and the caller was reset. The other balancers knew the endpoint and told it some milliseconds later. A second reset followed after the entry was back: the store confirmed the new list, but the lookup had asked the old one. Ruled out: the soak's own sequences (the flow was at one endpoint only), agents (none sent a reset). Change: a lookup proves something only for the endpoints it asked; if others came in, they are asked at once. A balancer that started lately gives verdicts once an older one has told it who left (balancers answer a young one's digest always), after 60 ms if only young ones are there or none is known, after 1.3 s at the latest. Tests: new_balancer_resets_nothing_before_it_is_told_who_left, endpoints_that_come_in_are_asked_before_a_reset; both fail before.

--- a/crates/passthrough/src/agent/held.rs
+++ b/crates/passthrough/src/agent/held.rs
@@ -261,6 +261,11 @@
     /// Forgets what is no longer used.
     pub(crate) fn sweep(&mut self, now: Millis) {
         self.expire_expected(now);
+        debug_assert_eq!(
+            (self.load, self.idle),
+            self.counted(),
+            "the load must be the number of flows that work, and idle that of idle ones"
+        );
         if let Some(last) = self.last_sweep.replace(now) {
             self.usage.note_idle(self.idle, now.since(last));
         }
@@ -278,13 +283,17 @@
             };
             now.since(held.last_used) <= kept
         });
-        // Counted anew, since flows went and requests timed out.
+        (self.load, self.idle) = self.counted();
+    }
+
+    /// Counts the flows that work and those that are idle.
+    fn counted(&self) -> (u32, u32) {
         let weights = self.flows.values().map(Held::weight);
-        (self.load, self.idle) = weights.fold((0, 0), |(load, idle), it| match it {
+        weights.fold((0, 0), |(load, idle), it| match it {
             Weight::Working => (load + 1, idle),
             Weight::Idle => (load, idle + 1),
             Weight::None => (load, idle),
-        });
+        })
     }
 
     /// Stops counting requests that were about to come and did not.
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -25,6 +25,7 @@
 };
 use agents::Agents;
 use flows::FlowCache;
+use knowledge::Informant;
 use lookups::Lookups;
 use openings::{Opening, Openings};
 use peers::Peers;
@@ -72,6 +73,7 @@
     /// When the store last confirmed to some balancer that the catalog in force is the newest.
     confirmed_at: Option<Millis>,
     started: Millis,
+    informed_by: Informant,
     stopping: bool,
     stands_by: bool,
     /// When the store answered again after it had been away.
@@ -108,6 +110,7 @@
             assembly: Assembly::default(),
             confirmed_at: None,
             started: now,
+            informed_by: Informant::Nobody,
             stopping: false,
             stands_by: false,
             store_back_at: None,
--- a/crates/passthrough/src/balancer/knowledge.rs
+++ b/crates/passthrough/src/balancer/knowledge.rs
@@ -21,6 +21,17 @@
 /// Long enough for a digest to reach balancers that it learns of from agents' answers.
 const YOUNG_MS: Millis = Millis::new(3_000);
 
+/// Time from an older balancer's digest until what it knows of endpoints that left is here, too: they are
+/// sent when it hears of this one, a few milliseconds away.
+const LISTS_UNDER_WAY_MS: Millis = Millis::new(10);
+
+/// Time after its start from which a balancer goes by what it knows although no older one was heard:
+/// seeds answer in milliseconds, and agents name other balancers within a second only if seeds are down.
+const UNINFORMED_MAX_MS: Millis = Millis::new(1_300);
+
+/// The same if only balancers were heard that started lately, as after an outage of all, or none is known.
+const NOBODY_KNOWS_MS: Millis = Millis::new(60);
+
 /// Longest time between two such questions; each one doubles the time to the next, so that a fault that
 /// ended many flows costs few calls. Lookups are proved by a second failure meanwhile.
 const CONFIRMATION_MAX_MS: Millis = Millis::new(1_600);
@@ -35,6 +46,16 @@
 /// Balancers that read the store while all is well; two, so that losing one costs nothing.
 const READERS: usize = 2;
 
+/// Who told this balancer which endpoints left the list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Informant {
+    Nobody,
+    /// Balancers that started lately, too, and know no more.
+    Young,
+    /// An older balancer, whose lists are here from that moment on.
+    Older(Millis),
+}
+
 /// Where a list comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Source {
@@ -75,7 +96,11 @@
             return;
         }
         self.confirmed_at = Some(now);
-        for (flow, sequence) in self.lookups.take_failed(asked_at) {
+        if !self.is_informed(now) {
+            return;
+        }
+        let generation = self.view.generation();
+        for (flow, sequence) in self.lookups.take_failed(asked_at, generation) {
             self.reset(flow, sequence, ResetReason::HeldByNone, out);
         }
     }
@@ -129,10 +154,23 @@
             from_peer: source == Source::Peer,
         });
         self.agents.update(now, &self.view);
+        self.lookups.repeat_outdated(now, self.view.generation());
         self.send_changed_notices(out);
         true
     }
 
+    /// Returns whether the other balancers have told which endpoints left the list, or have nothing to
+    /// tell. Before, an endpoint that holds a flow may be unknown here.
+    pub(super) fn is_informed(&self, now: Millis) -> bool {
+        let age = now.since(self.started);
+        match self.informed_by {
+            Informant::Older(at) => now >= at,
+            Informant::Young => age >= NOBODY_KNOWS_MS,
+            Informant::Nobody if self.peers.addresses().is_empty() => age >= NOBODY_KNOWS_MS,
+            Informant::Nobody => age >= UNINFORMED_MAX_MS,
+        }
+    }
+
     pub(super) fn send_digests(&mut self, now: Millis, out: &mut impl Outbox) {
         let addresses = self.peers.addresses();
         for peer in &addresses {
@@ -189,6 +227,11 @@
             is_able: digest.link_mbps > 0,
         };
         self.peers.heard(now, peer, digest.stopping, standing, out);
+        self.informed_by = match self.informed_by {
+            Informant::Older(at) => Informant::Older(at),
+            _ if digest.is_young => Informant::Young,
+            _ => Informant::Older(now.plus(LISTS_UNDER_WAY_MS)),
+        };
         if digest.is_young {
             // The store doesn't know who left lately.
             write_retired_lists(now, self.view.retired(), &mut self.scratch, |list| {
@@ -204,8 +247,8 @@
         self.adopt_confirmation(now, Revision::new(digest.revision), digest.confirmed_age_ms);
         if digest.revision < own && self.peers.may_send_catalog(now, peer) {
             self.send_catalog_to(now, peer, out);
-        } else if digest.wants_answer && digest.revision > own {
-            // The answer shows the peer that this balancer is behind.
+        } else if digest.wants_answer && (digest.revision > own || digest.is_young) {
+            // The answer shows the peer that this balancer is behind, or that it has told all it knows.
             self.send_digest(now, peer, &[], false, out);
         }
     }
@@ -231,6 +274,7 @@
         };
         if self.view.add_retired(now, &list) {
             self.agents.update(now, &self.view);
+            self.lookups.repeat_outdated(now, self.view.generation());
             self.send_changed_notices(out);
         }
     }
--- a/crates/passthrough/src/balancer/lookups.rs
+++ b/crates/passthrough/src/balancer/lookups.rs
@@ -28,6 +28,8 @@
     /// Chains that have not ended.
     open_chains: usize,
     started: Millis,
+    /// Generation of the list whose endpoints are asked.
+    generation: u64,
     failures: u8,
     first_failure: Option<Millis>,
     /// What the caller acknowledged last, where a reset has to begin.
@@ -68,6 +70,7 @@
         now: Millis,
         flow: Flow,
         chains: usize,
+        generation: u64,
         acknowledged: u32,
         packet: &[u8],
     ) -> (u16, usize) {
@@ -77,6 +80,7 @@
             round: 0,
             open_chains: 0,
             started: now,
+            generation,
             failures: 0,
             first_failure: None,
             acknowledged,
@@ -91,6 +95,7 @@
         lookup.ticket = self.last_ticket;
         lookup.open_chains = chains;
         lookup.started = now;
+        lookup.generation = generation;
         lookup.acknowledged = acknowledged;
         (self.last_ticket, round)
     }
@@ -102,11 +107,11 @@
                 return None;
             }
             self.repeats.pop_front();
-            let Some(lookup) = self.by_flow.get_mut(&flow) else {
+            let Some(lookup) = self.by_flow.get(&flow) else {
                 continue;
             };
             if !lookup.packet.is_empty() {
-                return Some((flow, std::mem::take(&mut lookup.packet)));
+                return Some((flow, lookup.packet.clone()));
             }
         }
         None
@@ -123,7 +128,15 @@
     }
 
     /// A chain ended without a holder; returns the failure if it was the last.
-    pub(crate) fn chain_ended(&mut self, now: Millis, flow: Flow, ticket: u16) -> Option<Failed> {
+    ///
+    /// If endpoints came in since the lookup began, they are asked next.
+    pub(crate) fn chain_ended(
+        &mut self,
+        now: Millis,
+        flow: Flow,
+        ticket: u16,
+        generation: u64,
+    ) -> Option<Failed> {
         let lookup = self.by_flow.get_mut(&flow)?;
         if lookup.ticket != ticket || lookup.open_chains == 0 {
             return None;
@@ -132,6 +145,10 @@
         if lookup.open_chains > 0 {
             return None;
         }
+        if lookup.generation != generation {
+            self.repeats.push_front((now, flow));
+            return None;
+        }
         lookup.failures = lookup.failures.saturating_add(1);
         if lookup.first_failure.is_none() && !lookup.packet.is_empty() {
             self.repeats.push_back((now.plus(PROOF_MS), flow));
@@ -149,10 +166,11 @@
         self.by_flow.values().any(Lookup::is_failed)
     }
 
-    /// Takes the flows whose lookups began before `since` and failed, with the position where a reset
-    /// has to begin.
-    pub(crate) fn take_failed(&mut self, since: Millis) -> Vec<(Flow, u32)> {
-        let is_proved = |it: &Lookup| it.is_failed() && it.started <= since;
+    /// Takes the flows whose lookups among the endpoints of `generation` began before `since` and failed,
+    /// with the position where a reset has to begin.
+    pub(crate) fn take_failed(&mut self, since: Millis, generation: u64) -> Vec<(Flow, u32)> {
+        let is_proved =
+            |it: &Lookup| it.is_failed() && it.started <= since && it.generation == generation;
         let proved = self.by_flow.iter().filter(|it| is_proved(it.1));
         let mut failed: Vec<_> = proved.map(|it| (*it.0, it.1.acknowledged)).collect();
         failed.sort_unstable();
@@ -162,6 +180,17 @@
         failed
     }
 
+    /// Repeats failed lookups in which endpoints were not asked that have come in since.
+    pub(crate) fn repeat_outdated(&mut self, now: Millis, generation: u64) {
+        let is_outdated = |it: &Lookup| it.is_failed() && it.generation != generation;
+        let outdated = self.by_flow.iter().filter(|it| is_outdated(it.1));
+        let mut flows: Vec<Flow> = outdated.map(|it| *it.0).collect();
+        flows.sort_unstable();
+        for flow in flows {
+            self.repeats.push_front((now, flow));
+        }
+    }
+
     pub(crate) fn sweep(&mut self, now: Millis) {
         self.by_flow
             .retain(|_, it| now.since(it.started) <= FORGOTTEN_MS);
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -129,9 +129,14 @@
         let chains = sure.div_ceil(CHAIN_MAX);
         let chain_len = sure.div_ceil(chains.max(1)).max(1);
         let count = sure.div_ceil(chain_len) + self.window.len() - sure;
-        let (ticket, round) = self
-            .lookups
-            .start(now, flow, count, segment.acknowledged, packet);
+        let (ticket, round) = self.lookups.start(
+            now,
+            flow,
+            count,
+            self.view.generation(),
+            segment.acknowledged,
+            packet,
+        );
         // Without every endpoint's word nothing is proved, and nobody needs to count.
         let ticket = if is_complete { ticket } else { 0 };
         // Each round begins at another agent, so that a gone one hides others only once.
@@ -229,7 +234,8 @@
         ticket: u16,
         out: &mut impl Outbox,
     ) {
-        let Some(failed) = self.lookups.chain_ended(now, flow, ticket) else {
+        let generation = self.view.generation();
+        let Some(failed) = self.lookups.chain_ended(now, flow, ticket, generation) else {
             return;
         };
         self.counters.lookups_failed += 1;
@@ -238,7 +244,7 @@
         let is_fresh = self
             .confirmed_at
             .is_some_and(|it| now.since(it) <= RESET_CONFIRMATION_MS);
-        if !failed.is_certain || !is_fresh {
+        if !failed.is_certain || !is_fresh || !self.is_informed(now) {
             return;
         }
         self.lookups.finish(flow);
--- a/crates/passthrough/src/catalog.rs
+++ b/crates/passthrough/src/catalog.rs
@@ -229,6 +229,8 @@
     catalog: Catalog,
     /// Endpoints no longer listed that may still hold flows.
     retired: Vec<Endpoint>,
+    /// Changes whenever endpoints come in that may hold flows.
+    generation: u64,
     /// Listed and retired endpoints, sorted by service and position on the service's ring.
     ring: Vec<RingEntry>,
 }
@@ -251,6 +253,13 @@
         {
             return false;
         }
+        let is_known = |it: &Endpoint| {
+            self.catalog.endpoint(it.key).is_some()
+                || self.retired.iter().any(|old| old.key == it.key)
+        };
+        if !catalog.endpoints.iter().all(is_known) {
+            self.generation += 1;
+        }
         for old in &self.catalog.endpoints {
             let successor = catalog.endpoint(old.key);
             if successor.is_some() {
@@ -290,6 +299,7 @@
         }
         let is_new = self.retired.len() != before;
         if is_new {
+            self.generation += 1;
             self.rebuild(now);
         }
         is_new
@@ -322,6 +332,13 @@
         &self.catalog
     }
 
+    /// Returns a number that changes whenever endpoints come in: what the endpoints of another generation
+    /// said proves nothing about those of this one.
+    #[must_use]
+    pub const fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// Returns the endpoints that may hold flows although they are no longer listed.
     #[must_use]
     pub fn retired(&self) -> &[Endpoint] {
--- a/crates/passthrough/tests/flow_lookup.rs
+++ b/crates/passthrough/tests/flow_lookup.rs
@@ -226,3 +226,65 @@
     world.run(50);
     assert_eq!(world.answers(caller(1)), 2);
 }
+
+/// A balancer starts anew and finds the store's list before it hears of an endpoint that left the list and
+/// still holds flows. Found by soak seed 324.
+#[test]
+fn new_balancer_resets_nothing_before_it_is_told_who_left() {
+    let mut world = World::new(3, 3);
+    let (holder, caller, sequence) = open_at(&mut world, |_| true);
+    world.change(&[0, 1, 2], |catalog| {
+        catalog
+            .endpoints
+            .retain(|it| it.agent() != agent_ip(holder));
+    });
+    world.run(50);
+    // Its seed and the other balancer don't hear it at first.
+    world.cut.extend([balancer_ip(0), balancer_ip(1)]);
+    world.start_balancer(2);
+    world.run(10);
+    world.request(2, caller, sequence, 2);
+    world.run(30);
+    let asked = world.take_confirmation_wish(2).expect("a lookup failed");
+    world.confirmed(2, asked);
+    world.run(170);
+    assert_eq!(world.resets(caller), 0, "nobody has told it who left");
+    world.cut.clear();
+    world.run(600);
+    world.request(2, caller, sequence, 2);
+    world.run(300);
+    assert_eq!(world.resets(caller), 0);
+    assert!(world.answers(caller) > 0, "the holder is found");
+}
+
+/// An endpoint's entry comes back between a failed lookup and the store's confirmation of the list.
+#[test]
+fn endpoints_that_come_in_are_asked_before_a_reset() {
+    let mut world = World::new(1, 3);
+    let (holder, caller, sequence) = open_at(&mut world, |_| true);
+    let full = world.catalog.endpoints.clone();
+    world
+        .catalog
+        .endpoints
+        .retain(|it| it.agent() != agent_ip(holder));
+    world.start_balancer(0);
+    world.run(100);
+    world.cut.insert(agent_ip(holder));
+    world.request(0, caller, sequence, 2);
+    world.run(20);
+    world.change(&[0], |catalog| catalog.endpoints = full);
+    let asked = world.take_confirmation_wish(0).expect("a lookup failed");
+    world.confirmed(0, asked);
+    world.run(5);
+    assert_eq!(
+        world.resets(caller),
+        0,
+        "the endpoint that came back was not asked"
+    );
+    world.cut.clear();
+    world.run(200);
+    world.request(0, caller, sequence, 2);
+    world.run(50);
+    assert_eq!(world.resets(caller), 0);
+    assert!(world.answers(caller) > 0, "the holder is found");
+}
