--- a/crates/soak/src/network.rs
+++ b/crates/soak/src/network.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::{Ipv4Addr, SocketAddrV4},
+    net::{Ipv4Addr, SocketAddrV4, UdpSocket},
     path::{Path, PathBuf},
     sync::{Arc, Mutex},
     time::Duration,
@@ -25,6 +25,9 @@
 const BALANCERS: u8 = 3;
 const CALLERS: u8 = 12;
 
+/// Subnets of loopback to choose from.
+const SUBNETS: u32 = 128;
+
 /// Services with their addresses and endpoints.
 const SERVICES: [(&str, SocketAddrV4, u8); 2] = [
     (
@@ -44,6 +47,8 @@
 pub(crate) struct Network {
     /// Second octet of the loopback addresses, so that runs at the same time don't meet.
     subnet: u8,
+    /// Keeps other runs off the subnet.
+    _claim: UdpSocket,
     pub(crate) balancers: Vec<Process>,
     pub(crate) agents: Vec<Process>,
     pub(crate) proxies: Vec<Proxy>,
@@ -58,13 +63,14 @@
 impl Network {
     /// Starts store, endpoints, agents and balancers.
     pub(crate) async fn start(program: &Path, seed: u64, ledger: &Arc<Ledger>) -> io::Result<Self> {
-        let subnet = u8::try_from(64 + std::process::id() % 128).unwrap_or(64);
+        let (subnet, claim) = claim_subnet()?;
         let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let store = Store::new();
         let store_address = store.serve().await?;
         let mut network = Self {
             subnet,
+            _claim: claim,
             balancers: Vec::new(),
             agents: Vec::new(),
             proxies: Vec::new(),
@@ -219,6 +225,20 @@
     }
 }
 
+/// Finds a subnet of loopback that no other run uses, beginning at one that the process's number gives.
+fn claim_subnet() -> io::Result<(u8, UdpSocket)> {
+    let mut last = io::Error::from(io::ErrorKind::AddrInUse);
+    for offset in 0..SUBNETS {
+        let number = (std::process::id() + offset) % SUBNETS;
+        let subnet = u8::try_from(64 + number).unwrap_or(64);
+        match UdpSocket::bind((Ipv4Addr::new(127, subnet, 0, 1), PEER_PORT)) {
+            Ok(claim) => return Ok((subnet, claim)),
+            Err(err) => last = err,
+        }
+    }
+    Err(last)
+}
+
 const fn balancer_ip(subnet: u8, number: u8) -> Ipv4Addr {
     Ipv4Addr::new(127, subnet, 1, number + 1)
 }
