Ask every agent of a large service in a lookup

Cause: a lookup named at most 56 agents, so in a service of 109 endpoints the holder of a flow was asked only if it was among them, and its result proved nothing.

Ruled out: one datagram above the MTU, which is lost whole when a fragment is lost; agents that compute the candidates themselves, who know no list.

Change: a lookup asks up to 192 endpoints around the flow's place on the ring, in as many requests as its packet leaves room for: one for packets without much data, up to four for full ones. It proves something if the whole service was asked.

Result: two new tests (57, 109 and 190 endpoints, small and full packets) fail before and pass after.

--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -9,9 +9,11 @@
 use crate::{
     DropReason, Endpoint, EndpointState, Event, Flow, Outbox, PacketFormat, ResetReason, Segment,
     ServiceKey,
+    catalog::{LOOKUP_SUBSET_MAX, PLACEMENT_SUBSET_MAX},
     message::{
-        AcceptLimits, Candidate, Candidates, FlowHeld, Forward, Instances, LOOKUP_AGENTS_MAX,
-        LookupRequest, PacketClass, Returned, write_forwarded_packet, write_lookup_request,
+        AcceptLimits, Candidate, Candidates, FlowHeld, Forward, Instances, LookupRequest,
+        PacketClass, Returned, lookup_agents_per_request, write_forwarded_packet,
+        write_lookup_request,
     },
 };
 
@@ -37,8 +39,12 @@
             return;
         }
         let flow = opening.flow;
-        self.view
-            .collect_endpoint_subset(opening.service, flow.hash(), &mut self.subset);
+        self.view.collect_endpoint_subset(
+            opening.service,
+            flow.hash(),
+            PLACEMENT_SUBSET_MAX,
+            &mut self.subset,
+        );
         self.subset.retain(|it| it.state == EndpointState::Ready);
         let (zone, agents) = (self.config.zone, &self.agents);
         let is_late = opening.offer_count() > 0;
@@ -113,8 +119,12 @@
         except: Option<Ipv4Addr>,
         out: &mut impl Outbox,
     ) {
-        self.view
-            .collect_endpoint_subset(service, flow.hash(), &mut self.subset);
+        let is_complete = self.view.collect_endpoint_subset(
+            service,
+            flow.hash(),
+            LOOKUP_SUBSET_MAX,
+            &mut self.subset,
+        );
         let agents = &self.agents;
         self.subset.retain(|it| {
             Some(it.agent_address()) != except
@@ -136,16 +146,20 @@
             return self.drop_packet(DropReason::NoEndpoint, out);
         }
         let responsive = self.subset.partition_point(|it| !is_suspect(it));
-        let is_complete = self.subset.len() <= LOOKUP_AGENTS_MAX;
-        self.subset.truncate(LOOKUP_AGENTS_MAX);
-        let responsive = responsive.min(self.subset.len());
-        let chains = responsive.div_ceil(CHAIN_MAX);
-        let chain_len = responsive.div_ceil(chains.max(1)).max(1);
-        let count = responsive.div_ceil(chain_len) + self.subset.len() - responsive;
+        let per_request = lookup_agents_per_request(packet.len());
+        let chain_count = self
+            .subset
+            .chunks(per_request)
+            .enumerate()
+            .map(|(idx, part)| {
+                let responsive = responsive.saturating_sub(idx * per_request).min(part.len());
+                responsive.div_ceil(chain_len(responsive)) + part.len() - responsive
+            })
+            .sum();
         let (lookup_id, attempt) = self.lookups.start_lookup(
             now,
             flow,
-            count,
+            chain_count,
             self.view.endpoint_generation(),
             segment.acknowledged,
             packet,
@@ -156,21 +170,25 @@
         // Each attempt begins at a different agent, so that a dead agent prevents the others in its
         // chain from being asked only once.
         self.subset[..responsive].rotate_left(attempt % responsive.max(1));
-        let mut agents = [[0; 4]; LOOKUP_AGENTS_MAX];
-        for (octets, endpoint) in agents.iter_mut().zip(&self.subset) {
-            *octets = endpoint.agent_address().octets();
+        let addresses: Vec<[u8; 4]> = self
+            .subset
+            .iter()
+            .map(|it| it.agent_address().octets())
+            .collect();
+        for (idx, part) in addresses.chunks(per_request).enumerate() {
+            let responsive = responsive.saturating_sub(idx * per_request).min(part.len());
+            let (responsive, suspect) = part.split_at(responsive);
+            let request = LookupRequest {
+                service,
+                origin: self.config.address,
+                lookup_id,
+                chain_len: u8::try_from(chain_len(responsive.len())).unwrap_or(u8::MAX),
+                responsive: Instances::new(responsive),
+                suspect: Instances::new(suspect),
+            };
+            write_lookup_request(&request, packet, &mut self.scratch);
+            out.send_to_peer(part[0].into(), &self.scratch);
         }
-        let (responsive, suspect) = agents[..self.subset.len()].split_at(responsive);
-        let request = LookupRequest {
-            service,
-            origin: self.config.address,
-            lookup_id,
-            chain_len: u8::try_from(chain_len).unwrap_or(u8::MAX),
-            responsive: Instances::new(responsive),
-            suspect: Instances::new(suspect),
-        };
-        write_lookup_request(&request, packet, &mut self.scratch);
-        out.send_to_peer(self.subset[0].agent_address(), &self.scratch);
         self.counters.lookups += 1;
         if lookup_id != 0 {
             out.report_event(Event::LookupStarted {
@@ -274,3 +292,12 @@
         self.send_reset(flow, failed.acknowledged, ResetReason::HeldByNone, out);
     }
 }
+
+/// Returns the length of the chains into which a lookup divides a number of responsive agents.
+const fn chain_len(responsive: usize) -> usize {
+    let chains = responsive.div_ceil(CHAIN_MAX);
+    if chains == 0 {
+        return 1;
+    }
+    responsive.div_ceil(chains)
+}
--- a/crates/passthrough/src/catalog.rs
+++ b/crates/passthrough/src/catalog.rs
@@ -27,11 +27,17 @@
 /// may be replaced at once.
 const RETIRED_MAX: usize = 1_024;
 
-/// Maximum number of endpoints among which a flow is placed and looked up.
+/// Maximum number of endpoints among which a flow is placed.
 ///
-/// The limit bounds the cost of placement and lookup for large services; a smaller service uses all
-/// its endpoints.
-pub(crate) const SUBSET_MAX: usize = 128;
+/// The limit bounds the cost of placement for large services; a smaller service uses all its
+/// endpoints.
+pub(crate) const PLACEMENT_SUBSET_MAX: usize = 128;
+
+/// Maximum number of endpoints among which a flow is looked up.
+///
+/// Endpoints that were added since a flow was placed move its holder away from the flow's place on
+/// the ring. The limit leaves room for half as many new endpoints as a flow is placed among.
+pub(crate) const LOOKUP_SUBSET_MAX: usize = PLACEMENT_SUBSET_MAX + PLACEMENT_SUBSET_MAX / 2;
 
 macro_rules! hashed_name {
     ($(#[$doc:meta])* $name:ident) => {
@@ -369,14 +375,17 @@
 
     /// Collects the endpoints that may hold a flow, in the flow's order of preference.
     ///
-    /// `subset` is cleared first and receives at most [`SUBSET_MAX`] endpoints. The set of
-    /// collected endpoints changes little when endpoints are added or removed.
+    /// `subset` is cleared first and receives at most `count_max` endpoints. The set of collected
+    /// endpoints changes little when endpoints are added or removed.
+    ///
+    /// Returns whether `subset` contains all endpoints of the service.
     pub(crate) fn collect_endpoint_subset(
         &self,
         service: ServiceKey,
         flow_hash: u64,
+        count_max: usize,
         subset: &mut Vec<Endpoint>,
-    ) {
+    ) -> bool {
         subset.clear();
         let begin = self.ring.partition_point(|it| it.service < service);
         let end = self.ring.partition_point(|it| it.service <= service);
@@ -387,10 +396,11 @@
             after
                 .iter()
                 .chain(before)
-                .take(SUBSET_MAX)
+                .take(count_max)
                 .map(|it| it.endpoint),
         );
         rendezvous::sort_by_preference(flow_hash, subset);
+        ring.len() <= count_max
     }
 
     fn rebuild_ring(&mut self, now: Millis) {
--- a/crates/passthrough/src/message.rs
+++ b/crates/passthrough/src/message.rs
@@ -35,9 +35,30 @@
 /// Maximum number of balancers listed in a load report or status digest.
 pub(crate) const INSTANCES_MAX: usize = 32;
 
-/// Maximum number of agents in a lookup request, such that a request with a packet of 1,232 bytes
-/// fits an MTU of 1,500 bytes.
-pub(crate) const LOOKUP_AGENTS_MAX: usize = 56;
+/// Maximum size of a lookup request in bytes, which with the headers of IP and UDP fits an MTU of
+/// 1,500 bytes.
+const LOOKUP_REQUEST_MAX_BYTES: usize = 1_472;
+
+/// Maximum number of agents in a lookup request: the request encodes their number in one byte.
+const LOOKUP_AGENTS_MAX: usize = u8::MAX as usize;
+
+/// Returns how many agents fit into a lookup request that carries a packet of `packet_bytes`; at
+/// least one.
+///
+/// A packet without data leaves room for all agents of a lookup, a packet of 1,232 bytes for 54.
+pub(crate) const fn lookup_agents_per_request(packet_bytes: usize) -> usize {
+    let free = LOOKUP_REQUEST_MAX_BYTES
+        .saturating_sub(size_of::<LookupRequestHeader>())
+        .saturating_sub(packet_bytes);
+    let agents = free / size_of::<[u8; 4]>();
+    if agents == 0 {
+        return 1;
+    }
+    if agents > LOOKUP_AGENTS_MAX {
+        return LOOKUP_AGENTS_MAX;
+    }
+    agents
+}
 
 /// Message kinds, as encoded in the preamble.
 mod kind {
--- a/crates/passthrough/src/message/decode.rs
+++ b/crates/passthrough/src/message/decode.rs
@@ -5,9 +5,9 @@
 use super::{
     AcceptLimits, Body, CANDIDATES_MAX, Candidate, Candidates, Chunk, ChunkHeader, Digest,
     DigestHeader, FlowHeld, FlowHeldHeader, FlowNotHeld, FlowNotHeldHeader, Forward, ForwardHeader,
-    INSTANCES_MAX, Instances, LAYOUT_VERSION, LOOKUP_AGENTS_MAX, LoadReport, LoadReportHeader,
-    LookupRequest, LookupRequestHeader, MAGIC, Message, MessageError, PacketClass, Preamble,
-    ReturnHeader, Returned, StateNotice, StateNoticeHeader, kind,
+    INSTANCES_MAX, Instances, LAYOUT_VERSION, LoadReport, LoadReportHeader, LookupRequest,
+    LookupRequestHeader, MAGIC, Message, MessageError, PacketClass, Preamble, ReturnHeader,
+    Returned, StateNotice, StateNoticeHeader, kind,
 };
 use crate::{EndpointState, Flow, ServiceKey, ZoneKey};
 
@@ -89,9 +89,6 @@
     }
     let (responsive, rest) = decode_list::<[u8; 4]>(rest, usize::from(header.responsive))?;
     let (suspect, packet) = decode_list::<[u8; 4]>(rest, usize::from(header.suspect))?;
-    if responsive.len() + suspect.len() > LOOKUP_AGENTS_MAX {
-        return Err(MessageError::InvalidField { field: "sure" });
-    }
     let request = LookupRequest {
         service: ServiceKey::new(header.service.get()),
         origin: header.origin.into(),
--- a/crates/passthrough/tests/flow_lookup.rs
+++ b/crates/passthrough/tests/flow_lookup.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 
 use passthrough::{Event, ResetReason};
-use support::{SimNetwork, agent_ip, balancer_ip, caller};
+use support::{Flags, SimNetwork, agent_ip, balancer_ip, caller, encode_packet};
 
 /// Opens flows until one is held by an endpoint whose number satisfies `wanted`. Returns the
 /// endpoint's number, the flow's caller and the endpoint's sequence number.
@@ -319,3 +319,57 @@
     assert_eq!(network.reset_count(caller), 0);
     assert!(network.answer_count(caller) > 0, "the holder is found");
 }
+
+/// Checks that a balancer that has never seen a flow finds its holder among `endpoints` endpoints
+/// within the two retransmissions that follow a request of `data_bytes`.
+fn check_holder_found(endpoints: u8, data_bytes: u16) {
+    let mut network = SimNetwork::new(2, endpoints);
+    for number in 0..12 {
+        let caller = caller(number);
+        let sequence = network.open_flow_with_sequence(0, caller).unwrap();
+        network.advance_ms(50);
+        let packet = encode_packet(
+            caller,
+            support::SERVICE_ADDRESS,
+            Flags::ACK,
+            21,
+            sequence + 1,
+            data_bytes,
+        );
+        network.send_caller_packet(1, &packet);
+        network.advance_ms(200);
+        assert_eq!(
+            network.answer_count(caller),
+            2,
+            "{endpoints} endpoints, {data_bytes} bytes, flow {number}"
+        );
+    }
+}
+
+#[test]
+fn holder_is_found_in_a_service_of_any_size() {
+    check_holder_found(56, 10);
+    check_holder_found(57, 10);
+    check_holder_found(109, 10);
+    check_holder_found(109, 1_200);
+    check_holder_found(190, 1_200);
+}
+
+#[test]
+fn flow_without_holder_is_reset_in_a_large_service() {
+    for data_bytes in [10, 1_200] {
+        let mut network = SimNetwork::new(1, 109);
+        let dead_flow = encode_packet(
+            caller(7),
+            support::SERVICE_ADDRESS,
+            Flags::ACK,
+            500,
+            900,
+            data_bytes,
+        );
+        network.confirm_unchanged_catalog(0);
+        network.send_caller_packet(0, &dead_flow);
+        network.advance_ms(400);
+        assert_eq!(network.reset_count(caller(7)), 1, "{data_bytes} bytes");
+    }
+}
