--- a/crates/passthrough-node/src/balancer.rs
+++ b/crates/passthrough-node/src/balancer.rs
@@ -418,6 +418,7 @@
     for (name, value) in balancer.counters().named_values() {
         text.add_counter(name, value);
     }
+    text.add_counter("limits_exceeded", balancer.limits_exceeded_count());
     text.add_counter("store_calls", store_calls);
     text.add_counter("datagrams_unsent", unsent);
     text.add_gauge("flows_cached", balancer.cached_flow_count() as u64);
--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -19,9 +19,9 @@
     DropReason, EndpointState, Event, Flow, Message, Outbox, PacketFormat, ResetReason, Segment,
     ServiceKey,
     message::{
-        Body, Candidate, Candidates, FlowHeld, FlowNotHeld, Forward, INSTANCES_MAX, Instances,
-        LoadReport, LookupRequest, PacketClass, Returned, StateNotice, UTILIZATION_CLOSED,
-        UTILIZATION_FULL, Utilization, write_flow_held, write_flow_not_held,
+        Body, Candidate, Candidates, FlowHeld, FlowNotHeld, Forward, Instances, LoadReport,
+        LookupRequest, PacketClass, REPORTED_BALANCERS_MAX, Returned, StateNotice,
+        UTILIZATION_CLOSED, UTILIZATION_FULL, Utilization, write_flow_held, write_flow_not_held,
         write_forwarded_packet, write_load_report, write_returned_packet,
     },
 };
@@ -64,6 +64,8 @@
     stopping: bool,
     /// Time of the latest state notice from each balancer, sorted by the balancer's address.
     balancers: Vec<(Ipv4Addr, Millis)>,
+    /// Index of the balancer with which the next load report begins its list, modulo their number.
+    report_turn: usize,
     next_sweep: Millis,
     /// Buffer for the message being encoded.
     scratch: Vec<u8>,
@@ -86,6 +88,7 @@
             revision: 0,
             stopping: false,
             balancers: Vec::new(),
+            report_turn: 0,
             next_sweep: Millis::new(0),
             scratch: Vec::new(),
             counters: AgentCounters::default(),
@@ -555,13 +558,16 @@
                 });
             }
         }
-        let mut others = [[0; 4]; INSTANCES_MAX];
+        // The report lists the balancers by turns if there are more than it has room for.
+        let turn = self.report_turn % self.balancers.len().max(1);
+        self.report_turn = turn + REPORTED_BALANCERS_MAX;
+        let (later, first) = self.balancers.split_at(turn);
+        let mut others = [[0; 4]; REPORTED_BALANCERS_MAX];
         let mut len = 0;
-        for (address, _) in self.balancers.iter().filter(|it| it.0 != sender) {
-            if len < others.len() {
-                others[len] = address.octets();
-                len += 1;
-            }
+        let listed = first.iter().chain(later).filter(|it| it.0 != sender);
+        for (slot, (address, _)) in others.iter_mut().zip(listed) {
+            *slot = address.octets();
+            len += 1;
         }
         let report = LoadReport {
             utilization: self.reported_utilization(now),
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -10,6 +10,7 @@
 mod openings;
 mod peers;
 mod routing;
+mod transfers;
 mod uploads;
 
 use std::{marker::PhantomData, net::Ipv4Addr};
@@ -21,7 +22,7 @@
 use crate::{
     CatalogView, DropReason, Endpoint, Event, Flow, Message, Outbox, PacketFormat, ResetReason,
     Segment, ServiceKey, ZoneKey,
-    catalog_transfer::CatalogAssembler,
+    catalog_transfer::TransferAssembler,
     message::{Body, Candidate, Candidates, Forward, PacketClass, write_forwarded_packet},
 };
 use agents::Agents;
@@ -30,6 +31,7 @@
 use lookups::Lookups;
 use openings::{PendingOpening, PendingOpenings};
 use peers::Peers;
+use transfers::TransferQueue;
 use uploads::UploadLimiter;
 
 /// Interval between two state notices to an agent. An agent counts as lost when it leaves three
@@ -72,7 +74,10 @@
     lookups: Lookups,
     agents: Agents,
     peers: Peers,
-    assembler: CatalogAssembler,
+    assembler: TransferAssembler,
+    transfers: TransferQueue,
+    next_pull: Millis,
+    next_relay: Millis,
     /// Time of the store's latest confirmation, to this or another balancer, that the current
     /// catalog is the newest.
     confirmed_at: Option<Millis>,
@@ -83,6 +88,8 @@
     /// Time at which the store became reachable again after an outage.
     store_recovered_at: Option<Millis>,
     reads_store: bool,
+    /// Rank among the live balancers as a reader of the store, as of the latest regular digest.
+    reader_rank: usize,
     next_notice: Millis,
     next_digest: Millis,
     next_confirmation: Millis,
@@ -102,6 +109,7 @@
     pub fn new(config: BalancerConfig, now: Millis) -> Self {
         let seeds = config.seeds.clone();
         let uploads = UploadLimiter::new(config.link_mbps);
+        let transfers = TransferQueue::new(now, config.link_mbps);
         let mut balancer = Self {
             config,
             view: CatalogView::default(),
@@ -111,7 +119,10 @@
             lookups: Lookups::default(),
             agents: Agents::default(),
             peers: Peers::default(),
-            assembler: CatalogAssembler::default(),
+            assembler: TransferAssembler::default(),
+            transfers,
+            next_pull: now,
+            next_relay: now,
             confirmed_at: None,
             started: now,
             retired_sync: RetiredSync::NotSynced,
@@ -119,6 +130,7 @@
             is_standby: false,
             store_recovered_at: None,
             reads_store: true,
+            reader_rank: 0,
             next_notice: now,
             next_digest: now,
             next_confirmation: now,
@@ -138,12 +150,25 @@
         &self.counters
     }
 
+    /// Returns how often a limit on the number of tracked items was exceeded: known balancers,
+    /// queued transfers and the size of a catalog.
+    #[must_use]
+    pub const fn limits_exceeded_count(&self) -> u64 {
+        self.counters.limits_exceeded + self.peers.ignored_count() + self.transfers.dropped_count()
+    }
+
     /// Returns the current catalog with the recently retired endpoints.
     #[must_use]
     pub const fn catalog_view(&self) -> &CatalogView {
         &self.view
     }
 
+    /// Returns the number of other balancers that this balancer knows of.
+    #[must_use]
+    pub const fn known_balancer_count(&self) -> usize {
+        self.peers.len()
+    }
+
     /// Returns the number of flows in the flow cache.
     #[must_use]
     pub fn cached_flow_count(&self) -> usize {
@@ -168,7 +193,7 @@
     /// Tells the other balancers that this balancer is shutting down. Packets are still forwarded.
     pub fn begin_shutdown(&mut self, now: Millis, out: &mut impl Outbox) {
         self.stopping = true;
-        self.send_digests(now, out);
+        self.send_digest_to_all(now, out);
     }
 
     /// Returns whether this balancer should currently read the platform's store itself.
@@ -238,7 +263,9 @@
             self.peers.remove_silent_peers(now, out);
             self.send_digests(now, out);
             self.update_standby(now, out);
+            self.update_reader_rank(now);
         }
+        self.send_queued_transfers(now, out);
         self.update_store_reader(now, out);
     }
 
@@ -248,7 +275,8 @@
         let regular = self.next_notice.min(self.next_digest);
         let opening = self.openings.next_deadline().unwrap_or(regular);
         let lookup = self.lookups.next_retry_at().unwrap_or(regular);
-        regular.min(opening).min(lookup)
+        let transfer = self.transfers.next_send_at().unwrap_or(regular);
+        regular.min(opening).min(lookup).min(transfer)
     }
 
     fn route_caller_packet(
--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -5,17 +5,24 @@
 use units::Millis;
 
 use crate::{
-    CatalogView, Endpoint, EndpointState, Event, Outbox,
+    CatalogView, Endpoint, EndpointState, Event, Outbox, ZoneKey,
     message::{AcceptLimits, LoadReport, UTILIZATION_CLOSED, UTILIZATION_FULL, Utilization},
 };
 
-/// Time without an agent's reply after which the agent counts as lost: two and a half notice
-/// intervals.
-const LOST_AFTER_MS: Millis = Millis::new(2_500);
+/// Time for which a notice remains unanswered until the agent counts as lost. By then, two more
+/// notices have been sent.
+const LOST_AFTER_MS: Millis = Millis::new(1_500);
 
-/// Time without an agent's reply after which the agent is suspected to be lost: one and a quarter
-/// notice intervals.
-const SUSPECT_AFTER_MS: Millis = Millis::new(1_250);
+/// Time for which a notice remains unanswered until the agent is suspected to be lost.
+const SUSPECT_AFTER_MS: Millis = Millis::new(250);
+
+/// Maximum number of agents that get a notice in one round. A fleet with more agents is notified by
+/// turns.
+const NOTICES_PER_ROUND_MAX: usize = 64;
+
+/// Maximum number of agents of the own zone, and of agents that have not answered, among those that
+/// get a notice in one round. The rest of the round goes to all others by turns.
+const URGENT_NOTICES_MAX: usize = 40;
 
 /// Time for which an agent's report that its endpoint accepts no new flows stays valid.
 const CLOSED_TTL_MS: Millis = Millis::new(1_200);
@@ -37,6 +44,9 @@
     sent_state: Option<(EndpointState, u16)>,
     /// Time of the agent's latest reply, or the time at which the agent was first listed.
     last_reply_at: Millis,
+    /// Time of the first notice that the agent has not answered, if there is one.
+    unanswered_since: Option<Millis>,
+    last_notice_at: Option<Millis>,
     is_lost: bool,
     utilization: Utilization,
     utilization_at: Millis,
@@ -48,6 +58,14 @@
     average: AverageUtilization,
 }
 
+impl AgentState {
+    /// Returns whether a notice has remained unanswered for longer than `limit`.
+    fn is_unanswered(&self, now: Millis, limit: Millis) -> bool {
+        self.unanswered_since
+            .is_some_and(|at| now.since(at) > limit)
+    }
+}
+
 /// Moving average of the utilization that an agent reports.
 #[derive(Debug, Clone, Copy, Default)]
 struct AverageUtilization {
@@ -81,6 +99,8 @@
                 endpoint: *endpoint,
                 sent_state: known.and_then(|it| it.sent_state),
                 last_reply_at: known.map_or(now, |it| it.last_reply_at),
+                unanswered_since: known.and_then(|it| it.unanswered_since),
+                last_notice_at: known.and_then(|it| it.last_notice_at),
                 is_lost: known.is_some_and(|it| it.is_lost),
                 utilization: known.map_or(0, |it| it.utilization),
                 utilization_at: known.map_or(now, |it| it.utilization_at),
@@ -92,9 +112,36 @@
         self.agents = agents;
     }
 
-    /// Returns the endpoints beside all agents.
-    pub(crate) fn all_endpoints(&self) -> Vec<Endpoint> {
-        self.agents.iter().map(|it| it.endpoint).collect()
+    /// Returns the endpoints beside the agents that get a notice in this round.
+    ///
+    /// In a large fleet these are agents that have not answered and agents of the own zone, up to
+    /// `URGENT_NOTICES_MAX`, then those whose latest notice is the oldest. Notices that traffic
+    /// makes needless are not counted, so every agent is heard of again after a bounded time.
+    pub(crate) fn endpoints_for_round(&self, zone: ZoneKey) -> Vec<Endpoint> {
+        if self.is_small_fleet() {
+            return self.agents.iter().map(|it| it.endpoint).collect();
+        }
+        let mut due: Vec<&AgentState> = self.agents.iter().collect();
+        due.sort_by_key(|it| {
+            let is_urgent =
+                !it.is_lost && (it.unanswered_since.is_some() || it.endpoint.zone == zone);
+            (!is_urgent, it.last_notice_at)
+        });
+        let is_urgent = |it: &&AgentState| {
+            !it.is_lost && (it.unanswered_since.is_some() || it.endpoint.zone == zone)
+        };
+        let urgent = due.iter().take_while(|it| is_urgent(it)).count();
+        let first = urgent.min(URGENT_NOTICES_MAX);
+        let mut chosen: Vec<Endpoint> = due[..first].iter().map(|it| it.endpoint).collect();
+        due[first..].sort_by_key(|it| it.last_notice_at);
+        let rest = NOTICES_PER_ROUND_MAX - first;
+        chosen.extend(due[first..].iter().take(rest).map(|it| it.endpoint));
+        chosen
+    }
+
+    /// Returns whether all agents get a notice in each round.
+    pub(crate) const fn is_small_fleet(&self) -> bool {
+        self.agents.len() <= NOTICES_PER_ROUND_MAX
     }
 
     /// Returns the endpoints whose current state has not been sent to the agents beside them.
@@ -109,8 +156,10 @@
     }
 
     /// Records that an agent was sent the current state of its endpoint.
-    pub(crate) fn mark_state_sent(&mut self, agent: Ipv4Addr) {
+    pub(crate) fn mark_state_sent(&mut self, now: Millis, agent: Ipv4Addr) {
         if let Some(state) = self.find_agent_mut(agent) {
+            state.unanswered_since.get_or_insert(now);
+            state.last_notice_at = Some(now);
             state.sent_state = Some((state.endpoint.state, state.endpoint.slots.get()));
         }
     }
@@ -126,6 +175,7 @@
             return;
         };
         state.last_reply_at = now;
+        state.unanswered_since = None;
         state.utilization = utilization;
         state.utilization_at = now;
         if state.is_lost {
@@ -155,21 +205,20 @@
     /// Marks agents whose replies are overdue as lost.
     pub(crate) fn mark_lost_agents(&mut self, now: Millis, out: &mut impl Outbox) {
         for state in &mut self.agents {
-            let silent = now.since(state.last_reply_at);
-            if !state.is_lost && silent > LOST_AFTER_MS {
+            if !state.is_lost && state.is_unanswered(now, LOST_AFTER_MS) {
                 state.is_lost = true;
                 out.report_event(Event::AgentLost {
                     agent: state.endpoint.agent_address(),
-                    silent_ms: silent.get(),
+                    silent_ms: now.since(state.last_reply_at).get(),
                 });
             }
         }
     }
 
-    /// Returns whether the agent has not replied for `LOST_AFTER_MS`.
+    /// Returns whether the agent has left notices unanswered for `LOST_AFTER_MS`.
     pub(crate) fn is_lost(&self, now: Millis, agent: Ipv4Addr) -> bool {
         self.find_agent(agent)
-            .is_some_and(|it| now.since(it.last_reply_at) > LOST_AFTER_MS)
+            .is_some_and(|it| it.is_unanswered(now, LOST_AFTER_MS))
     }
 
     /// Returns whether the agent has replied at or after `time`.
@@ -181,7 +230,7 @@
     /// Returns whether the agent has not replied to the latest state notice.
     pub(crate) fn is_suspect(&self, now: Millis, agent: Ipv4Addr) -> bool {
         self.find_agent(agent)
-            .is_some_and(|it| now.since(it.last_reply_at) > SUSPECT_AFTER_MS)
+            .is_some_and(|it| it.is_unanswered(now, SUSPECT_AFTER_MS))
     }
 
     /// Returns whether the agent should be offered opening packets only after all other agents.
@@ -189,7 +238,7 @@
         self.find_agent(agent).is_some_and(|it| {
             let is_closed = it.utilization == UTILIZATION_CLOSED
                 && now.since(it.utilization_at) < CLOSED_TTL_MS;
-            is_closed || now.since(it.last_reply_at) > LOST_AFTER_MS
+            is_closed || it.is_unanswered(now, LOST_AFTER_MS)
         })
     }
 
--- a/crates/passthrough/src/balancer/catalog_sync.rs
+++ b/crates/passthrough/src/balancer/catalog_sync.rs
@@ -1,14 +1,22 @@
 //! Distributes the catalog among balancers and decides which of them read the store.
+//!
+//! A change goes as a delta from the balancer that read it to all others of a small fleet. In a
+//! large fleet it goes to the relays of each availability zone, and from these to their zone. What
+//! is lost on the way is pulled: a balancer that hears of a newer revision asks whoever told it.
+//!
+//! Invariants: neither the revision nor the settings' version of the catalog in force ever
+//! decreases. A delta that doesn't lead to the sender's content is not applied; a whole catalog is
+//! asked for instead.
 
-use std::net::Ipv4Addr;
+use std::{net::Ipv4Addr, sync::Arc};
 
 use units::{Millis, Revision};
 
-use super::{Balancer, CONFIRMATION_INTERVAL_MIN_MS, peers::PeerStatus};
+use super::{Balancer, CONFIRMATION_INTERVAL_MIN_MS};
 use crate::{
     Catalog, DropReason, Event, Outbox, PacketFormat, ResetReason, StoreState,
-    catalog_transfer::{RetiredList, write_catalog_chunks, write_retired_messages},
-    message::{Chunk, Digest, INSTANCES_MAX, Instances, write_digest},
+    catalog_transfer::{EncodedTransfer, RetiredList, TransferContent, write_retired_messages},
+    message::{Chunk, Digest, Member, PeerStatus, write_catalog_chunk, write_digest},
 };
 
 /// Age of the latest store confirmation above which every balancer reads the store itself.
@@ -63,6 +71,26 @@
 /// has no effect.
 const STORE_READERS: usize = 2;
 
+/// Number of balancers of a large fleet that begin to read the store at the same time when the
+/// readers have failed.
+const STANDBY_READERS: usize = 4;
+
+/// Time after which the next `STANDBY_READERS` balancers begin to read the store, too. A balancer
+/// that reads the store tells the others within it.
+const STANDBY_READERS_STEP_MS: u64 = 250;
+
+/// Maximum additional age of the latest store confirmation at which every balancer of a large fleet
+/// reads the store itself.
+const STANDBY_READERS_DELAY_MAX_MS: u64 = 1_000;
+
+/// Time after a request for the changes of the catalog until the balancer asks again, possibly
+/// another balancer.
+const PULL_RETRY_MS: Millis = Millis::new(200);
+
+/// Minimum interval between two digests that a relay sends to its zone because the store confirmed
+/// the catalog.
+const RELAY_INTERVAL_MS: Millis = Millis::new(300);
+
 /// Whether this balancer has received the retired endpoints from its peers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RetiredSync {
@@ -75,6 +103,19 @@
     SyncedAt(Millis),
 }
 
+/// Why a digest is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum DigestPurpose {
+    /// The regular digest, which a balancer with a newer catalog answers.
+    Regular,
+    /// An answer, or news that need no answer.
+    Reply,
+    /// A request for the changes since the sender's revision.
+    Pull,
+    /// News of the store's confirmation, without other balancers.
+    Confirmation,
+}
+
 /// Origin of a catalog: the store or another balancer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum CatalogOrigin {
@@ -135,15 +176,110 @@
         out: &mut impl Outbox,
     ) -> bool {
         self.detect_store_recovery(now);
+        let base = self.view.catalog().revision;
         let replaced =
             catalog.is_some_and(|it| self.apply_catalog(now, it, CatalogOrigin::Store, out));
         self.confirmed_at = Some(now);
-        if replaced {
-            self.send_catalog_to_peers(now, out);
+        let targets = self.forwarding_targets(now, CatalogOrigin::Store);
+        // When all balancers start, each reads the store, and needs no copy from every other one.
+        let is_first_read = base == Revision::default();
+        if replaced && !is_first_read {
+            self.push_changes(now, base, &targets, out);
+        } else if !self.peers.is_small_fleet() {
+            self.send_confirmation(now, &targets, out);
         }
         replaced
     }
 
+    /// Returns the balancers to which this balancer forwards what it learns about the catalog.
+    ///
+    /// All balancers of a small fleet hear from the balancer that reads the store. In a large fleet
+    /// a store reader tells the relays of all zones, and a relay tells its own zone.
+    fn forwarding_targets(&self, now: Millis, origin: CatalogOrigin) -> Vec<Ipv4Addr> {
+        if self.peers.is_small_fleet() {
+            return match origin {
+                CatalogOrigin::Store => self.peers.peer_addresses(),
+                CatalogOrigin::Peer => Vec::new(),
+            };
+        }
+        let (own, status) = (self.config.address, self.status());
+        let mut targets = match origin {
+            CatalogOrigin::Store => self.peers.relay_addresses(now, own, status),
+            CatalogOrigin::Peer => Vec::new(),
+        };
+        if self.peers.is_relay(now, own, status) {
+            targets.extend(self.peers.addresses_in_zone(status.zone));
+        }
+        targets.sort_unstable();
+        targets.dedup();
+        targets
+    }
+
+    /// Sends the changes since `base` to other balancers.
+    fn push_changes(
+        &mut self,
+        now: Millis,
+        base: Revision,
+        targets: &[Ipv4Addr],
+        out: &mut impl Outbox,
+    ) {
+        if targets.is_empty() {
+            return;
+        }
+        let Some(transfer) = self.encode_transfer(base) else {
+            return;
+        };
+        let transfer = Arc::new(transfer);
+        for target in targets {
+            self.transfers.push_transfer(*target, Arc::clone(&transfer));
+        }
+        self.send_queued_transfers(now, out);
+    }
+
+    /// Encodes the changes since `base`, or the whole catalog if the changes are no longer known.
+    fn encode_transfer(&mut self, base: Revision) -> Option<EncodedTransfer> {
+        let revision = self.view.catalog().revision;
+        let content = self.view.delta_since(base).map_or_else(
+            || TransferContent::Whole(self.view.catalog().clone()),
+            TransferContent::Delta,
+        );
+        match &content {
+            TransferContent::Whole(_) => self.counters.catalogs_sent += 1,
+            TransferContent::Delta(_) => self.counters.deltas_sent += 1,
+        }
+        let transfer = EncodedTransfer::new(revision, &content);
+        if transfer.is_none() {
+            self.counters.limits_exceeded += 1;
+        }
+        transfer
+    }
+
+    /// Sends the chunks of queued transfers for which the link has capacity.
+    pub(super) fn send_queued_transfers(&mut self, now: Millis, out: &mut impl Outbox) {
+        let confirmed_age_ms = self.confirmed_age_ms(now);
+        let revision = self.view.catalog().revision;
+        let scratch = &mut self.scratch;
+        self.transfers
+            .send_due_chunks(now, |target, transfer, idx| {
+                let age = if transfer.revision == revision {
+                    confirmed_age_ms
+                } else {
+                    u32::MAX
+                };
+                if let Some(chunk) = transfer.chunk(idx, age) {
+                    write_catalog_chunk(chunk, scratch);
+                    out.send_to_peer(target, scratch);
+                }
+            });
+    }
+
+    /// Tells other balancers that the store has confirmed the catalog.
+    fn send_confirmation(&mut self, now: Millis, targets: &[Ipv4Addr], out: &mut impl Outbox) {
+        for target in targets {
+            self.send_digest(now, *target, DigestPurpose::Confirmation, out);
+        }
+    }
+
     /// Applies a catalog that is newer than the current one, and returns whether it was newer.
     pub(super) fn apply_catalog(
         &mut self,
@@ -178,7 +314,7 @@
         self.agents.update_endpoints(now, &self.view);
         self.lookups
             .schedule_outdated_retries(now, self.view.endpoint_generation());
-        self.send_state_change_notices(out);
+        self.send_state_change_notices(now, out);
         true
     }
 
@@ -198,10 +334,30 @@
         }
     }
 
+    /// Sends this round's regular digests.
     pub(super) fn send_digests(&mut self, now: Millis, out: &mut impl Outbox) {
-        let addresses = self.peers.peer_addresses();
-        for peer in &addresses {
-            self.send_digest(now, *peer, &addresses, true, out);
+        let partners = self
+            .peers
+            .choose_partners(self.config.address, self.config.zone);
+        for peer in partners {
+            self.send_digest(now, peer, DigestPurpose::Regular, out);
+        }
+    }
+
+    /// Sends a digest to every known balancer.
+    pub(super) fn send_digest_to_all(&mut self, now: Millis, out: &mut impl Outbox) {
+        for peer in self.peers.peer_addresses() {
+            self.send_digest(now, peer, DigestPurpose::Reply, out);
+        }
+    }
+
+    /// Returns what this balancer announces about itself.
+    pub(super) const fn status(&self) -> PeerStatus {
+        PeerStatus {
+            zone: self.config.zone,
+            link_mbps: self.config.link_mbps,
+            has_settings: self.has_settings(),
+            stopping: self.stopping,
         }
     }
 
@@ -209,33 +365,29 @@
         &mut self,
         now: Millis,
         peer: Ipv4Addr,
-        addresses: &[Ipv4Addr],
-        wants_answer: bool,
+        purpose: DigestPurpose,
         out: &mut impl Outbox,
     ) {
-        let mut others = [[0; 4]; INSTANCES_MAX];
-        let mut len = 0;
-        for address in addresses
-            .iter()
-            .filter(|it| **it != peer)
-            .take(INSTANCES_MAX)
-        {
-            others[len] = address.octets();
-            len += 1;
-        }
+        let members: Vec<Member> = match purpose {
+            DigestPurpose::Confirmation | DigestPurpose::Pull => Vec::new(),
+            DigestPurpose::Regular | DigestPurpose::Reply => {
+                self.peers.choose_members(now, self.config.address, peer)
+            }
+        };
+        let wants_whole = purpose == DigestPurpose::Pull && self.assembler.needs_whole_catalog;
+        let revision = if wants_whole {
+            Revision::default()
+        } else {
+            self.view.catalog().revision
+        };
         let digest = Digest {
-            revision: self.view.catalog().revision.get(),
+            revision: revision.get(),
             confirmed_age_ms: self.confirmed_age_ms(now),
-            wants_answer,
-            stopping: self.stopping,
+            wants_answer: purpose == DigestPurpose::Regular,
+            wants_catalog: purpose == DigestPurpose::Pull,
             is_starting: now.since(self.started) < STARTUP_PERIOD_MS,
-            zone: self.config.zone,
-            link_mbps: if self.has_settings() {
-                self.config.link_mbps
-            } else {
-                0
-            },
-            balancers: Instances::new(&others[..len]),
+            status: self.status(),
+            members: &members,
         };
         write_digest(digest, &mut self.scratch);
         out.send_to_peer(peer, &self.scratch);
@@ -248,13 +400,7 @@
         digest: Digest<'_>,
         out: &mut impl Outbox,
     ) {
-        let status = PeerStatus {
-            zone: digest.zone,
-            link_mbps: digest.link_mbps,
-            has_settings: digest.link_mbps > 0,
-        };
-        self.peers
-            .record_digest(now, peer, digest.stopping, status, out);
+        self.peers.record_status(now, peer, now, digest.status, out);
         self.retired_sync = match self.retired_sync {
             RetiredSync::SyncedAt(at) => RetiredSync::SyncedAt(at),
             _ if digest.is_starting => RetiredSync::StartingPeersOnly,
@@ -272,20 +418,40 @@
                 },
             );
         }
-        for balancer in digest.balancers.iter() {
-            if balancer != self.config.address {
-                self.peers.add_peer(balancer, now);
+        for member in digest.members {
+            if member.address() != self.config.address {
+                self.peers.record_member(now, *member, out);
             }
         }
         let own = self.view.catalog().revision.get();
-        self.adopt_confirmation(now, Revision::new(digest.revision), digest.confirmed_age_ms);
-        if digest.revision < own && self.peers.claim_catalog_send(now, peer) {
-            self.send_catalog_to(now, peer, out);
-        } else if digest.wants_answer && (digest.revision > own || digest.is_starting) {
-            // The digest in reply tells the peer that this balancer needs the newer catalog, or
-            // that the peer has received all retired endpoints.
-            self.send_digest(now, peer, &[], false, out);
+        let is_news =
+            self.adopt_confirmation(now, Revision::new(digest.revision), digest.confirmed_age_ms);
+        if is_news && now >= self.next_relay {
+            self.next_relay = now.plus(RELAY_INTERVAL_MS);
+            let targets = self.forwarding_targets(now, CatalogOrigin::Peer);
+            self.send_confirmation(now, &targets, out);
         }
+        if digest.wants_catalog && digest.revision < own {
+            self.push_changes(now, Revision::new(digest.revision), &[peer], out);
+        } else if digest.revision > own {
+            self.pull_changes(now, peer, out);
+        } else if digest.wants_answer && digest.is_starting {
+            // The digest in reply tells the peer that it has received all retired endpoints.
+            self.send_digest(now, peer, DigestPurpose::Reply, out);
+        } else if digest.wants_answer && digest.revision < own {
+            self.send_digest(now, peer, DigestPurpose::Confirmation, out);
+        }
+    }
+
+    /// Asks a balancer for the changes since this balancer's revision, unless they are under way.
+    fn pull_changes(&mut self, now: Millis, peer: Ipv4Addr, out: &mut impl Outbox) {
+        let since = Millis::new(now.get().saturating_sub(PULL_RETRY_MS.get()));
+        let own = self.view.catalog().revision;
+        if now < self.next_pull || self.assembler.is_receiving(own, since) {
+            return;
+        }
+        self.next_pull = now.plus(PULL_RETRY_MS);
+        self.send_digest(now, peer, DigestPurpose::Pull, out);
     }
 
     pub(super) fn on_catalog_chunk(
@@ -295,17 +461,51 @@
         out: &mut impl Outbox,
     ) {
         let revision = Revision::new(chunk.revision);
-        if revision <= self.view.catalog().revision {
+        let base = self.view.catalog().revision;
+        if revision <= base {
             return;
         }
-        let Some(catalog) = self.assembler.add_catalog_chunk(&chunk) else {
+        let Some(content) = self.assembler.add_chunk(now, &chunk) else {
+            return;
+        };
+        let Some(catalog) = self.resulting_catalog(revision, content) else {
             return;
         };
         self.detect_store_recovery(now);
-        if self.apply_catalog(now, catalog, CatalogOrigin::Peer, out) {
-            self.confirmed_at = None;
-            self.adopt_confirmation(now, revision, chunk.confirmed_age_ms);
+        if !self.apply_catalog(now, catalog, CatalogOrigin::Peer, out) {
+            return;
         }
+        self.assembler.needs_whole_catalog = false;
+        self.assembler.drop_outdated(revision);
+        self.confirmed_at = None;
+        let _is_news = self.adopt_confirmation(now, revision, chunk.confirmed_age_ms);
+        let targets = self.forwarding_targets(now, CatalogOrigin::Peer);
+        self.push_changes(now, base, &targets, out);
+    }
+
+    /// Returns the catalog that a complete transfer leads to, or `None` if it doesn't fit the
+    /// catalog in force.
+    fn resulting_catalog(
+        &mut self,
+        revision: Revision,
+        content: TransferContent,
+    ) -> Option<Catalog> {
+        let catalog = match content {
+            TransferContent::Whole(mut catalog) => {
+                catalog.sort_entries();
+                Some(catalog)
+            }
+            TransferContent::Delta(delta) => {
+                let applies = delta.applies_to(self.view.catalog().revision);
+                let catalog = delta.apply(self.view.catalog());
+                if applies && catalog.is_none() {
+                    self.counters.deltas_diverged += 1;
+                    self.assembler.needs_whole_catalog = true;
+                }
+                catalog
+            }
+        };
+        catalog.filter(|it| it.revision == revision)
     }
 
     pub(super) fn on_retired_list(&mut self, now: Millis, list: &[u8], out: &mut impl Outbox) {
@@ -316,25 +516,32 @@
             self.agents.update_endpoints(now, &self.view);
             self.lookups
                 .schedule_outdated_retries(now, self.view.endpoint_generation());
-            self.send_state_change_notices(out);
+            self.send_state_change_notices(now, out);
         }
     }
 
     /// Adopts a store confirmation that another balancer received, if it confirms the revision of
-    /// this balancer's catalog.
-    pub(super) fn adopt_confirmation(&mut self, now: Millis, revision: Revision, age_ms: u32) {
+    /// this balancer's catalog. Returns whether the confirmation was newer than the latest one.
+    pub(super) fn adopt_confirmation(
+        &mut self,
+        now: Millis,
+        revision: Revision,
+        age_ms: u32,
+    ) -> bool {
         if revision != self.view.catalog().revision || age_ms == u32::MAX {
-            return;
+            return false;
         }
         let age = u64::from(age_ms);
         if age > now.get() {
-            return;
+            return false;
         }
         let at = Millis::new(now.get() - age);
-        if self.confirmed_at.is_none_or(|it| it < at) {
-            self.detect_store_recovery(at);
-            self.confirmed_at = Some(at);
+        if self.confirmed_at.is_some_and(|it| it >= at) {
+            return false;
         }
+        self.detect_store_recovery(at);
+        self.confirmed_at = Some(at);
+        true
     }
 
     /// Records the store's recovery if the store's response at `at` is the first after an outage.
@@ -355,28 +562,11 @@
             .unwrap_or(u32::MAX)
     }
 
-    pub(super) fn send_catalog_to_peers(&mut self, now: Millis, out: &mut impl Outbox) {
-        for peer in self.peers.peer_addresses() {
-            self.peers.record_catalog_sent(now, peer);
-            self.send_catalog_to(now, peer, out);
-        }
-    }
-
-    pub(super) fn send_catalog_to(&mut self, now: Millis, peer: Ipv4Addr, out: &mut impl Outbox) {
-        let age = self.confirmed_age_ms(now);
-        write_catalog_chunks(self.view.catalog(), age, &mut self.scratch, |chunk| {
-            out.send_to_peer(peer, chunk);
-        });
-    }
-
     /// Enters standby if enough balancers of the zone have much faster links, or leaves standby.
     pub(super) fn update_standby(&mut self, now: Millis, out: &mut impl Outbox) {
-        let status = PeerStatus {
-            zone: self.config.zone,
-            link_mbps: self.config.link_mbps,
-            has_settings: true,
-        };
-        let stands_by = self.peers.should_stand_by(now, self.config.address, status);
+        let stands_by = self
+            .peers
+            .should_stand_by(now, self.config.address, self.status());
         if stands_by == self.is_standby {
             return;
         }
@@ -384,29 +574,46 @@
         out.report_event(Event::Standby {
             stands_by,
             link_mbps: self.config.link_mbps,
-            peers: self.peers.peer_addresses().len(),
+            peers: self.peers.len(),
         });
     }
 
+    /// Updates this balancer's rank among the balancers that may read the store.
+    pub(super) fn update_reader_rank(&mut self, now: Millis) {
+        self.reader_rank = self
+            .peers
+            .store_reader_rank(now, self.config.address, self.status());
+    }
+
     /// Starts or stops reading the store, depending on the age of the latest store confirmation and
     /// on this balancer's rank among the readers.
     pub(super) fn update_store_reader(&mut self, now: Millis, out: &mut impl Outbox) {
+        let stale_after = CONFIRMATION_STALE_MS.plus(self.standby_reader_delay());
         let is_stale = self
             .confirmed_at
-            .is_none_or(|it| now.since(it) > CONFIRMATION_STALE_MS);
-        let rank = self.peers.store_reader_rank(now, self.config.address);
-        let reads = is_stale || (rank < STORE_READERS && !self.stopping);
+            .is_none_or(|it| now.since(it) > stale_after);
+        let reads = is_stale || (self.reader_rank < STORE_READERS && !self.stopping);
         if reads == self.reads_store {
             return;
         }
         self.reads_store = reads;
         out.report_event(Event::StoreDuty {
             reads,
-            peers: self.peers.peer_addresses().len(),
+            peers: self.peers.len(),
             freshest_age_ms: u64::from(self.confirmed_age_ms(now)),
         });
     }
 
+    /// Returns how much longer than others this balancer waits until it takes over from failed store
+    /// readers. In a large fleet a few take over first, so that not all call the store at once.
+    fn standby_reader_delay(&self) -> Millis {
+        if self.peers.is_small_fleet() {
+            return Millis::new(0);
+        }
+        let step = (self.reader_rank / STANDBY_READERS) as u64;
+        Millis::new((step * STANDBY_READERS_STEP_MS).min(STANDBY_READERS_DELAY_MAX_MS))
+    }
+
     /// Adds seed addresses, at which other balancers may be running.
     pub fn add_seed_balancers(&mut self, now: Millis, seeds: &[Ipv4Addr]) {
         for seed in seeds.iter().filter(|it| **it != self.config.address) {
@@ -418,5 +625,6 @@
     pub fn set_link_mbps(&mut self, link_mbps: u32) {
         self.config.link_mbps = link_mbps;
         self.uploads.set_link_mbps(link_mbps);
+        self.transfers.set_link_mbps(link_mbps);
     }
 }
--- a/crates/passthrough/src/balancer/counters.rs
+++ b/crates/passthrough/src/balancer/counters.rs
@@ -25,6 +25,14 @@
     pub resets: u64,
     /// Data packets of long uploads dropped to limit queueing on a narrow link.
     pub uploads_held_back: u64,
+    /// Deltas of the catalog sent to other balancers.
+    pub deltas_sent: u64,
+    /// Whole catalogs sent to other balancers.
+    pub catalogs_sent: u64,
+    /// Received deltas that did not lead to the sender's catalog.
+    pub deltas_diverged: u64,
+    /// Catalogs that were too large to be sent.
+    pub limits_exceeded: u64,
     /// Datagrams dropped for any other reason, such as a malformed header or a missing route.
     pub dropped: u64,
     /// Histogram of accepted opening packets by the time until acceptance; the last bucket has no
@@ -43,7 +51,7 @@
 
     /// Returns the balancer's metric names with their counter values.
     #[must_use]
-    pub const fn named_values(&self) -> [(&'static str, u64); 9] {
+    pub const fn named_values(&self) -> [(&'static str, u64); 12] {
         [
             ("caller_packets", self.packets),
             ("openings", self.openings),
@@ -53,6 +61,9 @@
             ("lookups_failed", self.lookups_failed),
             ("resets_sent", self.resets),
             ("uploads_held_back", self.uploads_held_back),
+            ("catalog_deltas_sent", self.deltas_sent),
+            ("catalogs_sent", self.catalogs_sent),
+            ("catalog_deltas_diverged", self.deltas_diverged),
             ("datagrams_dropped", self.dropped),
         ]
     }
--- a/crates/passthrough/src/balancer/notices.rs
+++ b/crates/passthrough/src/balancer/notices.rs
@@ -11,24 +11,34 @@
 };
 
 impl<F: PacketFormat> Balancer<F> {
-    /// Sends the periodic state notice to every agent.
+    /// Sends the periodic state notices of this round.
     pub(super) fn send_state_notices(&mut self, now: Millis, out: &mut impl Outbox) {
         self.agents.mark_lost_agents(now, out);
-        let due = self.agents.all_endpoints();
+        let due = self.agents.endpoints_for_round(self.config.zone);
         for endpoint in due {
-            self.send_state_notice(&endpoint, out);
+            self.send_state_notice(now, &endpoint, out);
         }
     }
 
     /// Sends a state notice to each agent whose endpoint's state or slots have changed.
-    pub(super) fn send_state_change_notices(&mut self, out: &mut impl Outbox) {
+    ///
+    /// In a large fleet, an agent hears of a change from the balancers of its zone and from those
+    /// that read the store, and from others with their next regular notice.
+    pub(super) fn send_state_change_notices(&mut self, now: Millis, out: &mut impl Outbox) {
+        let tells_all = self.agents.is_small_fleet() || self.reads_store;
+        let zone = self.config.zone;
         let changed = self.agents.endpoints_to_notify();
-        for endpoint in changed {
-            self.send_state_notice(&endpoint, out);
+        for endpoint in changed.iter().filter(|it| tells_all || it.zone == zone) {
+            self.send_state_notice(now, endpoint, out);
         }
     }
 
-    pub(super) fn send_state_notice(&mut self, endpoint: &Endpoint, out: &mut impl Outbox) {
+    pub(super) fn send_state_notice(
+        &mut self,
+        now: Millis,
+        endpoint: &Endpoint,
+        out: &mut impl Outbox,
+    ) {
         let catalog = self.view.catalog();
         let notice = StateNotice {
             service: endpoint.service,
@@ -39,7 +49,7 @@
         };
         write_state_notice(notice, &mut self.scratch);
         out.send_to_peer(endpoint.agent_address(), &self.scratch);
-        self.agents.mark_state_sent(endpoint.agent_address());
+        self.agents.mark_state_sent(now, endpoint.agent_address());
     }
 
     pub(super) fn on_load_report(
--- a/crates/passthrough/src/catalog.rs
+++ b/crates/passthrough/src/catalog.rs
@@ -10,7 +10,10 @@
 use units::{Millis, Revision, SettingsVersion, Slots};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::rendezvous;
+use crate::{
+    catalog_delta::{CatalogDelta, ChangeLog},
+    rendezvous,
+};
 
 /// Time for which an endpoint may hold flows after it was removed from the catalog.
 ///
@@ -250,6 +253,7 @@
     generation: u64,
     /// Listed and retired endpoints, sorted by service and position on the service's hash ring.
     ring: Vec<RingEntry>,
+    changes: ChangeLog,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -295,11 +299,17 @@
         }
         self.retired
             .retain(|it| catalog.find_endpoint(it.key).is_none());
+        self.changes.record_replacement(&self.catalog, &catalog);
         self.catalog = catalog;
         self.rebuild_ring(now);
         true
     }
 
+    /// Returns the changes since a revision, or `None` if they are no longer known.
+    pub(crate) fn delta_since(&self, base: Revision) -> Option<CatalogDelta> {
+        self.changes.delta_since(base, &self.catalog)
+    }
+
     /// Adds retired endpoints that another balancer reported, with the time since their removal.
     ///
     /// Returns whether any of the reported endpoints was unknown.
--- a/crates/passthrough/src/lib.rs
+++ b/crates/passthrough/src/lib.rs
@@ -12,6 +12,7 @@
 mod agent;
 mod balancer;
 mod catalog;
+mod catalog_delta;
 mod catalog_transfer;
 mod event;
 mod flow;
--- a/crates/passthrough/src/message.rs
+++ b/crates/passthrough/src/message.rs
@@ -9,6 +9,7 @@
 
 use std::{fmt, net::Ipv4Addr};
 
+use units::Millis;
 use zerocopy::{
     FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned,
     byteorder::network_endian::{U16, U32, U64},
@@ -27,13 +28,16 @@
 const MAGIC: u16 = 0x4C47;
 
 /// Version of the layout of all messages.
-const LAYOUT_VERSION: u8 = 2;
+const LAYOUT_VERSION: u8 = 3;
 
 /// Maximum number of candidate agents in the header of a forwarded packet.
 pub(crate) const CANDIDATES_MAX: usize = 8;
 
-/// Maximum number of balancers listed in a load report or status digest.
-pub(crate) const INSTANCES_MAX: usize = 32;
+/// Maximum number of balancers listed in a load report.
+pub(crate) const REPORTED_BALANCERS_MAX: usize = 16;
+
+/// Maximum number of members in a status digest.
+pub(crate) const DIGEST_MEMBERS_MAX: usize = 32;
 
 /// Maximum size of a lookup request in bytes, which with the headers of IP and UDP fits an MTU of
 /// 1,500 bytes.
@@ -454,7 +458,7 @@
     _reserved: u8,
 }
 
-/// A balancer's periodic message to the other balancers about its catalog and status.
+/// A balancer's message to another balancer about its catalog, its status and other balancers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Digest<'a> {
     /// Revision of the sender's current catalog.
@@ -463,17 +467,114 @@
     pub(crate) confirmed_age_ms: u32,
     /// Whether the sender requests the receiver's status digest in reply.
     pub(crate) wants_answer: bool,
-    /// Whether the sender is shutting down, so that other balancers must take over reading the
-    /// store and serving callers.
-    pub(crate) stopping: bool,
+    /// Whether the sender requests the changes since its revision.
+    pub(crate) wants_catalog: bool,
     /// Whether the sender has just started and lacks the retired endpoints, which only other
     /// balancers know.
     pub(crate) is_starting: bool,
-    /// The availability zone that the sender runs in.
+    /// The sender's own status.
+    pub(crate) status: PeerStatus,
+    /// Other balancers that the sender knows of.
+    pub(crate) members: &'a [Member],
+}
+
+/// What a balancer announces about itself in its status digests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct PeerStatus {
     pub(crate) zone: ZoneKey,
-    /// Capacity of the sender's link in Mbit/s, zero if the sender has no operator settings.
+    /// Capacity of the balancer's network link, in Mbit/s.
     pub(crate) link_mbps: u32,
-    pub(crate) balancers: Instances<'a>,
+    /// Whether the balancer has the operator's settings and so can serve callers.
+    pub(crate) has_settings: bool,
+    /// Whether the balancer is shutting down, so that other balancers must take over reading the
+    /// store and serving callers.
+    pub(crate) stopping: bool,
+}
+
+mod status_flag {
+    pub(super) const HAS_SETTINGS: u8 = 1;
+    pub(super) const STOPPING: u8 = 2;
+}
+
+impl PeerStatus {
+    const fn to_wire_flags(self) -> u8 {
+        let mut flags = 0;
+        if self.has_settings {
+            flags |= status_flag::HAS_SETTINGS;
+        }
+        if self.stopping {
+            flags |= status_flag::STOPPING;
+        }
+        flags
+    }
+
+    const fn from_wire(zone: u64, link_mbps: u32, flags: u8) -> Self {
+        Self {
+            zone: ZoneKey::new(zone),
+            link_mbps,
+            has_settings: flags & status_flag::HAS_SETTINGS != 0,
+            stopping: flags & status_flag::STOPPING != 0,
+        }
+    }
+}
+
+/// Age of a member that the sender has never heard.
+const NEVER_HEARD_MS: u32 = u32::MAX;
+
+/// A balancer that a status digest lists, with what the digest's sender knows about it.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    FromBytes,
+    IntoBytes,
+    Immutable,
+    KnownLayout,
+    Unaligned,
+)]
+#[repr(C)]
+pub(crate) struct Member {
+    address: [u8; 4],
+    zone: U64,
+    link_mbps: U32,
+    /// Time since the member sent the status, or `NEVER_HEARD_MS`.
+    age_ms: U32,
+    flags: u8,
+}
+
+impl Member {
+    /// Lists a balancer whose status is `age` old; `None` if its status is not known.
+    pub(crate) fn new(address: Ipv4Addr, status: PeerStatus, age: Option<Millis>) -> Self {
+        let age_ms = age.map_or(NEVER_HEARD_MS, |it| {
+            u32::try_from(it.get()).unwrap_or(NEVER_HEARD_MS)
+        });
+        Self {
+            address: address.octets(),
+            zone: U64::new(status.zone.get()),
+            link_mbps: U32::new(status.link_mbps),
+            age_ms: U32::new(age_ms),
+            flags: status.to_wire_flags(),
+        }
+    }
+
+    pub(crate) fn address(self) -> Ipv4Addr {
+        self.address.into()
+    }
+
+    pub(crate) const fn status(self) -> PeerStatus {
+        PeerStatus::from_wire(self.zone.get(), self.link_mbps.get(), self.flags)
+    }
+
+    /// Returns the age of the member's status, or `None` if the status is not known.
+    pub(crate) const fn age(self) -> Option<Millis> {
+        match self.age_ms.get() {
+            NEVER_HEARD_MS => None,
+            age_ms => Some(Millis::new(age_ms as u64)),
+        }
+    }
 }
 
 #[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
@@ -485,15 +586,18 @@
     link_mbps: U32,
     confirmed_age_ms: U32,
     wants_answer: u8,
-    stopping: u8,
-    count: u8,
+    wants_catalog: u8,
     is_starting: u8,
+    status_flags: u8,
+    count: u8,
 }
 
-/// A chunk of a serialized catalog.
+/// A chunk of a serialized catalog or catalog delta.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Chunk<'a> {
     pub(crate) revision: u64,
+    /// Hash of the serialized bytes, which tells transfers of the same revision apart.
+    pub(crate) transfer_id: u64,
     pub(crate) confirmed_age_ms: u32,
     pub(crate) index: u16,
     pub(crate) count: u16,
@@ -505,6 +609,7 @@
 struct ChunkHeader {
     preamble: Preamble,
     revision: U64,
+    transfer_id: U64,
     confirmed_age_ms: U32,
     index: U16,
     count: U16,
--- a/crates/passthrough/src/message/decode.rs
+++ b/crates/passthrough/src/message/decode.rs
@@ -3,13 +3,14 @@
 use zerocopy::{FromBytes, Immutable, KnownLayout, Ref, Unaligned};
 
 use super::{
-    AcceptLimits, Body, CANDIDATES_MAX, Candidate, Candidates, Chunk, ChunkHeader, Digest,
-    DigestHeader, FlowHeld, FlowHeldHeader, FlowNotHeld, FlowNotHeldHeader, Forward, ForwardHeader,
-    INSTANCES_MAX, Instances, LAYOUT_VERSION, LoadReport, LoadReportHeader, LookupRequest,
-    LookupRequestHeader, MAGIC, Message, MessageError, PacketClass, Preamble, ReturnHeader,
-    Returned, StateNotice, StateNoticeHeader, kind,
+    AcceptLimits, Body, CANDIDATES_MAX, Candidate, Candidates, Chunk, ChunkHeader,
+    DIGEST_MEMBERS_MAX, Digest, DigestHeader, FlowHeld, FlowHeldHeader, FlowNotHeld,
+    FlowNotHeldHeader, Forward, ForwardHeader, Instances, LAYOUT_VERSION, LoadReport,
+    LoadReportHeader, LookupRequest, LookupRequestHeader, MAGIC, Member, Message, MessageError,
+    PacketClass, PeerStatus, Preamble, REPORTED_BALANCERS_MAX, ReturnHeader, Returned, StateNotice,
+    StateNoticeHeader, kind,
 };
-use crate::{EndpointState, Flow, ServiceKey, ZoneKey};
+use crate::{EndpointState, Flow, ServiceKey};
 
 /// Decodes a datagram from a balancer or an agent into a message.
 ///
@@ -136,15 +137,23 @@
 
 fn decode_digest(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
     let (header, rest) = decode_prefix::<DigestHeader>(datagram)?;
+    let count = usize::from(header.count);
+    if count > DIGEST_MEMBERS_MAX {
+        return Err(MessageError::InvalidField { field: "count" });
+    }
+    let (members, _) = decode_list::<Member>(rest, count)?;
     Ok(Body::Digest(Digest {
         revision: header.revision.get(),
         confirmed_age_ms: header.confirmed_age_ms.get(),
         wants_answer: header.wants_answer != 0,
-        stopping: header.stopping != 0,
+        wants_catalog: header.wants_catalog != 0,
         is_starting: header.is_starting != 0,
-        zone: ZoneKey::new(header.zone.get()),
-        link_mbps: header.link_mbps.get(),
-        balancers: decode_instances(rest, header.count)?,
+        status: PeerStatus::from_wire(
+            header.zone.get(),
+            header.link_mbps.get(),
+            header.status_flags,
+        ),
+        members,
     }))
 }
 
@@ -155,6 +164,7 @@
     }
     Ok(Body::Chunk(Chunk {
         revision: header.revision.get(),
+        transfer_id: header.transfer_id.get(),
         confirmed_age_ms: header.confirmed_age_ms.get(),
         index: header.index.get(),
         count: header.count.get(),
@@ -164,7 +174,7 @@
 
 fn decode_instances(bytes: &[u8], count: u8) -> Result<Instances<'_>, MessageError> {
     let count = usize::from(count);
-    if count > INSTANCES_MAX {
+    if count > REPORTED_BALANCERS_MAX {
         return Err(MessageError::InvalidField { field: "count" });
     }
     let (list, _) = decode_list::<[u8; 4]>(bytes, count)?;
--- a/crates/passthrough/src/message/write.rs
+++ b/crates/passthrough/src/message/write.rs
@@ -6,9 +6,10 @@
 };
 
 use super::{
-    Chunk, ChunkHeader, Digest, DigestHeader, FlowHeld, FlowHeldHeader, FlowNotHeld,
-    FlowNotHeldHeader, Forward, ForwardHeader, LoadReport, LoadReportHeader, LookupRequest,
-    LookupRequestHeader, Preamble, ReturnHeader, Returned, StateNotice, StateNoticeHeader, kind,
+    Chunk, ChunkHeader, DIGEST_MEMBERS_MAX, Digest, DigestHeader, FlowHeld, FlowHeldHeader,
+    FlowNotHeld, FlowNotHeldHeader, Forward, ForwardHeader, LoadReport, LoadReportHeader,
+    LookupRequest, LookupRequestHeader, Preamble, ReturnHeader, Returned, StateNotice,
+    StateNoticeHeader, kind,
 };
 use crate::EndpointState;
 
@@ -121,21 +122,27 @@
 }
 
 /// Encodes a balancer's status digest into `out`.
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "a digest has at most `DIGEST_MEMBERS_MAX` members"
+)]
 pub(crate) fn write_digest(digest: Digest<'_>, out: &mut Vec<u8>) {
+    let members = &digest.members[..digest.members.len().min(DIGEST_MEMBERS_MAX)];
     let header = DigestHeader {
         preamble: Preamble::new(kind::DIGEST),
         revision: U64::new(digest.revision),
-        zone: U64::new(digest.zone.get()),
-        link_mbps: U32::new(digest.link_mbps),
+        zone: U64::new(digest.status.zone.get()),
+        link_mbps: U32::new(digest.status.link_mbps),
         confirmed_age_ms: U32::new(digest.confirmed_age_ms),
         wants_answer: u8::from(digest.wants_answer),
-        stopping: u8::from(digest.stopping),
-        count: digest.balancers.count(),
+        wants_catalog: u8::from(digest.wants_catalog),
         is_starting: u8::from(digest.is_starting),
+        status_flags: digest.status.to_wire_flags(),
+        count: members.len() as u8,
     };
     out.clear();
     out.extend_from_slice(header.as_bytes());
-    out.extend_from_slice(digest.balancers.0.as_bytes());
+    out.extend_from_slice(members.as_bytes());
 }
 
 /// Encodes a chunk of a serialized catalog into `out`.
@@ -143,6 +150,7 @@
     let header = ChunkHeader {
         preamble: Preamble::new(kind::CHUNK),
         revision: U64::new(chunk.revision),
+        transfer_id: U64::new(chunk.transfer_id),
         confirmed_age_ms: U32::new(chunk.confirmed_age_ms),
         index: U16::new(chunk.index),
         count: U16::new(chunk.count),
--- a/crates/passthrough/tests/support/mod.rs
+++ b/crates/passthrough/tests/support/mod.rs
@@ -106,6 +106,11 @@
     sent_bytes: BTreeMap<Ipv4Addr, usize>,
     /// Link capacities in Mbit/s of the balancers with a link other than 1,000 Mbit/s.
     pub(crate) links: BTreeMap<u8, u32>,
+    /// Number of availability zones over which balancers are spread, if more than one.
+    pub(crate) balancer_zones: u8,
+    /// State of the generator that loses, repeats and delays messages between instances; zero
+    /// delivers all messages in order.
+    pub(crate) disorder: u64,
 }
 
 impl SimNetwork {
@@ -202,7 +207,7 @@
     pub(crate) fn start_balancer_without_store(&mut self, number: u8) {
         let config = BalancerConfig {
             address: balancer_ip(number),
-            zone: ZoneKey::from_name("a"),
+            zone: self.balancer_zone(number),
             link_mbps: self.links.get(&number).copied().unwrap_or(1_000),
             seeds: vec![balancer_ip(0)],
         };
@@ -210,6 +215,12 @@
         self.balancers.insert(balancer_ip(number), balancer);
     }
 
+    /// Returns the availability zone of a balancer.
+    pub(crate) fn balancer_zone(&self, number: u8) -> ZoneKey {
+        let zone = number % self.balancer_zones.max(1);
+        ZoneKey::from_name(["a", "b", "c", "d", "e"][usize::from(zone)])
+    }
+
     /// Passes the store's catalog to a balancer, as if the balancer had read the store.
     pub(crate) fn deliver_catalog(&mut self, number: u8) {
         let ip = balancer_ip(number);
@@ -460,12 +471,39 @@
                 Destination::Caller(_) => self.isolated.contains(&ip),
                 Destination::Endpoint(_) | Destination::Outbound(_) => false,
             };
-            if !is_isolated {
-                let idx = self.in_flight.partition_point(|it| it.0 <= at);
-                self.in_flight.insert(idx, (at, destination, bytes));
+            if is_isolated {
+                continue;
+            }
+            let is_message = matches!(destination, Destination::Peer { .. });
+            if self.disorder == 0 || !is_message {
+                self.schedule(at, destination, bytes);
+                continue;
+            }
+            // One message in ten is lost, and one in ten arrives twice.
+            let copies = match self.next_random() % 10 {
+                0 => 0,
+                1 => 2,
+                _ => 1,
+            };
+            for _ in 0..copies {
+                let delay = self.next_random() % 40;
+                self.schedule(at + delay, destination, bytes.clone());
             }
         }
     }
+
+    fn schedule(&mut self, at: u64, destination: Destination, bytes: Vec<u8>) {
+        let idx = self.in_flight.partition_point(|it| it.0 <= at);
+        self.in_flight.insert(idx, (at, destination, bytes));
+    }
+
+    fn next_random(&mut self) -> u64 {
+        // Xorshift, whose state is never zero.
+        self.disorder ^= self.disorder << 13;
+        self.disorder ^= self.disorder >> 7;
+        self.disorder ^= self.disorder << 17;
+        self.disorder
+    }
 }
 
 pub(crate) fn route_to_service(address: SocketAddrV4, service: &str) -> Route {
