Drop what waited while a process stood still

Packets age in the receive buffers of balancer and agent, in openings and requests that a balancer retains for a retry, and in openings that an agent would pass on. A woken balancer also took its own stall for an outage of the store, kept endpoints that had left in use for two more seconds, and counted everybody as lost.

Ruled out: a processor quota or a slow machine, which delay a turn of the loop by a tenth of a second or so; the endpoint's answers, which are still delivered, however late.

Change: a turn of the main loop that takes a second longer than planned is a stall. Balancer and agent then drop and count the waiting packets and what they retain; a balancer asks others for news and holds openings until they come, 300 ms at most. Under overload, the loop now looks at signals and changes of the catalog before datagrams, which are always waiting then.

--- a/crates/passthrough-node/src/agent.rs
+++ b/crates/passthrough-node/src/agent.rs
@@ -17,7 +17,7 @@
 use units::Millis;
 
 use crate::{
-    EventLog, LineKind, NodeError, SettingsFile, clock,
+    EventLog, LineKind, NodeError, SettingsFile, StallDetector, clock,
     http_server::{self, ServerState},
     metrics::Exposition,
     udp::{self, Inbox, Outgoing},
@@ -46,6 +46,7 @@
     Stopping { running: u32 },
     Stopped { running: u32 },
     RestartNeeded { field: &'static str },
+    StoodStill { for_ms: u64, discarded: usize },
 }
 
 struct Sockets {
@@ -157,6 +158,7 @@
     let mut inbox = Inbox::new();
     let mut next_metrics = clock::now();
     let mut stop_at: Option<Millis> = None;
+    let mut stalls = StallDetector::new(clock::now());
     loop {
         let now = clock::now();
         if stop_at.is_some_and(|it| now >= it || !agent.has_running_requests()) {
@@ -167,15 +169,10 @@
         }
         let deadline = agent.next_deadline().min(next_metrics);
         let deadline = stop_at.map_or(deadline, |it| it.min(deadline));
+        stalls.plan_wait(now, deadline);
+        // Signals are rare and come first: under overload, datagrams are always waiting.
         let has_work = tokio::select! {
             biased;
-            res = sockets.endpoint.readable() => res.is_ok(),
-            res = sockets.peers.readable() => res.is_ok(),
-            Some(refused) = finished_probes.recv() => {
-                agent.on_endpoint_probed(clock::now(), refused, &mut sockets);
-                false
-            }
-            () = tokio::time::sleep(deadline.since(now).to_duration()) => false,
             _ = terminate.recv() => {
                 agent.begin_shutdown();
                 let running = agent.running_request_count();
@@ -189,8 +186,23 @@
                 }
                 false
             }
+            Some(refused) = finished_probes.recv() => {
+                agent.on_endpoint_probed(clock::now(), refused, &mut sockets);
+                false
+            }
+            res = sockets.endpoint.readable() => res.is_ok(),
+            res = sockets.peers.readable() => res.is_ok(),
+            () = tokio::time::sleep(deadline.since(now).to_duration()) => false,
         };
         let now = clock::now();
+        if let Some(stalled) = stalls.begin_turn(now) {
+            // Answers of the endpoint are delivered, however late; callers' packets are not.
+            let discarded = inbox.discard_waiting(&sockets.peers);
+            agent.on_stall();
+            let for_ms = stalled.get();
+            let event = LifecycleEvent::StoodStill { for_ms, discarded };
+            log.write_line(LineKind::StateChange, &event);
+        }
         if has_work {
             receive_datagrams(now, &mut agent, &mut sockets, &mut inbox);
         }
--- a/crates/passthrough-node/src/balancer.rs
+++ b/crates/passthrough-node/src/balancer.rs
@@ -13,7 +13,7 @@
 use units::{Millis, Revision};
 
 use crate::{
-    EventLog, LineKind, NodeError, SettingsFile,
+    EventLog, LineKind, NodeError, SettingsFile, StallDetector,
     catalog_source::{self, CatalogSource, Confirmation, SourceUpdate},
     clock,
     http_server::{self, ServerState},
@@ -52,6 +52,7 @@
     Stopping { grace_ms: u64 },
     Stopped { after_ms: u64 },
     RestartNeeded { field: &'static str },
+    StoodStill { for_ms: u64, discarded: usize },
 }
 
 struct Sockets {
@@ -135,21 +136,16 @@
         confirmations_tx,
         log,
     ));
+    let mut stalls = StallDetector::new(clock::now());
     while !process.finish_shutdown_if_due(clock::now()) {
-        let sleep = process.next_deadline().since(clock::now()).to_duration();
+        let now = clock::now();
+        let deadline = process.next_deadline();
+        stalls.plan_wait(now, deadline);
+        let sleep = deadline.since(now).to_duration();
+        // Signals and changes of the catalog are rare and come first: under overload, datagrams are
+        // always waiting.
         let has_work = tokio::select! {
             biased;
-            res = process.sockets.callers.readable() => res.is_ok(),
-            res = process.sockets.peers.readable() => res.is_ok(),
-            Some(update) = updates.recv() => {
-                process.on_source_update(update);
-                false
-            }
-            Some(it) = confirmations.recv() => {
-                process.on_source_confirmation(&it);
-                false
-            }
-            () = tokio::time::sleep(sleep) => false,
             _ = terminate.recv() => {
                 process.begin_shutdown(settings_file.current_settings().stop_grace_ms());
                 false
@@ -160,7 +156,21 @@
                 }
                 false
             }
+            Some(update) = updates.recv() => {
+                process.on_source_update(update);
+                false
+            }
+            Some(it) = confirmations.recv() => {
+                process.on_source_confirmation(&it);
+                false
+            }
+            res = process.sockets.callers.readable() => res.is_ok(),
+            res = process.sockets.peers.readable() => res.is_ok(),
+            () = tokio::time::sleep(sleep) => false,
         };
+        if let Some(stalled) = stalls.begin_turn(clock::now()) {
+            process.on_stall(stalled);
+        }
         process.run_loop_iteration(has_work);
         let reloaded = settings_file.reload_if_modified(clock::now(), &process.sockets.log);
         if let Some(settings) = reloaded {
@@ -280,6 +290,19 @@
         );
     }
 
+    /// Drops what waited while the process stood still.
+    fn on_stall(&mut self, stalled: Millis) {
+        let discarded = self.inbox.discard_waiting(&self.sockets.callers)
+            + self.inbox.discard_waiting(&self.sockets.peers);
+        self.balancer
+            .on_stall(clock::now(), stalled, &mut self.sockets);
+        let event = LifecycleEvent::StoodStill {
+            for_ms: stalled.get(),
+            discarded,
+        };
+        self.sockets.log.write_line(LineKind::StateChange, &event);
+    }
+
     /// Applies changed settings; changed addresses of open sockets take effect only after a
     /// restart.
     fn apply_settings(&mut self, settings: &PassthroughBalancerSettings) {
--- a/crates/passthrough-node/src/lib.rs
+++ b/crates/passthrough-node/src/lib.rs
@@ -14,6 +14,7 @@
 mod http_server;
 mod metrics;
 mod settings_file;
+mod stall;
 mod udp;
 
 pub use agent::run_agent_process as run_agent;
@@ -22,3 +23,4 @@
 pub use error::NodeError;
 pub use event_log::{EventLog, LineKind};
 pub use settings_file::SettingsFile;
+pub use stall::StallDetector;
--- a/crates/passthrough-node/src/udp.rs
+++ b/crates/passthrough-node/src/udp.rs
@@ -25,6 +25,10 @@
 /// a tenth of a second to be scheduled.
 const RECEIVE_BUFFER_BYTES: usize = 512 * 1024;
 
+/// Maximum number of batches that are discarded at once; a full receive buffer of the smallest
+/// datagrams holds fewer.
+const DISCARDED_BATCHES_MAX: usize = 1_024;
+
 /// Opens a non-blocking UDP socket.
 pub(crate) fn bind_udp_socket(
     purpose: &'static str,
@@ -100,6 +104,19 @@
         self.received.len()
     }
 
+    /// Discards the datagrams that wait in the socket, and returns their number.
+    pub(crate) fn discard_waiting(&mut self, socket: &UdpSocket) -> usize {
+        let mut discarded = 0;
+        for _ in 0..DISCARDED_BATCHES_MAX {
+            let count = self.receive_batch(socket);
+            discarded += count;
+            if count < BATCH_DATAGRAMS {
+                break;
+            }
+        }
+        discarded
+    }
+
     /// Returns a datagram of the last received batch with its sender.
     pub(crate) fn received_datagram(&mut self, idx: usize) -> (&mut [u8], SocketAddrV4) {
         let (len, sender) = self.received[idx];
--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -126,6 +126,14 @@
         self.stopping = true;
     }
 
+    /// Drops the packets that the agent would forward to other agents, after its process stood still.
+    ///
+    /// Their callers have sent newer copies or have given up. What the endpoint returns of them is
+    /// dropped, too.
+    pub fn on_stall(&mut self) {
+        self.deliveries.clear();
+    }
+
     /// Returns whether the endpoint runs any request or is about to receive one.
     #[must_use]
     pub const fn has_running_requests(&self) -> bool {
--- a/crates/passthrough/src/agent/deliveries.rs
+++ b/crates/passthrough/src/agent/deliveries.rs
@@ -73,6 +73,12 @@
         tag
     }
 
+    /// Stops tracking all deliveries. Tags are not used again.
+    pub(crate) fn clear(&mut self) {
+        self.slots.clear();
+        self.deadlines.clear();
+    }
+
     /// Removes and returns the delivery with the given tag if it belongs to `flow`.
     pub(crate) fn take_delivery(&mut self, tag: u32, flow: Flow) -> Option<Delivery> {
         let slot = self.slots.get_mut(Self::delivery_index(tag))?;
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -50,6 +50,15 @@
 /// One confirmation covers all lookups that failed before the confirmation was requested.
 const CONFIRMATION_INTERVAL_MIN_MS: Millis = Millis::new(100);
 
+/// Time for which a balancer that stood still waits for news of the catalog.
+///
+/// The store's answers are confirmed once a second; a confirmation that is younger than the stall
+/// arrives within that time, or with the answer to a digest.
+const VERIFICATION_TIMEOUT_MS: Millis = Millis::new(300);
+
+/// Time after which an opening that is held for news of the catalog is looked at again.
+const HOLD_STEP_MS: Millis = Millis::new(10);
+
 /// Configuration of a balancer.
 #[derive(Debug, Clone)]
 pub struct BalancerConfig {
@@ -82,6 +91,13 @@
     /// catalog is the newest.
     confirmed_at: Option<Millis>,
     started: Millis,
+    /// Time of the latest stall of the process.
+    stalled_at: Millis,
+    /// Time for which the process stood still since the latest confirmation of the catalog, which is
+    /// no outage of the store.
+    stalled_since_confirmation: Millis,
+    /// Time until which openings are held because the catalog may be outdated after a stall.
+    unverified_until: Option<Millis>,
     retired_sync: RetiredSync,
     stopping: bool,
     is_standby: bool,
@@ -125,6 +141,9 @@
             next_relay: now,
             confirmed_at: None,
             started: now,
+            stalled_at: now,
+            stalled_since_confirmation: Millis::new(0),
+            unverified_until: None,
             retired_sync: RetiredSync::NotSynced,
             stopping: false,
             is_standby: false,
@@ -269,6 +288,40 @@
         self.update_store_reader(now, out);
     }
 
+    /// Drops the packets that the balancer retains, and holds openings until another balancer or the
+    /// store has told it what changed, after its process stood still.
+    ///
+    /// The callers of retained packets have sent newer copies or have given up. A balancer that is
+    /// told nothing goes on with its catalog after a moment, since the store may be down.
+    pub fn on_stall(&mut self, now: Millis, stalled: Millis, out: &mut impl Outbox) {
+        self.openings = PendingOpenings::default();
+        self.lookups.forget_packets();
+        // The silence of others during the stall is this balancer's own.
+        self.agents.forgive_silence();
+        self.peers.forgive_silence(stalled);
+        self.next_notice = now;
+        self.unverified_until = Some(now.plus(VERIFICATION_TIMEOUT_MS));
+        self.stalled_at = now;
+        self.stalled_since_confirmation = self.stalled_since_confirmation.plus(stalled);
+        self.next_digest = now;
+        self.next_pull = now;
+        self.on_timer(now, out);
+    }
+
+    /// Returns whether the catalog may be outdated since the process stood still, and news of it
+    /// are awaited.
+    fn is_awaiting_news(&mut self, now: Millis) -> bool {
+        let Some(until) = self.unverified_until else {
+            return false;
+        };
+        let is_verified = self.confirmed_at.is_some_and(|it| it >= self.stalled_at);
+        if is_verified || now >= until {
+            self.unverified_until = None;
+            return false;
+        }
+        true
+    }
+
     /// Returns the time at which `on_timer` must be called next.
     #[must_use]
     pub fn next_deadline(&mut self) -> Millis {
--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -202,6 +202,13 @@
         }
     }
 
+    /// Expects no replies to the notices sent so far.
+    pub(crate) fn forgive_silence(&mut self) {
+        for state in &mut self.agents {
+            state.unanswered_since = None;
+        }
+    }
+
     /// Marks agents whose replies are overdue as lost.
     pub(crate) fn mark_lost_agents(&mut self, now: Millis, out: &mut impl Outbox) {
         for state in &mut self.agents {
--- a/crates/passthrough/src/balancer/catalog_sync.rs
+++ b/crates/passthrough/src/balancer/catalog_sync.rs
@@ -157,6 +157,7 @@
             return;
         }
         self.confirmed_at = Some(now);
+        self.stalled_since_confirmation = Millis::new(0);
         if !self.knows_retired_endpoints(now) {
             return;
         }
@@ -546,9 +547,10 @@
 
     /// Records the store's recovery if the store's response at `at` is the first after an outage.
     pub(super) fn detect_store_recovery(&mut self, at: Millis) {
+        let own_stalls = std::mem::take(&mut self.stalled_since_confirmation);
         let was_unavailable = self
             .confirmed_at
-            .is_some_and(|it| at.since(it) > STORE_OUTAGE_MIN_MS);
+            .is_some_and(|it| at.since(it).since(own_stalls) > STORE_OUTAGE_MIN_MS);
         if was_unavailable {
             self.store_recovered_at = Some(at);
         }
--- a/crates/passthrough/src/balancer/lookups.rs
+++ b/crates/passthrough/src/balancer/lookups.rs
@@ -210,6 +210,12 @@
         }
     }
 
+    /// Drops all lookups with the packets that are retained for their retries.
+    pub(crate) fn forget_packets(&mut self) {
+        self.by_flow.clear();
+        self.retries.clear();
+    }
+
     pub(crate) fn remove_expired_lookups(&mut self, now: Millis) {
         self.by_flow
             .retain(|_, it| now.since(it.started) <= LOOKUP_RETENTION_MS);
--- a/crates/passthrough/src/balancer/openings.rs
+++ b/crates/passthrough/src/balancer/openings.rs
@@ -62,6 +62,11 @@
         u8::try_from(self.offered_to.len()).unwrap_or(u8::MAX)
     }
 
+    /// Postpones the next offer of the opening packet.
+    pub(crate) const fn hold_until(&mut self, time: Millis) {
+        self.retry_at = time;
+    }
+
     pub(crate) fn record_offer(&mut self, now: Millis, agent: Ipv4Addr) {
         self.offered_to.push(agent);
         self.retry_at = now.plus(match self.offered_to.len() {
--- a/crates/passthrough/src/balancer/peers.rs
+++ b/crates/passthrough/src/balancer/peers.rs
@@ -173,6 +173,14 @@
         }
     }
 
+    /// Leaves a time in which this balancer stood still out of the ages of all statuses.
+    pub(crate) fn forgive_silence(&mut self, stalled: Millis) {
+        for peer in &mut self.known {
+            peer.last_heard_at = peer.last_heard_at.map(|at| at.plus(stalled));
+            peer.added_at = peer.added_at.plus(stalled);
+        }
+    }
+
     /// Marks balancers without a recent status as lost, and removes those that have been lost for
     /// `PEER_RETENTION_MS`.
     pub(crate) fn remove_silent_peers(&mut self, now: Millis, out: &mut impl Outbox) {
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -5,7 +5,7 @@
 
 use units::Millis;
 
-use super::{Balancer, openings::PendingOpening};
+use super::{Balancer, HOLD_STEP_MS, openings::PendingOpening};
 use crate::{
     DropReason, Endpoint, EndpointState, Event, Flow, Outbox, PacketFormat, ResetReason, Segment,
     ServiceKey,
@@ -38,6 +38,11 @@
             self.counters.openings_expired += 1;
             return;
         }
+        if self.is_awaiting_news(now) {
+            opening.hold_until(now.plus(HOLD_STEP_MS));
+            self.openings.insert_opening(opening);
+            return;
+        }
         let flow = opening.flow;
         self.view.collect_endpoint_subset(
             opening.service,
--- a/crates/passthrough/tests/support/mod.rs
+++ b/crates/passthrough/tests/support/mod.rs
@@ -274,6 +274,30 @@
         });
     }
 
+    /// Tells a balancer that its process stood still until now.
+    pub(crate) fn wake_balancer(&mut self, number: u8, stalled_ms: u64) {
+        self.with_balancer(balancer_ip(number), |balancer, now, out| {
+            balancer.on_stall(now, Millis::new(stalled_ms), out);
+        });
+    }
+
+    /// Tells an agent that its process stood still until now.
+    pub(crate) fn wake_agent(&mut self, number: u8) {
+        self.with_agent(agent_ip(number), |agent, _, _| agent.on_stall());
+    }
+
+    /// Removes a balancer from the network, so that neither messages nor timers reach it, until it is
+    /// put back.
+    pub(crate) fn freeze_balancer(&mut self, number: u8) -> Balancer<TestFormat> {
+        self.balancers
+            .remove(&balancer_ip(number))
+            .expect("the balancer runs")
+    }
+
+    pub(crate) fn unfreeze_balancer(&mut self, number: u8, balancer: Balancer<TestFormat>) {
+        self.balancers.insert(balancer_ip(number), balancer);
+    }
+
     /// Asks a balancer to shut down; the balancer still forwards packets.
     pub(crate) fn shut_down_balancer(&mut self, number: u8) {
         self.with_balancer(balancer_ip(number), |balancer, now, out| {
