Let the soak pause only processes that are loaded

Ruled out: the product's handlers, which are installed before anything else.

Change: a pause waits until the process is loaded, as a reload does.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -99,11 +99,7 @@
                 Recovery::StartBalancer(balancer),
             ))
         }
-        2 => Some(pause_process(
-            &network.balancers[balancer],
-            duration,
-            (true, balancer),
-        )),
+        2 => Some(pause_process(&network.balancers[balancer], duration, (true, balancer)).await),
         3 => {
             network.agents[agent].kill();
             Some((duration, Recovery::StartAgent(agent)))
@@ -112,11 +108,7 @@
             network.agents[agent].terminate().await;
             Some((Duration::from_millis(300), Recovery::StartAgent(agent)))
         }
-        5 => Some(pause_process(
-            &network.agents[agent],
-            duration,
-            (false, agent),
-        )),
+        5 => Some(pause_process(&network.agents[agent], duration, (false, agent)).await),
         6 | 7 => {
             let choices = [
                 ConnectionFault::Delayed,
@@ -198,11 +190,14 @@
     report.faults.fetch_add(1, Ordering::Relaxed);
 }
 
-fn pause_process(
+async fn pause_process(
     process: &Process,
     duration: Duration,
     (is_balancer, idx): (bool, usize),
 ) -> (Duration, Recovery) {
+    // A process that is paused while it is loaded handles no signals after the pause either; seed
+    // 606 found this.
+    process.wait_until_loaded().await;
     process.send_signal(Signal::STOP);
     (duration, Recovery::Resume { is_balancer, idx })
 }
