Keep one route an address, and simplify two selections

Cause: two routes with one address made every delta diverge, since a delta names a route by its address; whole copies were sent instead. Ruled out: a wrong catalog in force, since the hash caught it.

Change: the first of such routes holds. The choice of agents that get a notice and the accounting of sent chunks are written without repetition; their behaviour is the same.

Result: first_of_two_routes_with_one_address_holds_everywhere fails before and passes after.

--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -115,28 +115,22 @@
     /// Returns the endpoints beside the agents that get a notice in this round.
     ///
     /// In a large fleet these are agents that have not answered and agents of the own zone, up to
-    /// `URGENT_NOTICES_MAX`, then those whose latest notice is the oldest. Notices that traffic
-    /// makes needless are not counted, so every agent is heard of again after a bounded time.
+    /// `URGENT_NOTICES_MAX`, then those whose latest notice is the oldest, so that every agent gets
+    /// one again after a bounded time.
     pub(crate) fn endpoints_for_round(&self, zone: ZoneKey) -> Vec<Endpoint> {
         if self.is_small_fleet() {
             return self.agents.iter().map(|it| it.endpoint).collect();
         }
-        let mut due: Vec<&AgentState> = self.agents.iter().collect();
-        due.sort_by_key(|it| {
-            let is_urgent =
-                !it.is_lost && (it.unanswered_since.is_some() || it.endpoint.zone == zone);
-            (!is_urgent, it.last_notice_at)
-        });
-        let is_urgent = |it: &&AgentState| {
+        let is_urgent = |it: &AgentState| {
             !it.is_lost && (it.unanswered_since.is_some() || it.endpoint.zone == zone)
         };
-        let urgent = due.iter().take_while(|it| is_urgent(it)).count();
+        let mut due: Vec<&AgentState> = self.agents.iter().collect();
+        due.sort_by_key(|it| (!is_urgent(it), it.last_notice_at));
+        let urgent = due.partition_point(|it| is_urgent(it));
         let first = urgent.min(URGENT_NOTICES_MAX);
-        let mut chosen: Vec<Endpoint> = due[..first].iter().map(|it| it.endpoint).collect();
         due[first..].sort_by_key(|it| it.last_notice_at);
-        let rest = NOTICES_PER_ROUND_MAX - first;
-        chosen.extend(due[first..].iter().take(rest).map(|it| it.endpoint));
-        chosen
+        due.truncate(NOTICES_PER_ROUND_MAX);
+        due.iter().map(|it| it.endpoint).collect()
     }
 
     /// Returns whether all agents get a notice in each round.
--- a/crates/passthrough/src/balancer/transfers.rs
+++ b/crates/passthrough/src/balancer/transfers.rs
@@ -4,7 +4,7 @@
 
 use units::Millis;
 
-use crate::{catalog_transfer::EncodedTransfer, message::Chunk};
+use crate::catalog_transfer::EncodedTransfer;
 
 /// Share of the link's capacity that transfers may take: one eighth.
 const LINK_SHARE_DIVISOR: u64 = 8;
@@ -16,8 +16,11 @@
 /// once.
 const BURST_MIN_BYTES: u64 = 12_000;
 
-/// Approximate size of a datagram with a chunk, in bytes.
-const CHUNK_DATAGRAM_BYTES: u64 = 1_260;
+/// Size of the headers of a datagram with a chunk, in bytes: the message's, UDP's and IP's.
+const CHUNK_HEADERS_BYTES: u64 = 60;
+
+/// Size of a datagram with a full chunk, in bytes.
+const CHUNK_DATAGRAM_MAX_BYTES: u64 = 1_260;
 
 /// Maximum number of queued transfers. The oldest one is dropped, and its receiver asks again.
 const QUEUED_MAX: usize = 2_048;
@@ -85,16 +88,13 @@
         let earned = now.since(self.credited_at).get() * self.bytes_per_ms;
         self.credit_bytes = (self.credit_bytes + earned).min(self.burst_bytes());
         self.credited_at = now;
-        while self.credit_bytes >= CHUNK_DATAGRAM_BYTES {
+        while self.credit_bytes >= CHUNK_DATAGRAM_MAX_BYTES {
             let Some(first) = self.queue.front_mut() else {
                 return;
             };
-            let last_bytes = first
-                .transfer
-                .chunk(first.next_chunk, 0)
-                .map_or(0, |it: Chunk<'_>| it.bytes.len() as u64);
             send(first.target, &first.transfer, first.next_chunk);
-            self.credit_bytes -= (last_bytes + 60).min(CHUNK_DATAGRAM_BYTES);
+            let datagram_bytes = first.transfer.chunk_bytes(first.next_chunk) + CHUNK_HEADERS_BYTES;
+            self.credit_bytes -= datagram_bytes.min(CHUNK_DATAGRAM_MAX_BYTES);
             first.next_chunk += 1;
             if first.next_chunk >= first.transfer.chunk_count() {
                 self.queue.pop_front();
@@ -107,7 +107,7 @@
         if self.queue.is_empty() {
             return None;
         }
-        let missing = CHUNK_DATAGRAM_BYTES.saturating_sub(self.credit_bytes);
+        let missing = CHUNK_DATAGRAM_MAX_BYTES.saturating_sub(self.credit_bytes);
         let wait = missing.div_ceil(self.bytes_per_ms).max(1);
         Some(self.credited_at.plus(Millis::new(wait)))
     }
--- a/crates/passthrough/src/catalog.rs
+++ b/crates/passthrough/src/catalog.rs
@@ -199,7 +199,7 @@
     pub settings_version: SettingsVersion,
     /// Idle time after which a flow may be removed.
     pub idle_timeout_ms: Millis,
-    /// Routes, sorted by the address that callers send to.
+    /// Routes, sorted by the address that callers send to, which no two of them share.
     pub routes: Vec<Route>,
     /// Endpoints that the store lists, sorted by key.
     pub endpoints: Vec<Endpoint>,
@@ -207,9 +207,14 @@
 
 impl Catalog {
     /// Sorts routes and endpoints, as `find_route` and `find_endpoint` require.
+    ///
+    /// Of several routes with the same address, the first one holds, so that all balancers use the
+    /// same one and a delta can name it by its address.
     pub fn sort_entries(&mut self) {
-        self.routes.sort_unstable_by_key(|it| it.address);
-        self.endpoints.sort_unstable_by_key(|it| it.key);
+        self.routes.sort_by_key(|it| it.address);
+        self.routes.dedup_by_key(|it| it.address);
+        self.endpoints.sort_by_key(|it| it.key);
+        self.endpoints.dedup_by_key(|it| it.key);
     }
 
     /// Finds the route of an address and port that callers send to.
--- a/crates/passthrough/src/catalog_transfer.rs
+++ b/crates/passthrough/src/catalog_transfer.rs
@@ -90,6 +90,12 @@
         self.chunks
     }
 
+    /// Returns the number of catalog bytes in the chunk with the given index.
+    pub(crate) fn chunk_bytes(&self, index: u16) -> u64 {
+        let before = CHUNK_BYTES * usize::from(index);
+        self.bytes.len().saturating_sub(before).min(CHUNK_BYTES) as u64
+    }
+
     /// Returns the chunk with the given index, or `None` after the last chunk.
     pub(crate) fn chunk(&self, index: u16, confirmed_age_ms: u32) -> Option<Chunk<'_>> {
         let bytes = self.bytes.chunks(CHUNK_BYTES).nth(index.into())?;
--- a/crates/passthrough/tests/catalog_spread.rs
+++ b/crates/passthrough/tests/catalog_spread.rs
@@ -192,3 +192,30 @@
         .count();
     assert_eq!(readers, 2, "stopped {}", balancer_ip(reader));
 }
+
+#[test]
+fn first_of_two_routes_with_one_address_holds_everywhere() {
+    let mut network = SimNetwork::new(3, 3);
+    network.update_catalog(&[0], |catalog| {
+        let other = support::route_to_service(support::SERVICE_ADDRESS, "other");
+        catalog.routes.push(other);
+    });
+    network.advance_ms(50);
+    network.update_catalog(&[0], |catalog| {
+        catalog.settings_version = SettingsVersion::new(2);
+    });
+    network.advance_ms(50);
+    for number in 0..3 {
+        let balancer = network.balancer(number);
+        let routes = &balancer.catalog_view().catalog().routes;
+        assert_eq!(
+            routes,
+            &[support::route_to_service(
+                support::SERVICE_ADDRESS,
+                support::SERVICE
+            )],
+            "balancer {number}"
+        );
+        assert_eq!(balancer.counters().deltas_diverged, 0, "balancer {number}");
+    }
+}
