Move reader duty and standby to a module of their own

Ruled out: a change of behaviour, the functions and constants are moved as they were.

Change: balancer/duties.rs decides who reads the store and who stands by.

Result: the tests of the crate pass.

--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -4,6 +4,7 @@
 mod agents;
 mod catalog_sync;
 mod counters;
+mod duties;
 mod flows;
 mod lookups;
 mod notices;
--- a/crates/passthrough/src/balancer/catalog_sync.rs
+++ b/crates/passthrough/src/balancer/catalog_sync.rs
@@ -1,4 +1,4 @@
-//! Distributes the catalog among balancers and decides which of them read the store.
+//! Distributes the catalog among balancers.
 //!
 //! A change goes as a delta from the balancer that read it to all others of a small fleet. In a
 //! large fleet it goes to the relays of each availability zone, and from these to their zone. What
@@ -19,12 +19,6 @@
     message::{Chunk, Digest, Member, PeerStatus, write_catalog_chunk, write_digest},
 };
 
-/// Age of the latest store confirmation above which every balancer reads the store itself.
-///
-/// Balancers that read the store renew the confirmation once a second, so an older confirmation
-/// means that these readers failed or are partitioned.
-const CONFIRMATION_STALE_MS: Millis = Millis::new(1_700);
-
 /// Period after startup in which a balancer asks its peers for the retired endpoints, which the
 /// store does not hold.
 ///
@@ -67,22 +61,6 @@
 /// still be running.
 const ENTRY_RENEWAL_MS: Millis = Millis::new(2_000);
 
-/// Number of balancers that read the store in normal operation. With two readers, the loss of one
-/// has no effect.
-const STORE_READERS: usize = 2;
-
-/// Number of balancers of a large fleet that begin to read the store at the same time when the
-/// readers have failed.
-const STANDBY_READERS: usize = 4;
-
-/// Time after which the next `STANDBY_READERS` balancers begin to read the store, too. A balancer
-/// that reads the store tells the others within it.
-const STANDBY_READERS_STEP_MS: u64 = 250;
-
-/// Maximum additional age of the latest store confirmation at which every balancer of a large fleet
-/// reads the store itself.
-const STANDBY_READERS_DELAY_MAX_MS: u64 = 1_000;
-
 /// Time after a request for the changes of the catalog until the balancer asks again, possibly
 /// another balancer.
 const PULL_RETRY_MS: Millis = Millis::new(200);
@@ -564,58 +542,6 @@
             .unwrap_or(u32::MAX)
     }
 
-    /// Enters standby if enough balancers of the zone have much faster links, or leaves standby.
-    pub(super) fn update_standby(&mut self, now: Millis, out: &mut impl Outbox) {
-        let stands_by = self
-            .peers
-            .should_stand_by(now, self.config.address, self.status());
-        if stands_by == self.is_standby {
-            return;
-        }
-        self.is_standby = stands_by;
-        out.report_event(Event::Standby {
-            stands_by,
-            link_mbps: self.config.link_mbps,
-            peers: self.peers.len(),
-        });
-    }
-
-    /// Updates this balancer's rank among the balancers that may read the store.
-    pub(super) fn update_reader_rank(&mut self, now: Millis) {
-        self.reader_rank = self
-            .peers
-            .store_reader_rank(now, self.config.address, self.status());
-    }
-
-    /// Starts or stops reading the store, depending on the age of the latest store confirmation and
-    /// on this balancer's rank among the readers.
-    pub(super) fn update_store_reader(&mut self, now: Millis, out: &mut impl Outbox) {
-        let stale_after = CONFIRMATION_STALE_MS.plus(self.standby_reader_delay());
-        let is_stale = self
-            .confirmed_at
-            .is_none_or(|it| now.since(it) > stale_after);
-        let reads = is_stale || (self.reader_rank < STORE_READERS && !self.stopping);
-        if reads == self.reads_store {
-            return;
-        }
-        self.reads_store = reads;
-        out.report_event(Event::StoreDuty {
-            reads,
-            peers: self.peers.len(),
-            freshest_age_ms: u64::from(self.confirmed_age_ms(now)),
-        });
-    }
-
-    /// Returns how much longer than others this balancer waits until it takes over from failed store
-    /// readers. In a large fleet a few take over first, so that not all call the store at once.
-    fn standby_reader_delay(&self) -> Millis {
-        if self.peers.is_small_fleet() {
-            return Millis::new(0);
-        }
-        let step = (self.reader_rank / STANDBY_READERS) as u64;
-        Millis::new((step * STANDBY_READERS_STEP_MS).min(STANDBY_READERS_DELAY_MAX_MS))
-    }
-
     /// Adds seed addresses, at which other balancers may be running.
     pub fn add_seed_balancers(&mut self, now: Millis, seeds: &[Ipv4Addr]) {
         for seed in seeds.iter().filter(|it| **it != self.config.address) {
