Drop waiting packets also when timers wake a stopped process

A process that is stopped while it waits is woken by its timers before the runtime has noticed the datagrams, and the discarding read was skipped for a socket without noted readiness; the datagrams came as fresh ones a turn later. Earlier passes of the test were a race: the signal had not yet taken effect when the packet was sent.

Change: the discarding read goes to the socket itself. The test waits until the process is stopped.

--- a/crates/lovagehall/tests/frozen_balancer.rs
+++ b/crates/lovagehall/tests/frozen_balancer.rs
@@ -62,6 +62,15 @@
         kill_process(pid, signal).unwrap();
     }
 
+    /// Stops the process, and returns once it stands still.
+    fn stop_process(&self) {
+        self.signal(Signal::STOP);
+        let path = format!("/proc/{}/stat", self.child.id());
+        while !fs::read_to_string(&path).unwrap().contains(") T ") {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Sends the packet that opens the flow of a caller's port.
     fn send_opening(&self, caller_port: u16) {
         let mut packet = Vec::new();
@@ -156,7 +165,7 @@
     });
     assert!(is_serving);
     thread::sleep(Duration::from_secs(2));
-    fixture.signal(Signal::STOP);
+    fixture.stop_process();
     fixture.send_opening(50_001);
     thread::sleep(STOPPED);
     fixture.signal(Signal::CONT);
--- a/crates/passthrough-node/src/udp.rs
+++ b/crates/passthrough-node/src/udp.rs
@@ -73,27 +73,7 @@
         // A pending socket error, caused by a datagram that its target rejected, also ends the
         // batch.
         let _empty = socket.try_io(Interest::READABLE, || {
-            let mut buffers = self.buffers.iter_mut();
-            let mut slices: [[IoSliceMut<'_>; 1]; BATCH_DATAGRAMS] = std::array::from_fn(|_| {
-                [IoSliceMut::new(match buffers.next() {
-                    Some(buffer) => buffer,
-                    None => &mut [],
-                })]
-            });
-            let results = recvmmsg(
-                socket.as_raw_fd(),
-                &mut self.headers,
-                slices.iter_mut(),
-                MsgFlags::MSG_DONTWAIT,
-                None,
-            )?;
-            for it in results {
-                // A datagram without an IPv4 sender can't be answered, so it gets a placeholder.
-                let (ip, port) = it
-                    .address
-                    .map_or((Ipv4Addr::UNSPECIFIED, 0), |from| (from.ip(), from.port()));
-                self.received.push((it.bytes, SocketAddrV4::new(ip, port)));
-            }
+            self.receive_now(socket)?;
             if self.received.len() < BATCH_DATAGRAMS {
                 // The socket has no more datagrams. This call clears the socket's readiness, so
                 // that the next wait blocks.
@@ -105,18 +85,49 @@
     }
 
     /// Discards the datagrams that wait in the socket, and returns their number.
+    ///
+    /// The socket is read whether the runtime has noticed the datagrams or not: a process that was
+    /// stopped while it waited is woken by its timers first.
     pub(crate) fn discard_waiting(&mut self, socket: &UdpSocket) -> usize {
         let mut discarded = 0;
         for _ in 0..DISCARDED_BATCHES_MAX {
-            let count = self.receive_batch(socket);
-            discarded += count;
-            if count < BATCH_DATAGRAMS {
+            // An error is that of an earlier datagram, or the socket has no more datagrams.
+            let _empty = self.receive_now(socket);
+            discarded += self.received.len();
+            if self.received.len() < BATCH_DATAGRAMS {
                 break;
             }
         }
         discarded
     }
 
+    /// Reads the socket once, without waiting.
+    fn receive_now(&mut self, socket: &UdpSocket) -> io::Result<()> {
+        self.received.clear();
+        let mut buffers = self.buffers.iter_mut();
+        let mut slices: [[IoSliceMut<'_>; 1]; BATCH_DATAGRAMS] = std::array::from_fn(|_| {
+            [IoSliceMut::new(match buffers.next() {
+                Some(buffer) => buffer,
+                None => &mut [],
+            })]
+        });
+        let results = recvmmsg(
+            socket.as_raw_fd(),
+            &mut self.headers,
+            slices.iter_mut(),
+            MsgFlags::MSG_DONTWAIT,
+            None,
+        )?;
+        for it in results {
+            // A datagram without an IPv4 sender can't be answered, so it gets a placeholder.
+            let (ip, port) = it
+                .address
+                .map_or((Ipv4Addr::UNSPECIFIED, 0), |from| (from.ip(), from.port()));
+            self.received.push((it.bytes, SocketAddrV4::new(ip, port)));
+        }
+        Ok(())
+    }
+
     /// Returns a datagram of the last received batch with its sender.
     pub(crate) fn received_datagram(&mut self, idx: usize) -> (&mut [u8], SocketAddrV4) {
         let (len, sender) = self.received[idx];
