--- /dev/null
+++ b/review/standins/silence.rs
@@ -0,0 +1,88 @@
+//! Idle connections to the store go silent for good. Later the two machines that read the store lose
+//! power, and an endpoint begins to drain.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    load::{count_late_openings, purchase_config, start_purchases},
+    record::Record,
+    world::{HANMAEUL, World, with_trouble},
+};
+
+/// Time without data after which a connection is forgotten between its ends.
+const IDLE: Duration = Duration::from_secs(4);
+/// Time from the silence of the connections until the loss of the two machines. The rules' time in
+/// which a machine isn't in touch is 4 s.
+const CALM: Duration = Duration::from_secs(12);
+/// Time for which the two machines are dark.
+const DARK: Duration = Duration::from_millis(3_500);
+const DRAIN_BOUND: Duration = Duration::from_millis(3_000);
+/// Time for which the endpoint goes on serving after `DRAIN_BOUND`.
+const LINGERS: Duration = Duration::from_millis(1_500);
+
+pub fn run(record: &Record) -> Result<bool, String> {
+    let mut world = World::start(&HANMAEUL, record.clone())?;
+    let route = world.route_address(1);
+    world.store.put("op/config", &purchase_config(route));
+    world.start_endpoints()?;
+    world.wait_until_ready()?;
+    thread::sleep(Duration::from_secs(9));
+
+    if with_trouble() {
+        for (program, proxy) in world.edges.iter().zip(&world.proxies) {
+            let count = proxy.forget_idle_connections(IDLE);
+            let name = &program.name;
+            record.add(format!("{count} idle connections of {name} to the store go silent"));
+        }
+    }
+    thread::sleep(CALM);
+
+    let readers: Vec<usize> = (0..world.edges.len())
+        .filter(|it| world.proxies[*it].was_used_within(Duration::from_millis(1_500)))
+        .collect();
+    record.add(format!("machines that read the store: {readers:?}"));
+    if readers.len() != 2 {
+        return Err(format!("{} machines read the store, not two", readers.len()));
+    }
+
+    let traffic = start_purchases(&world, route, Duration::from_secs(8))?;
+    thread::sleep(Duration::from_secs(1));
+    // The machine that reads the store has just been answered, and calls again.
+    let end = Instant::now() + Duration::from_secs(3);
+    while !world.proxies[readers[0]].was_used_within(Duration::from_millis(5)) {
+        if Instant::now() > end {
+            return Err("the store wasn't called for 3 s".to_owned());
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+    thread::sleep(Duration::from_millis(20));
+
+    let dark_at = Instant::now();
+    if with_trouble() {
+        for idx in &readers {
+            record.add(format!("{} loses power", world.edges[*idx].name));
+            world.edges[*idx].kill();
+        }
+    }
+    thread::sleep(Duration::from_millis(20));
+    let draining = world.endpoints[0].clone();
+    let acknowledged = draining.report("draining");
+
+    thread::sleep(DARK.saturating_sub(dark_at.elapsed()));
+    if with_trouble() {
+        for idx in &readers {
+            record.add(format!("{} starts again", world.edges[*idx].name));
+            world.edges[*idx].start().map_err(|err| err.to_string())?;
+        }
+    }
+    thread::sleep((DRAIN_BOUND + LINGERS).saturating_sub(acknowledged.elapsed()));
+    draining.leave();
+    let _ = traffic.join();
+
+    let late = count_late_openings(record, &draining, acknowledged, DRAIN_BOUND);
+    world.finish(std::env::var_os("KEEP_LOGS").is_some());
+    Ok(late > 0)
+}
