review: openings at a draining endpoint while a slow link keeps confirmations young

Cause: the age of the store's confirmation doesn't count the time that a digest takes on its way, so a confirmation that goes round hardly ages. Added: the script of case 3 with a relay for one machine's messages; the cases are numbered by gravity, the odd entry is case 2, the silent connections case 4.

--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -35,6 +35,8 @@
 #[derive(Clone)]
 pub struct Router {
     nodes: Arc<Mutex<Vec<Node>>>,
+    /// The machines that each client's copies of an opening packet were sent to.
+    openings: Arc<Mutex<HashMap<SocketAddrV4, Vec<Ipv4Addr>>>>,
     packet_port: u16,
 }
 
@@ -51,6 +53,7 @@
                     })
                     .collect(),
             )),
+            openings: Arc::default(),
             packet_port,
         };
         for (idx, (ip, _)) in nodes.iter().enumerate() {
@@ -76,6 +79,12 @@
         nodes.iter().filter(|it| it.misses < 2).count()
     }
 
+    /// Returns the machines that the opening packets of a client's flow were sent to.
+    pub fn machines_of_opening(&self, src: SocketAddrV4) -> Vec<Ipv4Addr> {
+        let openings = self.openings.lock().unwrap();
+        openings.get(&src).cloned().unwrap_or_default()
+    }
+
     /// Returns the node that a packet is forwarded to. Only the flows of a node that joins or
     /// leaves the rotation move.
     fn pick(&self, zone: &str, src: SocketAddrV4, dst: SocketAddrV4) -> SocketAddrV4 {
@@ -236,7 +245,9 @@
                 let distance = packet.seq.wrapping_sub(self.acknowledged).cast_signed();
                 if packet.is_system_reset() {
                     if distance.unsigned_abs() <= RESET_WINDOW {
-                        record.add(format!("client {client} gets a system reset on an open flow"));
+                        record.add(format!(
+                            "client {client} gets a system reset on an open flow"
+                        ));
                         return Outcome::SystemReset;
                     }
                 } else if packet.has(RST) {
@@ -281,6 +292,10 @@
         let packet = Packet::new(self.src, self.dst, flags, seq, ack, data);
         let client = &self.client;
         let node = client.router.pick(&client.zone, self.src, self.dst);
+        if flags == SYN {
+            let mut openings = client.router.openings.lock().unwrap();
+            openings.entry(self.src).or_default().push(*node.ip());
+        }
         // A packet to a node that isn't running is lost.
         let _ = client.socket.send_to(&packet.encode(), node);
     }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,11 +3,14 @@
 
 mod client;
 mod endpoint;
+mod fraction;
+mod link;
 mod load;
 mod odd;
 mod packet;
 mod proxy;
 mod record;
+mod relay;
 mod silence;
 mod store;
 mod weights;
@@ -30,6 +33,8 @@
     let record = Record::new();
     let result = match name.as_str() {
         "weights" => weights::run(&record),
+        "fraction" => fraction::run(&record),
+        "link" => link::run(&record),
         "odd" => odd::run(&record),
         "silence" => silence::run(&record),
         _ => Err(format!("there is no case {name}")),
--- a/review/standins/packet.rs
+++ b/review/standins/packet.rs
@@ -110,12 +110,9 @@
         copy.pad = 0;
         copy.echo = 0;
         copy.sum = SUM_KEY;
-        let hash = copy
-            .encode()
-            .iter()
-            .fold(0x811C_9DC5_u32, |hash, byte| {
-                (hash ^ u32::from(*byte)).wrapping_mul(0x0100_0193)
-            });
+        let hash = copy.encode().iter().fold(0x811C_9DC5_u32, |hash, byte| {
+            (hash ^ u32::from(*byte)).wrapping_mul(0x0100_0193)
+        });
         hash.max(1)
     }
 }
