--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -20,9 +20,10 @@
     ServiceKey,
     message::{
         Body, Candidate, Candidates, FlowHeld, FlowNotHeld, Forward, Instances, LoadReport,
-        LookupRequest, PacketClass, REPORTED_BALANCERS_MAX, Returned, StateNotice,
-        UTILIZATION_CLOSED, UTILIZATION_FULL, Utilization, write_flow_held, write_flow_not_held,
-        write_forwarded_packet, write_load_report, write_returned_packet,
+        LookupRequest, PacketClass, REPORTED_BALANCERS_MAX, REPORTED_ROUTES_MAX, Returned,
+        RouteAddress, StateNotice, UTILIZATION_CLOSED, UTILIZATION_FULL, Utilization,
+        write_flow_held, write_flow_not_held, write_forwarded_packet, write_load_report,
+        write_returned_packet,
     },
 };
 use deliveries::{Delivery, PendingDeliveries};
@@ -539,7 +540,12 @@
 
     fn send_flow_held(&mut self, now: Millis, origin: Ipv4Addr, flow: Flow, out: &mut impl Outbox) {
         let utilization = self.reported_utilization(now);
-        write_flow_held(FlowHeld { flow, utilization }, &mut self.scratch);
+        let flow_held = FlowHeld {
+            flow,
+            service: self.config.service,
+            utilization,
+        };
+        write_flow_held(flow_held, &mut self.scratch);
         out.send_to_peer(origin, &self.scratch);
     }
 
@@ -577,9 +583,19 @@
             *slot = address.octets();
             len += 1;
         }
+        let mut routes = self.flows.route_addresses();
+        let lists_every_route =
+            routes.len() <= REPORTED_ROUTES_MAX && self.flows.includes_every_flow(now);
+        let route_turn = self.report_turn % routes.len().max(1);
+        routes.rotate_left(route_turn);
+        routes.truncate(REPORTED_ROUTES_MAX);
+        let routes: Vec<RouteAddress> = routes.into_iter().map(RouteAddress::from).collect();
         let report = LoadReport {
+            service: self.config.service,
             utilization: self.reported_utilization(now),
             idle_utilization: self.idle_utilization(),
+            lists_every_route,
+            routes: &routes,
             balancers: Instances::new(&others[..len]),
         };
         write_load_report(report, &mut self.scratch);
--- a/crates/passthrough/src/agent/held_flows.rs
+++ b/crates/passthrough/src/agent/held_flows.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{HashMap, VecDeque},
-    net::Ipv4Addr,
+    net::{Ipv4Addr, SocketAddrV4},
 };
 
 use units::Millis;
@@ -63,6 +63,13 @@
     /// Invariant: `idle_flows` equals the number of flows whose load class is `LoadClass::Idle`.
     idle_flows: u32,
     usage: IdleFlowUsage,
+    /// Time since which every flow that the endpoint uses is in `flows`, or `None` before the first
+    /// sweep.
+    ///
+    /// The endpoint may hold older flows if only the agent restarted.
+    tracked_since: Option<Millis>,
+    /// Whether the endpoint is known to have held no flow at some time since `tracked_since`.
+    was_empty: bool,
     last_sweep: Option<Millis>,
     /// Flows on which a request is expected, with the time since which it is expected, oldest
     /// first.
@@ -77,6 +84,8 @@
             load: 0,
             idle_flows: 0,
             usage: IdleFlowUsage::default(),
+            tracked_since: None,
+            was_empty: false,
             last_sweep: None,
             expected_requests: VecDeque::new(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT_MS,
@@ -268,8 +277,10 @@
         Some(held)
     }
 
-    /// Removes all flows and returns the open flows, each with the sequence number for its reset.
+    /// Removes all flows, since the endpoint's process is gone, and returns the open flows, each with
+    /// the sequence number for its reset.
     pub(crate) fn take_open_flows(&mut self) -> Vec<(Flow, u32)> {
+        self.was_empty = true;
         let flows = std::mem::take(&mut self.flows);
         self.load = 0;
         self.idle_flows = 0;
@@ -283,8 +294,30 @@
         open
     }
 
+    /// Returns the addresses of the routes of which the endpoint holds flows, in ascending order.
+    pub(crate) fn route_addresses(&self) -> Vec<SocketAddrV4> {
+        let held = self
+            .flows
+            .iter()
+            .filter(|(_, held)| held.phase > Phase::Unconfirmed && !held.is_closed_by_both_ends());
+        let mut addresses: Vec<SocketAddrV4> = held.map(|it| it.0.service_address).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
+    /// Returns whether every flow that the endpoint may hold is known.
+    ///
+    /// After a restart of the agent, an idle flow is unknown until its next packet, which comes
+    /// within the idle timeout.
+    pub(crate) fn includes_every_flow(&self, now: Millis) -> bool {
+        let is_old = |it| now.since(it) > self.idle_timeout;
+        self.was_empty || self.tracked_since.is_some_and(is_old)
+    }
+
     /// Removes flows that are no longer used, and updates the usage estimate of idle flows.
     pub(crate) fn remove_unused_flows(&mut self, now: Millis) {
+        self.tracked_since.get_or_insert(now);
         self.expire_expected_requests(now);
         debug_assert_eq!(
             (self.load, self.idle_flows),
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -6,6 +6,7 @@
 mod counters;
 mod duties;
 mod flows;
+mod former_targets;
 mod lookups;
 mod notices;
 mod openings;
@@ -29,6 +30,7 @@
 use agents::Agents;
 use catalog_sync::RetiredSync;
 use flows::FlowCache;
+use former_targets::FormerTargetSync;
 use lookups::Lookups;
 use openings::{PendingOpening, PendingOpenings};
 use peers::Peers;
@@ -100,6 +102,7 @@
     /// Time until which openings are held because the catalog may be outdated after a stall.
     unverified_until: Option<Millis>,
     retired_sync: RetiredSync,
+    former_target_sync: FormerTargetSync,
     stopping: bool,
     is_standby: bool,
     /// Time at which the store became reachable again after an outage.
@@ -146,6 +149,7 @@
             stalled_since_confirmation: Millis::new(0),
             unverified_until: None,
             retired_sync: RetiredSync::NotSynced,
+            former_target_sync: FormerTargetSync::default(),
             stopping: false,
             is_standby: false,
             store_recovered_at: None,
@@ -171,10 +175,13 @@
     }
 
     /// Returns how often a limit on the number of tracked items was exceeded: known balancers,
-    /// queued transfers and the size of a catalog.
+    /// queued transfers, former targets of routes and the size of a catalog.
     #[must_use]
     pub const fn limits_exceeded_count(&self) -> u64 {
-        self.counters.limits_exceeded + self.peers.ignored_count() + self.transfers.dropped_count()
+        self.counters.limits_exceeded
+            + self.peers.ignored_count()
+            + self.transfers.dropped_count()
+            + self.view.former_targets().ignored_count()
     }
 
     /// Returns the current catalog with the recently retired endpoints.
@@ -273,6 +280,7 @@
             self.flows
                 .remove_expired_flows(now, self.view.catalog().idle_timeout_ms);
             self.lookups.remove_expired_lookups(now);
+            self.view.remove_expired_former_targets(now);
             if self.view.prune_retired_endpoints(now) {
                 self.agents.update_endpoints(now, &self.view);
             }
@@ -344,12 +352,13 @@
         if self.view.catalog().settings_version.get() == 0 {
             return self.drop_packet(DropReason::NoSettings, out);
         }
-        let hash = flow.hash();
-        let route = self.view.catalog().find_route(flow.service_address);
-        let Some(service) = route.and_then(|it| it.service_for_flow(hash)) else {
+        let Some(route) = self.view.catalog().find_route(flow.service_address) else {
             return self.drop_packet(DropReason::NoRoute, out);
         };
-        if let Some(known) = self.flows.look_up_flow(now, flow, segment) {
+        let known = self.flows.look_up_flow(now, flow, segment);
+        // An opening is placed by the route in force. The rest of a flow stays where it was opened.
+        let known = known.filter(|it| !segment.is_opening_packet() || route.leads_to(it.service));
+        if let Some(known) = known {
             if segment.fin || segment.rst {
                 self.uploads.release_upload(flow);
             } else if known.is_upload && !self.uploads.admit_upload_packet(now, flow) {
@@ -357,16 +366,17 @@
                 return;
             }
             let class = PacketClass::for_known_agent(segment);
-            return self.forward_to_agent(service, class, known.agent, packet, out);
+            return self.forward_to_agent(known.service, class, known.agent, packet, out);
         }
         if segment.is_opening_packet() {
+            self.flows.remove_flow(flow);
             let opening = self
                 .openings
                 .take_opening(flow)
-                .unwrap_or_else(|| PendingOpening::new(now, flow, service, packet));
+                .unwrap_or_else(|| PendingOpening::new(now, flow, packet));
             return self.offer_opening(now, opening, out);
         }
-        self.start_lookup(now, flow, service, segment, packet, None, out);
+        self.start_lookup(now, flow, segment, packet, None, out);
     }
 
     /// Forwards a packet to the agent whose endpoint holds the packet's flow.
--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -2,10 +2,10 @@
 
 use std::net::Ipv4Addr;
 
-use units::Millis;
+use units::{Millis, Revision};
 
 use crate::{
-    CatalogView, Endpoint, EndpointState, Event, Outbox, ZoneKey,
+    CatalogView, Endpoint, EndpointState, Event, Outbox, ServiceKey, ZoneKey,
     message::{AcceptLimits, LoadReport, UTILIZATION_CLOSED, UTILIZATION_FULL, Utilization},
 };
 
@@ -48,6 +48,10 @@
     unanswered_since: Option<Millis>,
     last_notice_at: Option<Millis>,
     is_lost: bool,
+    /// Store revision at which the latest entry with the agent's address was created.
+    registered_at: Revision,
+    /// Service whose routes the agent's latest report lists completely, if it does.
+    listed_service: Option<ServiceKey>,
     utilization: Utilization,
     utilization_at: Millis,
     /// Exponential moving average of the utilization in the agent's load reports; the latest report
@@ -102,13 +106,21 @@
                 unanswered_since: known.and_then(|it| it.unanswered_since),
                 last_notice_at: known.and_then(|it| it.last_notice_at),
                 is_lost: known.is_some_and(|it| it.is_lost),
+                registered_at: endpoint.registered_at,
+                listed_service: known.and_then(|it| it.listed_service),
                 utilization: known.map_or(0, |it| it.utilization),
                 utilization_at: known.map_or(now, |it| it.utilization_at),
                 average: known.map_or_else(AverageUtilization::default, |it| it.average),
             });
         }
         agents.sort_by_key(|it| it.endpoint.agent_address());
-        agents.dedup_by_key(|it| it.endpoint.agent_address());
+        agents.dedup_by(|later, first| {
+            let is_same = later.endpoint.agent_address() == first.endpoint.agent_address();
+            if is_same {
+                first.registered_at = first.registered_at.max(later.registered_at);
+            }
+            is_same
+        });
         self.agents = agents;
     }
 
@@ -187,6 +199,9 @@
         out: &mut impl Outbox,
     ) {
         self.record_reply(now, agent, report.utilization, out);
+        if let Some(state) = self.find_agent_mut(agent) {
+            state.listed_service = report.lists_every_route.then_some(report.service);
+        }
         if report.utilization == UTILIZATION_CLOSED {
             return;
         }
@@ -276,6 +291,30 @@
         }
     }
 
+    /// Returns whether the endpoints of all services but `services` can only hold flows of routes that
+    /// are known to lead or to have led to their service.
+    ///
+    /// An agent's reports tell so if they list the routes of all flows of its endpoint. An endpoint
+    /// that registered after the settings were last changed has got no flow by earlier settings,
+    /// since whoever knows of it has the changed ones. Lost agents of retired endpoints are not
+    /// waited for.
+    pub(crate) fn routes_are_known_outside(
+        &self,
+        now: Millis,
+        services: &[ServiceKey],
+        settings_changed_at: Revision,
+    ) -> bool {
+        let is_known = |it: &AgentState| {
+            let is_gone =
+                it.endpoint.state == EndpointState::Retired && it.is_unanswered(now, LOST_AFTER_MS);
+            is_gone
+                || it.registered_at > settings_changed_at
+                || it.listed_service == Some(it.endpoint.service)
+                || services.contains(&it.endpoint.service)
+        };
+        !self.agents.is_empty() && self.agents.iter().all(is_known)
+    }
+
     /// Returns the concurrency slots of the agent's endpoint, or zero if the agent is unknown.
     pub(crate) fn endpoint_slots(&self, agent: Ipv4Addr) -> u8 {
         let slots = self
--- a/crates/passthrough/src/balancer/catalog_sync.rs
+++ b/crates/passthrough/src/balancer/catalog_sync.rs
@@ -16,7 +16,10 @@
 use crate::{
     Catalog, DropReason, Event, Outbox, PacketFormat, ResetReason, StoreState,
     catalog_transfer::{EncodedTransfer, RetiredList, TransferContent, write_retired_messages},
-    message::{Chunk, Digest, Member, PeerStatus, write_catalog_chunk, write_digest},
+    message::{
+        AgedFormerTarget, Chunk, Digest, DigestRequest, Member, PeerStatus, write_catalog_chunk,
+        write_digest,
+    },
 };
 
 /// Period after startup in which a balancer asks its peers for the retired endpoints, which the
@@ -136,11 +139,12 @@
         }
         self.confirmed_at = Some(now);
         self.stalled_since_confirmation = Millis::new(0);
-        if !self.knows_retired_endpoints(now) {
-            return;
-        }
         let generation = self.view.endpoint_generation();
-        for (flow, sequence) in self.lookups.take_confirmed_failures(asked_at, generation) {
+        for (flow, sequence) in self.lookups.confirmed_failures(asked_at, generation) {
+            if !self.knows_all_holders(now, flow) {
+                continue;
+            }
+            self.lookups.finish_lookup(flow);
             self.send_reset(flow, sequence, ResetReason::HeldByNone, out);
         }
     }
@@ -282,6 +286,9 @@
             }
             return false;
         }
+        if self.has_settings() {
+            self.former_target_sync.settings_since.get_or_insert(now);
+        }
         let catalog = self.view.catalog();
         out.report_event(Event::CatalogInForce {
             revision: catalog.revision.get(),
@@ -359,14 +366,24 @@
         } else {
             self.view.catalog().revision
         };
+        let former_targets: Vec<AgedFormerTarget> = match purpose {
+            DigestPurpose::Confirmation | DigestPurpose::Pull => Vec::new(),
+            DigestPurpose::Regular | DigestPurpose::Reply => self.choose_former_targets(now),
+        };
+        let all_listed = former_targets.len() == self.view.former_targets().as_slice().len();
         let digest = Digest {
             revision: revision.get(),
             confirmed_age_ms: self.confirmed_age_ms(now),
-            wants_answer: purpose == DigestPurpose::Regular,
-            wants_catalog: purpose == DigestPurpose::Pull,
+            request: match purpose {
+                DigestPurpose::Regular => DigestRequest::Answer,
+                DigestPurpose::Pull => DigestRequest::Changes,
+                DigestPurpose::Reply | DigestPurpose::Confirmation => DigestRequest::Nothing,
+            },
             is_starting: now.since(self.started) < STARTUP_PERIOD_MS,
             status: self.status(),
+            lists_former_targets: all_listed && self.knows_former_targets(now),
             members: &members,
+            former_targets: &former_targets,
         };
         write_digest(digest, &mut self.scratch);
         out.send_to_peer(peer, &self.scratch);
@@ -402,6 +419,7 @@
                 self.peers.record_member(now, *member, out);
             }
         }
+        self.adopt_former_targets(now, &digest, out);
         let own = self.view.catalog().revision.get();
         let is_news =
             self.adopt_confirmation(now, Revision::new(digest.revision), digest.confirmed_age_ms);
@@ -410,14 +428,15 @@
             let targets = self.forwarding_targets(now, CatalogOrigin::Peer);
             self.send_confirmation(now, &targets, out);
         }
-        if digest.wants_catalog && digest.revision < own {
+        let wants_answer = digest.request == DigestRequest::Answer;
+        if digest.request == DigestRequest::Changes && digest.revision < own {
             self.push_changes(now, Revision::new(digest.revision), &[peer], out);
         } else if digest.revision > own {
             self.pull_changes(now, peer, out);
-        } else if digest.wants_answer && digest.is_starting {
+        } else if wants_answer && digest.is_starting {
             // The digest in reply tells the peer that it has received all retired endpoints.
             self.send_digest(now, peer, DigestPurpose::Reply, out);
-        } else if digest.wants_answer && digest.revision < own {
+        } else if wants_answer && digest.revision < own {
             self.send_digest(now, peer, DigestPurpose::Confirmation, out);
         }
     }
--- a/crates/passthrough/src/balancer/flows.rs
+++ b/crates/passthrough/src/balancer/flows.rs
@@ -1,4 +1,4 @@
-//! Caches which agent's endpoint holds each flow.
+//! Caches which agent's endpoint holds each flow, and for which service.
 //!
 //! A missing cache entry is recovered by a lookup, which asks the agents.
 
@@ -7,7 +7,7 @@
 use units::Millis;
 
 use super::uploads::UploadDetector;
-use crate::{Flow, Segment};
+use crate::{Flow, Segment, ServiceKey};
 
 /// Time for which a flow stays cached after its caller closed it, to forward retransmitted packets.
 const CLOSED_RETENTION_MS: Millis = Millis::new(3_000);
@@ -19,6 +19,7 @@
 #[derive(Debug, Clone, Copy)]
 struct CacheEntry {
     agent: Ipv4Addr,
+    service: ServiceKey,
     last_used: Millis,
     closed: bool,
     upload_detector: UploadDetector,
@@ -29,6 +30,8 @@
 pub(crate) struct CachedFlow {
     /// The agent whose endpoint holds the flow.
     pub(crate) agent: Ipv4Addr,
+    /// The service at which the flow was placed, which its route may have left since.
+    pub(crate) service: ServiceKey,
     /// Whether the received packet belongs to a long upload.
     pub(crate) is_upload: bool,
 }
@@ -58,16 +61,24 @@
         entry.closed |= segment.fin || segment.rst;
         Some(CachedFlow {
             agent: entry.agent,
+            service: entry.service,
             is_upload: segment.data_bytes > 0 && entry.upload_detector.record_packet(now),
         })
     }
 
-    pub(crate) fn insert_flow(&mut self, now: Millis, flow: Flow, agent: Ipv4Addr) {
+    pub(crate) fn insert_flow(
+        &mut self,
+        now: Millis,
+        flow: Flow,
+        agent: Ipv4Addr,
+        service: ServiceKey,
+    ) {
         if self.flows.len() >= CACHED_FLOWS_MAX && !self.flows.contains_key(&flow) {
             return;
         }
         let entry = CacheEntry {
             agent,
+            service,
             last_used: now,
             closed: false,
             upload_detector: UploadDetector::default(),
@@ -75,6 +86,10 @@
         self.flows.insert(flow, entry);
     }
 
+    pub(crate) fn remove_flow(&mut self, flow: Flow) {
+        self.flows.remove(&flow);
+    }
+
     /// Removes a flow from the cache if its cached agent is `agent`.
     pub(crate) fn remove_flow_if_held_by(&mut self, flow: Flow, agent: Ipv4Addr) {
         if self.flows.get(&flow).is_some_and(|it| it.agent == agent) {
--- /dev/null
+++ b/crates/passthrough/src/balancer/former_targets.rs
@@ -0,0 +1,114 @@
+//! Learns which services routes led to before, from agents and other balancers.
+//!
+//! A balancer remembers the targets that routes lose while it runs. What a route led to before it
+//! started, and in revisions that it skipped, it learns from the agents, whose reports list the
+//! routes of the flows that their endpoints hold, and from the digests of other balancers.
+//!
+//! Invariant: a flow that no endpoint of its route's known services holds is reset only if no other
+//! service can hold it.
+
+use std::net::SocketAddrV4;
+
+use units::Millis;
+
+use super::Balancer;
+use crate::{
+    Event, Flow, Outbox, PacketFormat, ServiceKey,
+    former_targets::{FORMER_TARGET_RETENTION_MS, FormerTarget},
+    message::{AgedFormerTarget, DIGEST_FORMER_TARGETS_MAX, Digest},
+};
+
+/// What tells whether a balancer knows all services that routes led to before.
+#[derive(Debug, Default)]
+pub(super) struct FormerTargetSync {
+    /// Time at which the first catalog with the operator's settings came into force.
+    pub(super) settings_since: Option<Millis>,
+    /// Whether another balancer has told which services routes led to before this one started.
+    was_told: bool,
+}
+
+impl<F: PacketFormat> Balancer<F> {
+    /// Records that endpoints of a service hold flows of a route.
+    pub(super) fn record_served_route(
+        &mut self,
+        now: Millis,
+        address: SocketAddrV4,
+        service: ServiceKey,
+        out: &mut impl Outbox,
+    ) {
+        let former = FormerTarget {
+            address,
+            service,
+            seen_at: now,
+        };
+        if self.view.add_former_targets([former]) {
+            self.on_former_targets_added(now, out);
+        }
+    }
+
+    /// Adopts the former targets that another balancer's digest lists.
+    pub(super) fn adopt_former_targets(
+        &mut self,
+        now: Millis,
+        digest: &Digest<'_>,
+        out: &mut impl Outbox,
+    ) {
+        let former = digest
+            .former_targets
+            .iter()
+            .filter_map(|it| it.to_former_target(now));
+        if self.view.add_former_targets(former) {
+            self.on_former_targets_added(now, out);
+        }
+        self.former_target_sync.was_told |= digest.lists_former_targets;
+    }
+
+    /// Returns the former targets for one digest; by turns if there are more than it has room for.
+    pub(super) fn choose_former_targets(&self, now: Millis) -> Vec<AgedFormerTarget> {
+        let all = self.view.former_targets().as_slice();
+        let begin = self.peers.round_count() * DIGEST_FORMER_TARGETS_MAX % all.len().max(1);
+        let (later, first) = all.split_at(begin);
+        let chosen = first.iter().chain(later).take(DIGEST_FORMER_TARGETS_MAX);
+        chosen.map(|it| AgedFormerTarget::new(now, it)).collect()
+    }
+
+    /// Returns whether the endpoints that a lookup of the flow asks include every endpoint that may
+    /// hold it.
+    pub(super) fn knows_all_holders(&self, now: Millis, flow: Flow) -> bool {
+        if !self.knows_retired_endpoints(now) {
+            return false;
+        }
+        let services = self.view.services_of_flow(flow);
+        self.knows_former_targets(now) || self.routes_are_known_outside(now, &services)
+    }
+
+    /// Returns whether this balancer knows all services that routes led to before.
+    ///
+    /// It does after it has had the settings for as long as a flow may live, or after another
+    /// balancer that knows them or all agents have told it.
+    pub(super) fn knows_former_targets(&self, now: Millis) -> bool {
+        let sync = &self.former_target_sync;
+        let has_seen_all = sync
+            .settings_since
+            .is_some_and(|it| now.since(it) > FORMER_TARGET_RETENTION_MS);
+        let is_told = sync.was_told || self.routes_are_known_outside(now, &[]);
+        (has_seen_all || is_told) && self.view.former_targets().is_complete()
+    }
+
+    /// Returns whether no endpoint of another service than `services` can hold a flow of a route that
+    /// isn't known to have led to its service.
+    fn routes_are_known_outside(&self, now: Millis, services: &[ServiceKey]) -> bool {
+        let settings_changed_at = self.view.catalog().settings_changed_at;
+        self.agents
+            .routes_are_known_outside(now, services, settings_changed_at)
+    }
+
+    fn on_former_targets_added(&mut self, now: Millis, out: &mut impl Outbox) {
+        out.report_event(Event::FormerTargetsChanged {
+            count: self.view.former_targets().as_slice().len(),
+            catalog_revision: self.view.catalog().revision.get(),
+        });
+        self.lookups
+            .schedule_outdated_retries(now, self.view.endpoint_generation());
+    }
+}
--- a/crates/passthrough/src/balancer/lookups.rs
+++ b/crates/passthrough/src/balancer/lookups.rs
@@ -179,23 +179,15 @@
         self.by_flow.values().any(Lookup::is_failed)
     }
 
-    /// Removes the failed lookups that asked the endpoints of `generation` and began no later than
-    /// `since`, and whose failure the store thereby has confirmed.
-    ///
-    /// Returns the flow of each removed lookup with the sequence number for the flow's reset.
-    pub(crate) fn take_confirmed_failures(
-        &mut self,
-        since: Millis,
-        generation: u64,
-    ) -> Vec<(Flow, u32)> {
+    /// Returns the failed lookups that asked the endpoints of `generation` and began no later than
+    /// `since`, and whose failure the store thereby has confirmed: the flow of each with the
+    /// sequence number for the flow's reset.
+    pub(crate) fn confirmed_failures(&self, since: Millis, generation: u64) -> Vec<(Flow, u32)> {
         let is_confirmed =
             |it: &Lookup| it.is_failed() && it.started <= since && it.generation == generation;
         let confirmed = self.by_flow.iter().filter(|it| is_confirmed(it.1));
         let mut failed: Vec<_> = confirmed.map(|it| (*it.0, it.1.acknowledged)).collect();
         failed.sort_unstable();
-        for (flow, _) in &failed {
-            self.by_flow.remove(flow);
-        }
         failed
     }
 
--- a/crates/passthrough/src/balancer/notices.rs
+++ b/crates/passthrough/src/balancer/notices.rs
@@ -60,6 +60,9 @@
         out: &mut impl Outbox,
     ) {
         self.agents.record_load_report(now, agent, &report, out);
+        for route in report.routes {
+            self.record_served_route(now, (*route).into(), report.service, out);
+        }
         for balancer in report.balancers.iter() {
             if balancer != self.config.address {
                 self.peers.add_peer(balancer, now);
--- a/crates/passthrough/src/balancer/openings.rs
+++ b/crates/passthrough/src/balancer/openings.rs
@@ -8,7 +8,7 @@
 
 use units::Millis;
 
-use crate::{Flow, ServiceKey};
+use crate::Flow;
 
 /// Time after which an unaccepted opening packet is offered again, first to another endpoint.
 ///
@@ -30,7 +30,6 @@
 #[derive(Debug)]
 pub(crate) struct PendingOpening {
     pub(crate) flow: Flow,
-    pub(crate) service: ServiceKey,
     pub(crate) packet: Vec<u8>,
     pub(crate) received_at: Millis,
     retry_at: Millis,
@@ -38,10 +37,9 @@
 }
 
 impl PendingOpening {
-    pub(crate) fn new(now: Millis, flow: Flow, service: ServiceKey, packet: &[u8]) -> Self {
+    pub(crate) fn new(now: Millis, flow: Flow, packet: &[u8]) -> Self {
         Self {
             flow,
-            service,
             packet: packet.to_vec(),
             received_at: now,
             retry_at: now,
--- a/crates/passthrough/src/balancer/peers.rs
+++ b/crates/passthrough/src/balancer/peers.rs
@@ -105,6 +105,11 @@
 }
 
 impl Peers {
+    /// Returns the number of digest rounds so far, which varies what digests list.
+    pub(crate) fn round_count(&self) -> usize {
+        usize::try_from(self.rounds).unwrap_or(0)
+    }
+
     /// Adds a balancer that may be running, unless it is known already.
     pub(crate) fn add_peer(&mut self, address: Ipv4Addr, now: Millis) {
         let Err(idx) = self.find_peer(address) else {
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -44,8 +44,13 @@
             return;
         }
         let flow = opening.flow;
+        // The route may have changed since the opening packet was last offered.
+        let route = self.view.catalog().find_route(flow.service_address);
+        let Some(service) = route.and_then(|it| it.service_for_new_flow(flow.hash())) else {
+            return self.drop_packet(DropReason::NoRoute, out);
+        };
         self.view.collect_endpoint_subset(
-            opening.service,
+            service,
             flow.hash(),
             PLACEMENT_SUBSET_MAX,
             &mut self.subset,
@@ -88,7 +93,7 @@
             AcceptLimits::FREE_SLOT
         };
         let forward = Forward::new(
-            opening.service,
+            service,
             self.config.address,
             PacketClass::Opening,
             candidates,
@@ -110,61 +115,36 @@
 
     /// Starts a lookup of a flow: asks the agents of all endpoints that may hold the flow, except
     /// the agent `except`, which just returned a packet of the flow.
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "a packet with its decoded header"
-    )]
     pub(super) fn start_lookup(
         &mut self,
         now: Millis,
         flow: Flow,
-        service: ServiceKey,
         segment: &Segment,
         packet: &[u8],
         except: Option<Ipv4Addr>,
         out: &mut impl Outbox,
     ) {
-        let is_complete = self.view.collect_endpoint_subset(
-            service,
-            flow.hash(),
-            LOOKUP_SUBSET_MAX,
-            &mut self.subset,
-        );
-        let agents = &self.agents;
-        self.subset.retain(|it| {
-            Some(it.agent_address()) != except
-                && !(it.state == EndpointState::Retired && agents.is_lost(now, it.agent_address()))
-        });
-        let (zone, agents) = (self.config.zone, &self.agents);
-        // Suspect agents each get a chain of their own, because a chain is lost at the first dead
-        // agent.
-        let is_suspect = |it: &Endpoint| {
-            it.state == EndpointState::Retired || agents.is_suspect(now, it.agent_address())
-        };
-        // Two catalog entries share an agent if an endpoint restarted or its address was reused.
-        self.subset
-            .sort_unstable_by_key(|it| (it.agent_address(), it.state == EndpointState::Retired));
-        self.subset.dedup_by_key(|it| it.agent_address());
-        self.subset
-            .sort_by_key(|it| (is_suspect(it), it.zone != zone));
-        if self.subset.is_empty() {
+        let services = self.view.services_of_flow(flow);
+        if services.is_empty() {
+            return self.drop_packet(DropReason::NoRoute, out);
+        }
+        let mut is_complete = true;
+        let mut groups = Vec::with_capacity(services.len());
+        for service in services {
+            let (group, is_whole_service) = self.collect_lookup_group(now, flow, service, except);
+            is_complete &= is_whole_service;
+            if !group.agents.is_empty() {
+                groups.push(group);
+            }
+        }
+        if groups.is_empty() {
             return self.drop_packet(DropReason::NoEndpoint, out);
         }
-        let responsive = self.subset.partition_point(|it| !is_suspect(it));
         let per_request = lookup_agents_per_request(packet.len());
-        let chain_count = self
-            .subset
-            .chunks(per_request)
-            .enumerate()
-            .map(|(idx, part)| {
-                let responsive = responsive.saturating_sub(idx * per_request).min(part.len());
-                responsive.div_ceil(chain_len(responsive)) + part.len() - responsive
-            })
-            .sum();
         let (lookup_id, attempt) = self.lookups.start_lookup(
             now,
             flow,
-            chain_count,
+            groups.iter().map(|it| it.chain_count(per_request)).sum(),
             self.view.endpoint_generation(),
             segment.acknowledged,
             packet,
@@ -172,38 +152,78 @@
         // If not every endpoint can be asked, the lookup proves nothing and its result is not
         // tracked.
         let lookup_id = if is_complete { lookup_id } else { 0 };
-        // Each attempt begins at a different agent, so that a dead agent prevents the others in its
-        // chain from being asked only once.
-        self.subset[..responsive].rotate_left(attempt % responsive.max(1));
-        let addresses: Vec<[u8; 4]> = self
-            .subset
-            .iter()
-            .map(|it| it.agent_address().octets())
-            .collect();
-        for (idx, part) in addresses.chunks(per_request).enumerate() {
-            let responsive = responsive.saturating_sub(idx * per_request).min(part.len());
-            let (responsive, suspect) = part.split_at(responsive);
-            let request = LookupRequest {
-                service,
-                origin: self.config.address,
-                lookup_id,
-                chain_len: u8::try_from(chain_len(responsive.len())).unwrap_or(u8::MAX),
-                responsive: Instances::new(responsive),
-                suspect: Instances::new(suspect),
-            };
-            write_lookup_request(&request, packet, &mut self.scratch);
-            out.send_to_peer(part[0].into(), &self.scratch);
+        let mut asked = 0;
+        for group in &mut groups {
+            group.rotate_responsive(attempt);
+            asked += group.agents.len();
+            for (responsive, suspect) in group.requests(per_request) {
+                let request = LookupRequest {
+                    service: group.service,
+                    origin: self.config.address,
+                    lookup_id,
+                    chain_len: u8::try_from(chain_len(responsive.len())).unwrap_or(u8::MAX),
+                    responsive: Instances::new(responsive),
+                    suspect: Instances::new(suspect),
+                };
+                let Some(first) = responsive.iter().chain(suspect).next() else {
+                    continue;
+                };
+                write_lookup_request(&request, packet, &mut self.scratch);
+                out.send_to_peer((*first).into(), &self.scratch);
+            }
         }
         self.counters.lookups += 1;
         if lookup_id != 0 {
             out.report_event(Event::LookupStarted {
                 flow,
-                asked: u8::try_from(self.subset.len()).unwrap_or(u8::MAX),
+                asked: u8::try_from(asked).unwrap_or(u8::MAX),
+                services: u8::try_from(groups.len()).unwrap_or(u8::MAX),
                 catalog_revision: self.view.catalog().revision.get(),
             });
         }
     }
 
+    /// Collects the agents of one service that a lookup asks, except the agent `except`. Returns
+    /// also whether they are those of all endpoints of the service.
+    fn collect_lookup_group(
+        &mut self,
+        now: Millis,
+        flow: Flow,
+        service: ServiceKey,
+        except: Option<Ipv4Addr>,
+    ) -> (LookupGroup, bool) {
+        let is_complete = self.view.collect_endpoint_subset(
+            service,
+            flow.hash(),
+            LOOKUP_SUBSET_MAX,
+            &mut self.subset,
+        );
+        let (zone, agents) = (self.config.zone, &self.agents);
+        self.subset.retain(|it| {
+            Some(it.agent_address()) != except
+                && !(it.state == EndpointState::Retired && agents.is_lost(now, it.agent_address()))
+        });
+        let is_suspect = |it: &Endpoint| {
+            it.state == EndpointState::Retired || agents.is_suspect(now, it.agent_address())
+        };
+        // Two catalog entries share an agent if an endpoint restarted or its address was reused.
+        self.subset
+            .sort_unstable_by_key(|it| (it.agent_address(), it.state == EndpointState::Retired));
+        self.subset.dedup_by_key(|it| it.agent_address());
+        self.subset
+            .sort_by_key(|it| (is_suspect(it), it.zone != zone));
+        let group = LookupGroup {
+            service,
+            responsive: self.subset.partition_point(|it| !is_suspect(it)),
+            agents: self
+                .subset
+                .iter()
+                .map(|it| it.agent_address().octets())
+                .collect(),
+        };
+        (group, is_complete)
+    }
+
     /// Repeats a failed lookup with the packet that the balancer retained.
     pub(super) fn retry_lookup(
         &mut self,
@@ -212,10 +232,8 @@
         packet: &[u8],
         out: &mut impl Outbox,
     ) {
-        let route = self.view.catalog().find_route(flow.service_address);
-        let service = route.and_then(|it| it.service_for_flow(flow.hash()));
-        if let (Some(service), Ok(segment)) = (service, F::decode_segment(packet)) {
-            self.start_lookup(now, flow, service, &segment, packet, None, out);
+        if let Ok(segment) = F::decode_segment(packet) {
+            self.start_lookup(now, flow, &segment, packet, None, out);
         }
     }
 
@@ -237,7 +255,8 @@
             self.counters
                 .record_opening_wait(now.since(opening.received_at));
         }
-        self.flows.insert_flow(now, flow, agent);
+        self.flows.insert_flow(now, flow, agent, flow_held.service);
+        self.record_served_route(now, flow.service_address, flow_held.service, out);
     }
 
     /// Handles a packet that an agent returned because no candidate's endpoint accepted or holds
@@ -255,15 +274,11 @@
         };
         F::set_tag(packet, 0);
         let flow = segment.caller_flow();
-        let route = self.view.catalog().find_route(flow.service_address);
-        let Some(service) = route.and_then(|it| it.service_for_flow(flow.hash())) else {
-            return self.drop_packet(DropReason::NoRoute, out);
-        };
         match returned.class {
             PacketClass::Opening => self.flows.remove_flow_if_held_by(flow, agent),
             PacketClass::Established => {
                 self.flows.remove_flow_if_held_by(flow, agent);
-                self.start_lookup(now, flow, service, &segment, packet, Some(agent), out);
+                self.start_lookup(now, flow, &segment, packet, Some(agent), out);
             }
             PacketClass::Lookup => {}
         }
@@ -290,7 +305,7 @@
         let is_fresh = self
             .confirmed_at
             .is_some_and(|it| now.since(it) <= RESET_CONFIRMATION_MS);
-        if !failed.is_conclusive || !is_fresh || !self.knows_retired_endpoints(now) {
+        if !failed.is_conclusive || !is_fresh || !self.knows_all_holders(now, flow) {
             return;
         }
         self.lookups.finish_lookup(flow);
@@ -298,6 +313,48 @@
     }
 }
 
+/// The agents of one service that a lookup asks.
+#[derive(Debug)]
+struct LookupGroup {
+    service: ServiceKey,
+    agents: Vec<[u8; 4]>,
+    /// Number of responsive agents, which are the first in `agents`.
+    responsive: usize,
+}
+
+impl LookupGroup {
+    /// Splits the agents into requests of at most `per_request` agents: the responsive agents of
+    /// each request and the suspect ones.
+    ///
+    /// Suspect agents each get a chain of their own, because a chain is lost at the first dead
+    /// agent.
+    fn requests(&self, per_request: usize) -> impl Iterator<Item = (&[[u8; 4]], &[[u8; 4]])> {
+        self.agents
+            .chunks(per_request)
+            .enumerate()
+            .map(move |(idx, part)| {
+                let responsive = self.responsive.saturating_sub(idx * per_request);
+                part.split_at(responsive.min(part.len()))
+            })
+    }
+
+    /// Returns the number of chains in which the agents are asked.
+    fn chain_count(&self, per_request: usize) -> usize {
+        self.requests(per_request)
+            .map(|(responsive, suspect)| {
+                responsive.len().div_ceil(chain_len(responsive.len())) + suspect.len()
+            })
+            .sum()
+    }
+
+    /// Lets each attempt begin at a different agent, so that a dead agent prevents the others in its
+    /// chain from being asked only once.
+    fn rotate_responsive(&mut self, attempt: usize) {
+        let begin = attempt % self.responsive.max(1);
+        self.agents[..self.responsive].rotate_left(begin);
+    }
+}
+
 /// Returns the length of the chains into which a lookup divides a number of responsive agents.
 const fn chain_len(responsive: usize) -> usize {
     let chains = responsive.div_ceil(CHAIN_MAX);
--- a/crates/passthrough/src/catalog.rs
+++ b/crates/passthrough/src/catalog.rs
@@ -11,7 +11,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    Flow,
     catalog_delta::{CatalogDelta, ChangeLog},
+    former_targets::{FormerTarget, FormerTargets},
     rendezvous,
 };
 
@@ -130,6 +132,10 @@
     /// Start time of the endpoint's process, as reported by the endpoint; a different value means a
     /// restart.
     pub born_ms: u64,
+    /// Store revision at which the endpoint's entry was created, zero if the store didn't tell.
+    ///
+    /// The entry of a running endpoint is created anew if it lapsed during an outage of the store.
+    pub registered_at: Revision,
     /// Time of the endpoint's removal from the catalog, on the clock of the process that holds the
     /// catalog.
     ///
@@ -169,11 +175,12 @@
 }
 
 impl Route {
-    /// Returns the service that receives the flow with this hash.
+    /// Returns the service at which a new flow with this hash is placed.
     ///
-    /// All packets of a flow have the same hash and so go to the same service.
+    /// The service of an open flow may be another one, since the targets and their weights may have
+    /// changed after the flow was placed.
     #[must_use]
-    pub fn service_for_flow(&self, flow_hash: u64) -> Option<ServiceKey> {
+    pub fn service_for_new_flow(&self, flow_hash: u64) -> Option<ServiceKey> {
         if let [only] = self.targets.as_slice() {
             return Some(only.service);
         }
@@ -188,6 +195,12 @@
         }
         None
     }
+
+    /// Returns whether new flows may be placed at the service.
+    #[must_use]
+    pub fn leads_to(&self, service: ServiceKey) -> bool {
+        self.targets.iter().any(|it| it.service == service)
+    }
 }
 
 /// Routes and endpoints of one revision of the platform's store.
@@ -197,6 +210,8 @@
     pub revision: Revision,
     /// Version of the operator's settings in the catalog, zero if no settings were read.
     pub settings_version: SettingsVersion,
+    /// Store revision at which the operator's settings were last changed.
+    pub settings_changed_at: Revision,
     /// Idle time after which a flow may be removed.
     pub idle_timeout_ms: Millis,
     /// Routes, sorted by the address that callers send to, which no two of them share.
@@ -254,7 +269,9 @@
     catalog: Catalog,
     /// Endpoints that the catalog no longer lists but that may still hold flows.
     retired: Vec<Endpoint>,
-    /// Number that increases whenever endpoints are added that may hold flows.
+    /// Services that routes led to before and whose endpoints may still hold flows.
+    former_targets: FormerTargets,
+    /// Number that increases whenever endpoints or targets of routes are added that may hold flows.
     generation: u64,
     /// Listed and retired endpoints, sorted by service and position on the service's hash ring.
     ring: Vec<RingEntry>,
@@ -284,9 +301,15 @@
             self.catalog.find_endpoint(it.key).is_some()
                 || self.retired.iter().any(|old| old.key == it.key)
         };
-        if !catalog.endpoints.iter().all(is_known) {
+        let gains_target = |route: &Route| {
+            let old = self.catalog.find_route(route.address);
+            old.is_some_and(|old| !route.targets.iter().all(|it| old.leads_to(it.service)))
+        };
+        if !catalog.endpoints.iter().all(is_known) || catalog.routes.iter().any(gains_target) {
             self.generation += 1;
         }
+        self.former_targets
+            .record_replacement(now, &self.catalog, &catalog);
         for old in &self.catalog.endpoints {
             let successor = catalog.find_endpoint(old.key);
             if successor.is_some() {
@@ -344,6 +367,60 @@
         is_new
     }
 
+    /// Adds services that routes led to before, as other processes reported them, and returns whether
+    /// any of them was unknown.
+    pub(crate) fn add_former_targets(
+        &mut self,
+        former: impl IntoIterator<Item = FormerTarget>,
+    ) -> bool {
+        let mut is_news = false;
+        for it in former {
+            let is_target = self
+                .catalog
+                .find_route(it.address)
+                .is_some_and(|route| route.leads_to(it.service));
+            is_news |= !is_target && self.former_targets.insert(it);
+        }
+        if is_news {
+            self.generation += 1;
+        }
+        is_news
+    }
+
+    /// Returns the services that routes led to before.
+    pub(crate) const fn former_targets(&self) -> &FormerTargets {
+        &self.former_targets
+    }
+
+    /// Returns the services whose endpoints may hold a flow: the one at which the flow would be
+    /// placed now, then the other targets of its route, then the route's former targets.
+    ///
+    /// The list is empty if the flow has no route.
+    pub(crate) fn services_of_flow(&self, flow: Flow) -> Vec<ServiceKey> {
+        let Some(route) = self.catalog.find_route(flow.service_address) else {
+            return Vec::new();
+        };
+        let placed = route.service_for_new_flow(flow.hash());
+        let targets = route.targets.iter().map(|it| it.service);
+        let former = self.former_targets.of_route(route.address);
+        let mut services: Vec<ServiceKey> = Vec::new();
+        for service in placed
+            .into_iter()
+            .chain(targets)
+            .chain(former.iter().map(|it| it.service))
+        {
+            if !services.contains(&service) {
+                services.push(service);
+            }
+        }
+        services
+    }
+
+    /// Removes the former targets of routes that can't hold flows any more.
+    pub(crate) fn remove_expired_former_targets(&mut self, now: Millis) {
+        self.former_targets.remove_expired(now);
+    }
+
     /// Removes endpoints that were retired long ago, and retires endpoints whose lapsed store
     /// entries were not renewed in time.
     ///
@@ -373,7 +450,8 @@
         &self.catalog
     }
 
-    /// Returns a number that increases whenever endpoints are added.
+    /// Returns a number that increases whenever endpoints are added, or services whose endpoints may
+    /// hold flows of a route.
     ///
     /// If all endpoints of one generation deny that they hold a flow, an endpoint that was added
     /// later may still hold it.
--- a/crates/passthrough/src/catalog_delta.rs
+++ b/crates/passthrough/src/catalog_delta.rs
@@ -28,6 +28,7 @@
     base: Revision,
     revision: Revision,
     settings_version: SettingsVersion,
+    settings_changed_at: Revision,
     idle_timeout_ms: Millis,
     routes: Vec<Route>,
     removed_routes: Vec<SocketAddrV4>,
@@ -81,6 +82,7 @@
         let mut result = Catalog {
             revision: self.revision,
             settings_version: self.settings_version,
+            settings_changed_at: self.settings_changed_at,
             idle_timeout_ms: self.idle_timeout_ms,
             routes,
             endpoints,
@@ -145,6 +147,7 @@
             base,
             revision: catalog.revision,
             settings_version: catalog.settings_version,
+            settings_changed_at: catalog.settings_changed_at,
             idle_timeout_ms: catalog.idle_timeout_ms,
             routes: Vec::new(),
             removed_routes: Vec::new(),
@@ -186,6 +189,7 @@
 fn content_hash(catalog: &Catalog) -> u64 {
     let content = (
         catalog.settings_version,
+        catalog.settings_changed_at,
         catalog.idle_timeout_ms,
         &catalog.routes,
         &catalog.endpoints,
--- a/crates/passthrough/src/event.rs
+++ b/crates/passthrough/src/event.rs
@@ -77,6 +77,8 @@
         #[serde(serialize_with = "serialize_as_display")]
         flow: Flow,
         asked: u8,
+        /// Number of services whose endpoints are asked.
+        services: u8,
         catalog_revision: u64,
     },
     /// A balancer learned from a lookup which agent's endpoint holds a flow.
@@ -138,6 +140,9 @@
         endpoints: usize,
         from_peer: bool,
     },
+    /// An agent or another balancer told of a service that a route led to before; `count` such
+    /// services are known now.
+    FormerTargetsChanged { count: usize, catalog_revision: u64 },
     /// A catalog older than the current one was ignored.
     CatalogIgnored { revision: u64, in_force: u64 },
     /// This balancer entered or left standby, in which it leaves callers to balancers with faster
--- a/crates/passthrough/src/lib.rs
+++ b/crates/passthrough/src/lib.rs
@@ -16,6 +16,7 @@
 mod catalog_transfer;
 mod event;
 mod flow;
+mod former_targets;
 mod message;
 mod outbox;
 mod rendezvous;
--- a/crates/passthrough/src/message.rs
+++ b/crates/passthrough/src/message.rs
@@ -7,7 +7,10 @@
 mod decode;
 mod write;
 
-use std::{fmt, net::Ipv4Addr};
+use std::{
+    fmt,
+    net::{Ipv4Addr, SocketAddrV4},
+};
 
 use units::Millis;
 use zerocopy::{
@@ -22,13 +25,17 @@
     write_returned_packet, write_state_notice,
 };
 
-use crate::{EndpointState, Flow, Segment, ServiceKey, ZoneKey, flow::FLOW_BYTES};
+use crate::{
+    EndpointState, Flow, Segment, ServiceKey, ZoneKey,
+    flow::FLOW_BYTES,
+    former_targets::{FORMER_TARGET_RETENTION_MS, FormerTarget},
+};
 
 /// Magic number that identifies a datagram as a message.
 const MAGIC: u16 = 0x4C47;
 
 /// Version of the layout of all messages.
-const LAYOUT_VERSION: u8 = 3;
+const LAYOUT_VERSION: u8 = 4;
 
 /// Maximum number of candidate agents in the header of a forwarded packet.
 pub(crate) const CANDIDATES_MAX: usize = 8;
@@ -36,6 +43,13 @@
 /// Maximum number of balancers listed in a load report.
 pub(crate) const REPORTED_BALANCERS_MAX: usize = 16;
 
+/// Maximum number of routes listed in a load report.
+pub(crate) const REPORTED_ROUTES_MAX: usize = 32;
+
+/// Maximum number of former targets in a status digest, which with `DIGEST_MEMBERS_MAX` members fits
+/// an MTU of 1,500 bytes.
+pub(crate) const DIGEST_FORMER_TARGETS_MAX: usize = 40;
+
 /// Maximum number of members in a status digest.
 pub(crate) const DIGEST_MEMBERS_MAX: usize = 32;
 
@@ -344,6 +358,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct FlowHeld {
     pub(crate) flow: Flow,
+    /// The service of the agent's endpoint, which the flow's route may have left.
+    pub(crate) service: ServiceKey,
     pub(crate) utilization: Utilization,
 }
 
@@ -398,6 +414,7 @@
 struct FlowHeldHeader {
     preamble: Preamble,
     flow: [u8; FLOW_BYTES],
+    service: U64,
     utilization: U16,
 }
 
@@ -438,13 +455,19 @@
     idle_timeout_ms: U32,
 }
 
-/// An agent's reply to a state notice: its endpoint's load, and the balancers from which the agent
-/// has recently received notices.
+/// An agent's reply to a state notice: its endpoint's load and routes, and the balancers from which
+/// the agent has recently received notices.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct LoadReport<'a> {
+    /// The service of the agent's endpoint.
+    pub(crate) service: ServiceKey,
     pub(crate) utilization: Utilization,
     /// The share of `utilization` that is due to idle flows.
     pub(crate) idle_utilization: Utilization,
+    /// Whether `routes` names the route of every flow that the endpoint may hold.
+    pub(crate) lists_every_route: bool,
+    /// Addresses of routes of which the endpoint holds flows.
+    pub(crate) routes: &'a [RouteAddress],
     pub(crate) balancers: Instances<'a>,
 }
 
@@ -452,10 +475,90 @@
 #[repr(C)]
 struct LoadReportHeader {
     preamble: Preamble,
+    service: U64,
     utilization: U16,
     idle_utilization: U16,
-    count: u8,
-    _reserved: u8,
+    lists_every_route: u8,
+    route_count: u8,
+    balancer_count: u8,
+}
+
+/// The address and port of a route that callers send to.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    FromBytes,
+    IntoBytes,
+    Immutable,
+    KnownLayout,
+    Unaligned,
+)]
+#[repr(C)]
+pub(crate) struct RouteAddress {
+    ip: [u8; 4],
+    port: U16,
+}
+
+impl From<SocketAddrV4> for RouteAddress {
+    fn from(address: SocketAddrV4) -> Self {
+        Self {
+            ip: address.ip().octets(),
+            port: U16::new(address.port()),
+        }
+    }
+}
+
+impl From<RouteAddress> for SocketAddrV4 {
+    fn from(address: RouteAddress) -> Self {
+        Self::new(address.ip.into(), address.port.get())
+    }
+}
+
+/// A service that a route led to before, with the time since it was last seen to.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    FromBytes,
+    IntoBytes,
+    Immutable,
+    KnownLayout,
+    Unaligned,
+)]
+#[repr(C)]
+pub(crate) struct AgedFormerTarget {
+    address: RouteAddress,
+    service: U64,
+    age_ms: U32,
+}
+
+impl AgedFormerTarget {
+    pub(crate) fn new(now: Millis, former: &FormerTarget) -> Self {
+        let age = now.since(former.seen_at).get();
+        Self {
+            address: former.address.into(),
+            service: U64::new(former.service.get()),
+            age_ms: U32::new(u32::try_from(age).unwrap_or(u32::MAX)),
+        }
+    }
+
+    /// Returns the former target on the receiver's clock, or `None` if its retention is over.
+    pub(crate) fn to_former_target(self, now: Millis) -> Option<FormerTarget> {
+        let age = u64::from(self.age_ms.get());
+        let seen_at = Millis::new(now.get().saturating_sub(age));
+        (age <= FORMER_TARGET_RETENTION_MS.get()).then_some(FormerTarget {
+            address: self.address.into(),
+            service: ServiceKey::new(self.service.get()),
+            seen_at,
+        })
+    }
 }
 
 /// A balancer's message to another balancer about its catalog, its status and other balancers.
@@ -465,17 +568,48 @@
     pub(crate) revision: u64,
     /// Time since the store confirmed to any balancer that the sender's catalog is the newest.
     pub(crate) confirmed_age_ms: u32,
-    /// Whether the sender requests the receiver's status digest in reply.
-    pub(crate) wants_answer: bool,
-    /// Whether the sender requests the changes since its revision.
-    pub(crate) wants_catalog: bool,
+    pub(crate) request: DigestRequest,
     /// Whether the sender has just started and lacks the retired endpoints, which only other
     /// balancers know.
     pub(crate) is_starting: bool,
     /// The sender's own status.
     pub(crate) status: PeerStatus,
+    /// Whether the sender knows every service that a route led to before and that may still hold
+    /// flows, and `former_targets` lists them all.
+    pub(crate) lists_former_targets: bool,
     /// Other balancers that the sender knows of.
     pub(crate) members: &'a [Member],
+    /// Services that routes led to before.
+    pub(crate) former_targets: &'a [AgedFormerTarget],
+}
+
+/// What the sender of a status digest requests from the receiver.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum DigestRequest {
+    Nothing,
+    /// The receiver's status digest in reply.
+    Answer,
+    /// The changes of the catalog since the digest's revision.
+    Changes,
+}
+
+impl DigestRequest {
+    const fn to_wire_byte(self) -> u8 {
+        match self {
+            Self::Nothing => 0,
+            Self::Answer => 1,
+            Self::Changes => 2,
+        }
+    }
+
+    const fn from_wire_byte(byte: u8) -> Result<Self, MessageError> {
+        match byte {
+            0 => Ok(Self::Nothing),
+            1 => Ok(Self::Answer),
+            2 => Ok(Self::Changes),
+            _ => Err(MessageError::InvalidField { field: "request" }),
+        }
+    }
 }
 
 /// What a balancer announces about itself in its status digests.
@@ -585,11 +719,12 @@
     zone: U64,
     link_mbps: U32,
     confirmed_age_ms: U32,
-    wants_answer: u8,
-    wants_catalog: u8,
+    request: u8,
     is_starting: u8,
     status_flags: u8,
-    count: u8,
+    lists_former_targets: u8,
+    member_count: u8,
+    former_target_count: u8,
 }
 
 /// A chunk of a serialized catalog or catalog delta.
--- a/crates/passthrough/src/message/decode.rs
+++ b/crates/passthrough/src/message/decode.rs
@@ -3,11 +3,12 @@
 use zerocopy::{FromBytes, Immutable, KnownLayout, Ref, Unaligned};
 
 use super::{
-    AcceptLimits, Body, CANDIDATES_MAX, Candidate, Candidates, Chunk, ChunkHeader,
-    DIGEST_MEMBERS_MAX, Digest, DigestHeader, FlowHeld, FlowHeldHeader, FlowNotHeld,
-    FlowNotHeldHeader, Forward, ForwardHeader, Instances, LAYOUT_VERSION, LoadReport,
-    LoadReportHeader, LookupRequest, LookupRequestHeader, MAGIC, Member, Message, MessageError,
-    PacketClass, PeerStatus, Preamble, REPORTED_BALANCERS_MAX, ReturnHeader, Returned, StateNotice,
+    AcceptLimits, AgedFormerTarget, Body, CANDIDATES_MAX, Candidate, Candidates, Chunk,
+    ChunkHeader, DIGEST_FORMER_TARGETS_MAX, DIGEST_MEMBERS_MAX, Digest, DigestHeader,
+    DigestRequest, FlowHeld, FlowHeldHeader, FlowNotHeld, FlowNotHeldHeader, Forward,
+    ForwardHeader, Instances, LAYOUT_VERSION, LoadReport, LoadReportHeader, LookupRequest,
+    LookupRequestHeader, MAGIC, Member, Message, MessageError, PacketClass, PeerStatus, Preamble,
+    REPORTED_BALANCERS_MAX, REPORTED_ROUTES_MAX, ReturnHeader, Returned, RouteAddress, StateNotice,
     StateNoticeHeader, kind,
 };
 use crate::{EndpointState, Flow, ServiceKey};
@@ -79,6 +80,7 @@
     let (header, _) = decode_prefix::<FlowHeldHeader>(datagram)?;
     Ok(Body::FlowHeld(FlowHeld {
         flow: Flow::from_bytes(header.flow),
+        service: ServiceKey::new(header.service.get()),
         utilization: header.utilization.get(),
     }))
 }
@@ -128,32 +130,52 @@
 
 fn decode_load_report(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
     let (header, rest) = decode_prefix::<LoadReportHeader>(datagram)?;
+    let route_count = usize::from(header.route_count);
+    if route_count > REPORTED_ROUTES_MAX {
+        return Err(MessageError::InvalidField {
+            field: "route_count",
+        });
+    }
+    let (routes, rest) = decode_list::<RouteAddress>(rest, route_count)?;
     Ok(Body::LoadReport(LoadReport {
+        service: ServiceKey::new(header.service.get()),
         utilization: header.utilization.get(),
         idle_utilization: header.idle_utilization.get(),
-        balancers: decode_instances(rest, header.count)?,
+        lists_every_route: header.lists_every_route != 0,
+        routes,
+        balancers: decode_instances(rest, header.balancer_count)?,
     }))
 }
 
 fn decode_digest(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
     let (header, rest) = decode_prefix::<DigestHeader>(datagram)?;
-    let count = usize::from(header.count);
-    if count > DIGEST_MEMBERS_MAX {
-        return Err(MessageError::InvalidField { field: "count" });
+    let member_count = usize::from(header.member_count);
+    if member_count > DIGEST_MEMBERS_MAX {
+        return Err(MessageError::InvalidField {
+            field: "member_count",
+        });
+    }
+    let former_target_count = usize::from(header.former_target_count);
+    if former_target_count > DIGEST_FORMER_TARGETS_MAX {
+        return Err(MessageError::InvalidField {
+            field: "former_target_count",
+        });
     }
-    let (members, _) = decode_list::<Member>(rest, count)?;
+    let (members, rest) = decode_list::<Member>(rest, member_count)?;
+    let (former_targets, _) = decode_list::<AgedFormerTarget>(rest, former_target_count)?;
     Ok(Body::Digest(Digest {
         revision: header.revision.get(),
         confirmed_age_ms: header.confirmed_age_ms.get(),
-        wants_answer: header.wants_answer != 0,
-        wants_catalog: header.wants_catalog != 0,
+        request: DigestRequest::from_wire_byte(header.request)?,
         is_starting: header.is_starting != 0,
         status: PeerStatus::from_wire(
             header.zone.get(),
             header.link_mbps.get(),
             header.status_flags,
         ),
+        lists_former_targets: header.lists_former_targets != 0,
         members,
+        former_targets,
     }))
 }
 
--- a/crates/passthrough/src/message/write.rs
+++ b/crates/passthrough/src/message/write.rs
@@ -6,10 +6,10 @@
 };
 
 use super::{
-    Chunk, ChunkHeader, DIGEST_MEMBERS_MAX, Digest, DigestHeader, FlowHeld, FlowHeldHeader,
-    FlowNotHeld, FlowNotHeldHeader, Forward, ForwardHeader, LoadReport, LoadReportHeader,
-    LookupRequest, LookupRequestHeader, Preamble, ReturnHeader, Returned, StateNotice,
-    StateNoticeHeader, kind,
+    Chunk, ChunkHeader, DIGEST_FORMER_TARGETS_MAX, DIGEST_MEMBERS_MAX, Digest, DigestHeader,
+    FlowHeld, FlowHeldHeader, FlowNotHeld, FlowNotHeldHeader, Forward, ForwardHeader, LoadReport,
+    LoadReportHeader, LookupRequest, LookupRequestHeader, Preamble, REPORTED_ROUTES_MAX,
+    ReturnHeader, Returned, StateNotice, StateNoticeHeader, kind,
 };
 use crate::EndpointState;
 
@@ -82,6 +82,7 @@
     let header = FlowHeldHeader {
         preamble: Preamble::new(kind::FLOW_HELD),
         flow: flow_held.flow.to_bytes(),
+        service: U64::new(flow_held.service.get()),
         utilization: U16::new(flow_held.utilization),
     };
     out.clear();
@@ -108,41 +109,54 @@
 }
 
 /// Encodes an agent's load report into `out`.
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "a report has at most `REPORTED_ROUTES_MAX` routes"
+)]
 pub(crate) fn write_load_report(report: LoadReport<'_>, out: &mut Vec<u8>) {
+    let routes = &report.routes[..report.routes.len().min(REPORTED_ROUTES_MAX)];
     let header = LoadReportHeader {
         preamble: Preamble::new(kind::LOAD_REPORT),
+        service: U64::new(report.service.get()),
         utilization: U16::new(report.utilization),
         idle_utilization: U16::new(report.idle_utilization),
-        count: report.balancers.count(),
-        _reserved: 0,
+        lists_every_route: u8::from(report.lists_every_route),
+        route_count: routes.len() as u8,
+        balancer_count: report.balancers.count(),
     };
     out.clear();
     out.extend_from_slice(header.as_bytes());
+    out.extend_from_slice(routes.as_bytes());
     out.extend_from_slice(report.balancers.0.as_bytes());
 }
 
 /// Encodes a balancer's status digest into `out`.
 #[expect(
     clippy::cast_possible_truncation,
-    reason = "a digest has at most `DIGEST_MEMBERS_MAX` members"
+    reason = "the lists of a digest have at most `DIGEST_MEMBERS_MAX` and \
+              `DIGEST_FORMER_TARGETS_MAX` items"
 )]
 pub(crate) fn write_digest(digest: Digest<'_>, out: &mut Vec<u8>) {
     let members = &digest.members[..digest.members.len().min(DIGEST_MEMBERS_MAX)];
+    let former =
+        &digest.former_targets[..digest.former_targets.len().min(DIGEST_FORMER_TARGETS_MAX)];
     let header = DigestHeader {
         preamble: Preamble::new(kind::DIGEST),
         revision: U64::new(digest.revision),
         zone: U64::new(digest.status.zone.get()),
         link_mbps: U32::new(digest.status.link_mbps),
         confirmed_age_ms: U32::new(digest.confirmed_age_ms),
-        wants_answer: u8::from(digest.wants_answer),
-        wants_catalog: u8::from(digest.wants_catalog),
+        request: digest.request.to_wire_byte(),
         is_starting: u8::from(digest.is_starting),
         status_flags: digest.status.to_wire_flags(),
-        count: members.len() as u8,
+        lists_former_targets: u8::from(digest.lists_former_targets),
+        member_count: members.len() as u8,
+        former_target_count: former.len() as u8,
     };
     out.clear();
     out.extend_from_slice(header.as_bytes());
     out.extend_from_slice(members.as_bytes());
+    out.extend_from_slice(former.as_bytes());
 }
 
 /// Encodes a chunk of a serialized catalog into `out`.
--- a/crates/passthrough/tests/support/mod.rs
+++ b/crates/passthrough/tests/support/mod.rs
@@ -124,6 +124,7 @@
         network.catalog = Catalog {
             revision: Revision::new(10),
             settings_version: SettingsVersion::new(1),
+            settings_changed_at: Revision::new(10),
             idle_timeout_ms: Millis::new(15_000),
             routes: vec![route_to_service(SERVICE_ADDRESS, SERVICE)],
             endpoints: Vec::new(),
@@ -177,6 +178,7 @@
             slots: Slots::new(2),
             state: EndpointState::Ready,
             born_ms: 1,
+            registered_at: self.catalog.revision,
             retired_at: None,
         });
         self.catalog.sort_entries();
