Read the store in time after its readers are lost

Cause: a balancer that doesn't read keeps its idle connection to the store. If that went silent, the first call after a takeover waits in vain for the watch's second and its time limit of 0.9 s. Evidence: store_duty with freshest_age_ms of 1,764 to 1,802 on all four remaining balancers, store_lost 1.9 s later, store_regained at once after it. Ruled out: a late takeover alone (1.8 s is within the bound), the store (it answers new connections at once).

When calls wait and are repeated is decided by ReadSchedule, apart from the calls.

--- a/crates/passthrough-node/src/catalog_source.rs
+++ b/crates/passthrough-node/src/catalog_source.rs
@@ -1,34 +1,13 @@
 //! The source of the catalog of routes and endpoints, and the tasks that read it.
 
-use std::{fmt::Display, time::Duration};
+use std::fmt::Display;
 
 use passthrough::Catalog;
 use serde::Serialize;
 use tokio::sync::{mpsc, watch};
 use units::{Millis, Revision};
 
-use crate::{EventLog, clock, event_log::LineKind};
-
-/// Time for which one watch call to the source waits for a change; each response confirms the
-/// current catalog.
-const WATCH_WAIT_MS: Millis = Millis::new(1_000);
-
-/// Delay after a change of the catalog, so that changes in quick succession are read together.
-///
-/// The delay is less than a tenth of the three seconds within which a change must take effect.
-const COALESCE_DELAY: Duration = Duration::from_millis(250);
-
-/// Initial exponential backoff of failed calls to the source; the delay doubles with each failure.
-const RETRY_DELAY_MIN: Duration = Duration::from_millis(60);
-
-/// Maximum backoff of failed calls, within which a recovered store is noticed.
-///
-/// The backoff is a quarter of the three seconds within which a change must take effect.
-const RETRY_DELAY_MAX: Duration = Duration::from_millis(750);
-
-/// Maximum backoff of failed calls before the first successful read, until which no caller is
-/// served.
-const INITIAL_RETRY_DELAY_MAX: Duration = Duration::from_millis(150);
+use crate::{ChangeSeen, EventLog, ReadSchedule, clock, event_log::LineKind};
 
 /// A source of catalogs that can be read and watched, such as the platform's store.
 pub trait CatalogSource: Send + 'static {
@@ -87,7 +66,7 @@
 #[derive(Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 enum SourceEvent<'a> {
-    StoreLost { cause: &'a str },
+    StoreLost { cause: &'a str, after_ms: u64 },
     StoreRegained { failed_calls: u32 },
     ItemSkipped { cause: &'a str },
     ConfirmationFailed { cause: &'a str },
@@ -100,10 +79,16 @@
     updates: mpsc::Sender<SourceUpdate>,
     log: EventLog,
 ) {
-    let mut failed_calls = 0;
-    let mut delay_max = INITIAL_RETRY_DELAY_MAX;
-    while reading_enabled.wait_for(|it| *it).await.is_ok() {
-        let result = source.next_catalog(WATCH_WAIT_MS).await;
+    let mut schedule = ReadSchedule::default();
+    loop {
+        if !*reading_enabled.borrow() {
+            if reading_enabled.wait_for(|it| *it).await.is_err() {
+                return;
+            }
+            schedule.resume();
+        }
+        let called_at = clock::now();
+        let result = source.next_catalog(schedule.wait()).await;
         for skipped in source.take_skipped_items() {
             let cause = skipped.to_string();
             log.write_line(
@@ -111,37 +96,43 @@
                 &SourceEvent::ItemSkipped { cause: &cause },
             );
         }
-        match result {
+        let failed_calls = schedule.failed_calls();
+        let delay = match result {
             Ok(catalog) => {
-                delay_max = RETRY_DELAY_MAX;
                 if failed_calls > 0 {
                     log.write_line(
                         LineKind::StateChange,
                         &SourceEvent::StoreRegained { failed_calls },
                     );
-                    failed_calls = 0;
                 }
-                let changed = catalog.is_some();
+                let change = if catalog.is_some() {
+                    ChangeSeen::Yes
+                } else {
+                    ChangeSeen::No
+                };
                 let calls = source.call_count();
                 if updates.send(SourceUpdate { catalog, calls }).await.is_err() {
                     return;
                 }
-                if changed {
-                    tokio::time::sleep(COALESCE_DELAY).await;
-                }
+                schedule.on_answer(change)
             }
             Err(err) => {
                 if failed_calls == 0 {
                     let cause = err.to_string();
+                    let after_ms = clock::now().since(called_at).get();
                     log.write_line(
                         LineKind::StateChange,
-                        &SourceEvent::StoreLost { cause: &cause },
+                        &SourceEvent::StoreLost {
+                            cause: &cause,
+                            after_ms,
+                        },
                     );
                 }
-                let delay = RETRY_DELAY_MIN * 2_u32.saturating_pow(failed_calls.min(8));
-                failed_calls += 1;
-                tokio::time::sleep(delay.min(delay_max)).await;
+                schedule.on_failure()
             }
+        };
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
         }
     }
 }
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -108,6 +108,9 @@
     /// Time at which the store became reachable again after an outage.
     store_recovered_at: Option<Millis>,
     reads_store: bool,
+    /// Time at which this balancer last began to read the store, or `None` if it doesn't read the
+    /// store or has read it since its start.
+    took_over_at: Option<Millis>,
     /// Rank among the live balancers as a reader of the store, as of the latest regular digest.
     reader_rank: usize,
     next_notice: Millis,
@@ -154,6 +157,7 @@
             is_standby: false,
             store_recovered_at: None,
             reads_store: true,
+            took_over_at: None,
             reader_rank: 0,
             next_notice: now,
             next_digest: now,
@@ -334,7 +338,10 @@
     /// Returns the time at which `on_timer` must be called next.
     #[must_use]
     pub fn next_deadline(&mut self) -> Millis {
-        let regular = self.next_notice.min(self.next_digest);
+        let mut regular = self.next_notice.min(self.next_digest);
+        if !self.reads_store {
+            regular = regular.min(self.takeover_at().unwrap_or(regular));
+        }
         let opening = self.openings.next_deadline().unwrap_or(regular);
         let lookup = self.lookups.next_retry_at().unwrap_or(regular);
         let transfer = self.transfers.next_send_at().unwrap_or(regular);
--- a/crates/passthrough/src/balancer/duties.rs
+++ b/crates/passthrough/src/balancer/duties.rs
@@ -27,6 +27,12 @@
 /// reads the store itself.
 const STANDBY_READERS_DELAY_MAX_MS: u64 = 1_000;
 
+/// Minimum time for which a balancer that took over reads the store.
+///
+/// The store's first answer makes the confirmation young again, long before the ranks of the lost
+/// readers have passed to others.
+const TAKEOVER_DURATION_MIN_MS: Millis = Millis::new(1_000);
+
 impl<F: PacketFormat> Balancer<F> {
     /// Enters standby if enough balancers of the zone have much faster links, or leaves standby.
     pub(super) fn update_standby(&mut self, now: Millis, out: &mut impl Outbox) {
@@ -54,15 +60,17 @@
     /// Starts or stops reading the store, depending on the age of the latest store confirmation and
     /// on this balancer's rank among the readers.
     pub(super) fn update_store_reader(&mut self, now: Millis, out: &mut impl Outbox) {
-        let stale_after = CONFIRMATION_STALE_MS.plus(self.standby_reader_delay());
-        let is_stale = self
-            .confirmed_at
-            .is_none_or(|it| now.since(it) > stale_after);
-        let reads = is_stale || (self.reader_rank < STORE_READERS && !self.stopping);
+        let is_stale = self.takeover_at().is_none_or(|it| now >= it);
+        let has_just_begun = self
+            .took_over_at
+            .is_some_and(|it| now.since(it) < TAKEOVER_DURATION_MIN_MS);
+        let is_reader = self.reader_rank < STORE_READERS && !self.stopping;
+        let reads = is_stale || has_just_begun || is_reader;
         if reads == self.reads_store {
             return;
         }
         self.reads_store = reads;
+        self.took_over_at = reads.then_some(now);
         out.report_event(Event::StoreDuty {
             reads,
             peers: self.peers.len(),
@@ -70,6 +78,13 @@
         });
     }
 
+    /// Returns the time at which this balancer reads the store itself unless the store confirms the
+    /// catalog before, or `None` if the store has never confirmed it.
+    pub(super) fn takeover_at(&self) -> Option<Millis> {
+        let stale_after = CONFIRMATION_STALE_MS.plus(self.standby_reader_delay());
+        self.confirmed_at.map(|it| it.plus(stale_after))
+    }
+
     /// Returns how much longer than others this balancer waits until it takes over from failed store
     /// readers. In a large fleet a few take over first, so that not all call the store at once.
     fn standby_reader_delay(&self) -> Millis {
