Change routes and silence store connections in the soak

Change: a route shared by both services, whose weights change in series with losses of all or all but one balancers and with store connections that go silent; callers that keep their flows over it; items of the simulated store keep the revision of their creation.

--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -51,8 +51,8 @@
 pub(crate) struct Endpoint {
     pub(crate) name: String,
     pub(crate) service: &'static str,
-    /// The service address whose flows the endpoint accepts.
-    service_address: SocketAddrV4,
+    /// The addresses of the routes whose flows the endpoint accepts.
+    service_addresses: [SocketAddrV4; 2],
     address: SocketAddrV4,
     outbound: SocketAddrV4,
     state: Arc<Mutex<State>>,
@@ -65,7 +65,7 @@
     /// Starts an endpoint and registers it as ready in the store.
     pub(crate) async fn start(
         name: String,
-        (service, service_address): (&'static str, SocketAddrV4),
+        (service, service_addresses): (&'static str, [SocketAddrV4; 2]),
         (address, outbound): (SocketAddrV4, SocketAddrV4),
         store: Store,
         report: Arc<RunReport>,
@@ -73,7 +73,7 @@
         let endpoint = Self {
             name,
             service,
-            service_address,
+            service_addresses,
             address,
             outbound,
             state: Arc::new(Mutex::new(State {
@@ -216,7 +216,7 @@
             self.record_violation("received a packet that is malformed or has a wrong checksum");
             return Vec::new();
         };
-        if segment.destination != self.service_address {
+        if !self.service_addresses.contains(&segment.destination) {
             self.record_violation("received a packet of another service");
         }
         let mut state = self.lock_state();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -39,6 +39,7 @@
     // Partial faults have a random generator of their own. Seeds recorded before partial faults
     // existed thus still produce the same other faults.
     let mut partial_fault_rng = StdRng::seed_from_u64(rng.clone().random());
+    let mut series_rng = StdRng::seed_from_u64(partial_fault_rng.clone().random());
     let mut recoveries: Vec<(Instant, Recovery)> = Vec::new();
     while Instant::now() < end {
         if rng.random_range(0..20) == 0 {
@@ -59,6 +60,9 @@
             report.extend_fault_time(until);
             recoveries.push((until, recovery));
         }
+        if series_rng.random_range(0..4) == 0 {
+            recoveries.extend(inject_series(network, &mut series_rng, report).await);
+        }
         report.faults.fetch_add(1, Ordering::Relaxed);
         let pause = Duration::from_millis(rng.random_range(50..900));
         tokio::time::sleep(pause).await;
@@ -179,6 +183,43 @@
     (duration, Recovery::ClearPacketFault)
 }
 
+/// Changes the shared route several times in quick succession, possibly while processes that know
+/// the route are lost or their connections to the store go silent. Returns the actions that end
+/// what was injected, with their times.
+async fn inject_series(
+    network: &mut Network,
+    rng: &mut StdRng,
+    report: &RunReport,
+) -> Vec<(Instant, Recovery)> {
+    let mut recoveries = Vec::new();
+    for _ in 0..rng.random_range(1..4) {
+        let until = Instant::now() + Duration::from_millis(rng.random_range(100..1_500));
+        report.extend_fault_time(until);
+        match rng.random_range(0..6) {
+            0 => {
+                for proxy in &network.proxies {
+                    proxy.forget_connections();
+                }
+            }
+            1 => {
+                let spared = rng.random_range(0..network.balancers.len() + 1);
+                for idx in (0..network.balancers.len()).filter(|it| *it != spared) {
+                    network.balancers[idx].kill();
+                    recoveries.push((until, Recovery::StartBalancer(idx)));
+                }
+            }
+            _ => {
+                let weights = [[3, 1], [1, 3], [1, 0], [0, 1]];
+                network.shared_weights = weights[rng.random_range(0..weights.len())];
+                network.settings_version += 1;
+                network.publish_settings();
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(rng.random_range(5..400))).await;
+    }
+    recoveries
+}
+
 /// Drains an endpoint without other faults, so that the time bound on opening packets to a draining
 /// endpoint can be checked.
 async fn drain_without_faults(network: &Network, rng: &mut StdRng, report: &RunReport) {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -78,6 +78,8 @@
         return report;
     }
     network.start_callers(&mut rng);
+    // Seeds recorded before the shared route existed thus still produce the same faults.
+    network.start_shared_route_callers(&mut rng.clone());
     tokio::time::sleep(Duration::from_secs(2)).await;
     faults::inject_faults(&mut network, &mut rng, fault_time, &report).await;
     tokio::time::sleep(RECOVERY_TIME).await;
--- a/crates/soak/src/network.rs
+++ b/crates/soak/src/network.rs
@@ -42,6 +42,12 @@
     ),
 ];
 
+/// Address of a route that all services share, by weights that change.
+const SHARED_ADDRESS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 3), 443);
+
+/// Number of callers of the shared route, in addition to `CALLERS`.
+const SHARED_ROUTE_CALLERS: u8 = 4;
+
 /// Test network of one soak run: the processes under test and their simulated peers.
 #[derive(Debug)]
 pub(crate) struct Network {
@@ -57,6 +63,8 @@
     pub(crate) router: Router,
     report: Arc<RunReport>,
     pub(crate) settings_version: u64,
+    /// Weights of the services on the shared route; a service without weight is not a target.
+    pub(crate) shared_weights: [u32; SERVICES.len()],
     folder: PathBuf,
 }
 
@@ -86,6 +94,7 @@
             ),
             report: Arc::clone(report),
             settings_version: 1,
+            shared_weights: [3, 1],
             folder,
         };
         network.publish_settings();
@@ -125,24 +134,43 @@
     /// Starts the callers. Half of them open a flow for each request, the others reuse their flows.
     pub(crate) fn start_callers(&self, rng: &mut StdRng) {
         for number in 0..CALLERS {
-            let caller = Caller {
-                ip: Ipv4Addr::new(127, self.subnet, 3, number + 1),
-                packet_port: CALLER_PORT,
-                service_address: SERVICES[usize::from(number % 3 / 2)].1,
-                router: self.router.clone(),
-                endpoints: Arc::clone(&self.endpoints),
-                report: Arc::clone(&self.report),
-                requests_per_flow: if number.is_multiple_of(2) { 1 } else { 40 },
-            };
-            let (seed, report) = (rng.random(), Arc::clone(&self.report));
-            tokio::spawn(async move {
-                if let Err(err) = caller.send_requests(seed).await {
-                    report.record_violation(format!("a caller can't bind its socket: {err}"));
-                }
-            });
+            let service_address = SERVICES[usize::from(number % 3 / 2)].1;
+            let requests_per_flow = if number.is_multiple_of(2) { 1 } else { 40 };
+            self.start_caller(number, service_address, requests_per_flow, rng.random());
         }
     }
 
+    /// Starts the callers of the shared route, which keep their flows open over its changes.
+    pub(crate) fn start_shared_route_callers(&self, rng: &mut StdRng) {
+        for number in CALLERS..CALLERS + SHARED_ROUTE_CALLERS {
+            self.start_caller(number, SHARED_ADDRESS, 40, rng.random());
+        }
+    }
+
+    fn start_caller(
+        &self,
+        number: u8,
+        service_address: SocketAddrV4,
+        requests_per_flow: u32,
+        seed: u64,
+    ) {
+        let caller = Caller {
+            ip: Ipv4Addr::new(127, self.subnet, 3, number + 1),
+            packet_port: CALLER_PORT,
+            service_address,
+            router: self.router.clone(),
+            endpoints: Arc::clone(&self.endpoints),
+            report: Arc::clone(&self.report),
+            requests_per_flow,
+        };
+        let report = Arc::clone(&self.report);
+        tokio::spawn(async move {
+            if let Err(err) = caller.send_requests(seed).await {
+                report.record_violation(format!("a caller can't bind its socket: {err}"));
+            }
+        });
+    }
+
     /// Publishes the operator's settings in the store, under the current settings version.
     pub(crate) fn publish_settings(&self) {
         let route_entry = |(name, address, _): &(&str, SocketAddrV4, u8)| {
@@ -152,7 +180,16 @@
                 "timeout_ms": 2000, "goal_ms": 200, "priority": 1, "service": name,
             })
         };
-        let routes: Vec<Value> = SERVICES.iter().map(route_entry).collect();
+        let mut routes: Vec<Value> = SERVICES.iter().map(route_entry).collect();
+        let split = SERVICES.iter().zip(self.shared_weights);
+        let split: Vec<Value> = split
+            .map(|(it, weight)| json!({"service": it.0, "weight": weight}))
+            .collect();
+        routes.push(json!({
+            "name": "r-shared", "hostname": SHARED_ADDRESS.ip().to_string(),
+            "prefix": format!("/{}/", SHARED_ADDRESS.port()), "type": "idempotent",
+            "timeout_ms": 2000, "goal_ms": 200, "priority": 1, "split": split,
+        }));
         let config = json!({
             "version": self.settings_version, "routes": routes, "services": [],
             "limits": {"idle_timeout_ms": 15_000 + self.settings_version},
@@ -205,7 +242,7 @@
         self.agents.push(process);
         let endpoint = Endpoint::start(
             format!("e-{number}"),
-            (service, service_address),
+            (service, [service_address, SHARED_ADDRESS]),
             (at(ENDPOINT_PORT), at(OUTBOUND_PORT)),
             self.store.clone(),
             Arc::clone(&self.report),
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicU8, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -47,6 +47,8 @@
 pub(crate) struct Proxy {
     pub(crate) address: SocketAddr,
     fault: Arc<AtomicU8>,
+    /// Number of times that all open connections were forgotten.
+    forgotten: Arc<AtomicU64>,
 }
 
 impl Proxy {
@@ -56,11 +58,16 @@
         let proxy = Self {
             address: listener.local_addr()?,
             fault: Arc::new(AtomicU8::new(ConnectionFault::None as u8)),
+            forgotten: Arc::default(),
         };
-        let fault = Arc::clone(&proxy.fault);
+        let (fault, forgotten) = (Arc::clone(&proxy.fault), Arc::clone(&proxy.forgotten));
         tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
-                let fault = Arc::clone(&fault);
+                let faults = Faults {
+                    current: Arc::clone(&fault),
+                    forgotten_at_start: forgotten.load(Ordering::Relaxed),
+                    forgotten: Arc::clone(&forgotten),
+                };
                 tokio::spawn(async move {
                     let Ok(store) = TcpStream::connect(target).await else {
                         return;
@@ -70,11 +77,11 @@
                     let requests = forward_bytes(
                         from_caller,
                         to_store,
-                        Arc::clone(&fault),
+                        faults.clone(),
                         ConnectionFault::BlackHole,
                     );
                     let replies =
-                        forward_bytes(from_store, to_caller, fault, ConnectionFault::ReplyLoss);
+                        forward_bytes(from_store, to_caller, faults, ConnectionFault::ReplyLoss);
                     tokio::select! {
                         () = requests => {}
                         () = replies => {}
@@ -85,24 +92,49 @@
         Ok(proxy)
     }
 
+    /// Lets all open connections go silent for good; new ones work.
+    pub(crate) fn forget_connections(&self) {
+        self.forgotten.fetch_add(1, Ordering::Relaxed);
+    }
+
     pub(crate) fn set_fault(&self, fault: ConnectionFault) {
         self.fault.store(fault as u8, Ordering::Relaxed);
     }
 }
 
+/// What may disturb one connection.
+#[derive(Debug, Clone)]
+struct Faults {
+    current: Arc<AtomicU8>,
+    forgotten: Arc<AtomicU64>,
+    /// Value of `forgotten` when the connection was opened.
+    forgotten_at_start: u64,
+}
+
+impl Faults {
+    fn current_fault(&self) -> ConnectionFault {
+        CONNECTION_FAULTS[usize::from(self.current.load(Ordering::Relaxed))]
+    }
+
+    fn is_forgotten(&self) -> bool {
+        self.forgotten.load(Ordering::Relaxed) != self.forgotten_at_start
+    }
+}
+
 /// Forwards the bytes of a connection in one direction. Bytes that arrive during the fault
 /// `lost_in` or a black hole are lost, and so are all later bytes of the connection.
 async fn forward_bytes(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    fault: Arc<AtomicU8>,
+    faults: Faults,
     lost_in: ConnectionFault,
 ) {
     let mut buffer = vec![0; 16 * 1024];
     let mut is_losing = false;
     while let Ok(len @ 1..) = from.read(&mut buffer).await {
-        let fault = CONNECTION_FAULTS[usize::from(fault.load(Ordering::Relaxed))];
+        let fault = faults.current_fault();
         is_losing |= fault == lost_in || fault == ConnectionFault::BlackHole;
+        is_losing |= faults.is_forgotten();
         if fault == ConnectionFault::Reset {
             return;
         }
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -31,12 +31,32 @@
     Silent,
 }
 
+/// An item of the store.
+#[derive(Debug, Clone)]
+struct Item {
+    /// Revision at which the item was created.
+    created: u64,
+    /// Revision of the item's latest change.
+    revision: u64,
+    /// The item's value as Base64 text.
+    value: String,
+}
+
+impl Item {
+    fn to_json(&self, key: &str) -> Value {
+        json!({
+            "key": key, "value": self.value, "revision": self.revision, "created": self.created,
+            "lease": 0,
+        })
+    }
+}
+
 #[derive(Debug)]
 struct State {
     revision: u64,
-    items: BTreeMap<String, (u64, String)>,
-    /// History of changes, each as revision, key and value; a deletion has no value.
-    history: Vec<(u64, String, Option<String>)>,
+    items: BTreeMap<String, Item>,
+    /// History of changes; a deletion has no item.
+    history: Vec<(u64, String, Option<Item>)>,
     /// The revision up to which the history of changes was discarded.
     compacted_revision: u64,
     mode: Mode,
@@ -111,15 +131,16 @@
         let mut state = self.lock_state();
         state.revision += 1;
         let revision = state.revision;
-        match &value {
-            Some(text) => {
-                state.items.insert(key.to_owned(), (revision, text.clone()));
-            }
-            None => {
-                state.items.remove(key);
-            }
+        let old = state.items.remove(key);
+        let item = value.map(|value| Item {
+            created: old.map_or(revision, |it| it.created),
+            revision,
+            value,
+        });
+        if let Some(item) = item.clone() {
+            state.items.insert(key.to_owned(), item);
         }
-        state.history.push((revision, key.to_owned(), value));
+        state.history.push((revision, key.to_owned(), item));
         drop(state);
         self.changed.notify_waiters();
     }
@@ -140,8 +161,7 @@
             return Ok(self.respond_to_watch(&query).await);
         }
         let state = self.lock_state();
-        let item = |(key, (revision, value)): (&String, &(u64, String))| json!({"key": key, "value": value, "revision": revision, "created": revision, "lease": 0});
-        let items: Vec<Value> = state.items.iter().map(item).collect();
+        let items: Vec<Value> = state.items.iter().map(|it| it.1.to_json(it.0)).collect();
         let body = json!({"items": items, "has_more": false, "as_of": state.revision});
         Ok(json_response(StatusCode::OK, &body))
     }
@@ -161,8 +181,8 @@
                     .history
                     .iter()
                     .filter(|it| it.0 > after)
-                    .map(|(revision, key, value)| match value {
-                        Some(value) => json!({"key": key, "value": value, "revision": revision}),
+                    .map(|(revision, key, item)| match item {
+                        Some(item) => item.to_json(key),
                         None => json!({"key": key, "revision": revision, "tombstone": true}),
                     })
                     .collect();
