--- a/crates/lovagehall/tests/frozen_balancer.rs
+++ b/crates/lovagehall/tests/frozen_balancer.rs
@@ -121,7 +121,7 @@
     }));
     let endpoint = encode(json!({
         "service": "s", "address": format!("{agent_host}:9000"), "zone": "a", "slots": 2,
-        "state": "ready",
+        "state": "ready", "version": "v1", "cold_left_ms": 0, "seq": 1,
     }));
     let items = json!({"as_of": 5, "has_more": false, "items": [
         {"key": "op/config", "value": config}, {"key": "servers/e", "value": endpoint}]});
--- a/crates/lovagehall/tests/lost_readers.rs
+++ b/crates/lovagehall/tests/lost_readers.rs
@@ -250,7 +250,7 @@
         .unwrap();
     let entry = |state| {
         json!({"service": "s", "address": format!("{}:9000", ip(100)), "zone": "a", "slots": 2,
-               "state": state})
+               "state": state, "version": "v1", "cold_left_ms": 0, "seq": 1})
     };
     store.put(
         "op/config",
--- a/crates/passthrough-node/src/balancer.rs
+++ b/crates/passthrough-node/src/balancer.rs
@@ -195,6 +195,7 @@
     inbox: Inbox,
     was_ready: bool,
     store_calls: u64,
+    skipped_items: u64,
     next_metrics: Millis,
     last_caller_packet: Millis,
     shutdown: Option<Shutdown>,
@@ -244,6 +245,7 @@
             inbox: Inbox::new(),
             was_ready: false,
             store_calls: 0,
+            skipped_items: 0,
             next_metrics: now,
             last_caller_packet: now,
             shutdown: None,
@@ -277,6 +279,7 @@
 
     fn on_source_update(&mut self, update: SourceUpdate) {
         self.store_calls = update.calls;
+        self.skipped_items = update.skipped_items;
         self.balancer
             .on_store_read(clock::now(), update.catalog, &mut self.sockets);
     }
@@ -371,15 +374,38 @@
         }
         if now >= self.next_metrics {
             self.next_metrics = now.plus(METRICS_INTERVAL_MS);
-            let text = render_metrics(
-                &self.balancer,
-                self.store_calls,
-                self.sockets.unsent_count(),
-            );
-            self.server_state.set_metrics(text);
+            self.server_state.set_metrics(self.render_metrics());
             self.sockets.log.flush_buffer();
         }
     }
+
+    fn render_metrics(&self) -> String {
+        let balancer = &self.balancer;
+        let mut text = Exposition::default();
+        for (name, value) in balancer.counters().named_values() {
+            text.add_counter(name, value);
+        }
+        text.add_counter("limits_exceeded", balancer.limits_exceeded_count());
+        text.add_counter("store_calls", self.store_calls);
+        text.add_counter("store_items_skipped", self.skipped_items);
+        text.add_counter("datagrams_unsent", self.sockets.unsent_count());
+        text.add_gauge("flows_cached", balancer.cached_flow_count() as u64);
+        text.add_gauge(
+            "settings_version",
+            balancer.catalog_view().catalog().settings_version.get(),
+        );
+        text.add_gauge(
+            "catalog_revision",
+            balancer.catalog_view().catalog().revision.get(),
+        );
+        text.add_gauge(
+            "endpoints",
+            balancer.catalog_view().catalog().endpoints.len() as u64,
+        );
+        let (bounds, counts, sum) = balancer.counters().opening_wait_histogram();
+        text.add_histogram("opening_accepted_ms", bounds, counts, sum);
+        text.into_text()
+    }
 }
 
 fn serve_http(
@@ -431,33 +457,3 @@
         }
     }
 }
-
-fn render_metrics<F: PacketFormat>(
-    balancer: &Balancer<F>,
-    store_calls: u64,
-    unsent: u64,
-) -> String {
-    let mut text = Exposition::default();
-    for (name, value) in balancer.counters().named_values() {
-        text.add_counter(name, value);
-    }
-    text.add_counter("limits_exceeded", balancer.limits_exceeded_count());
-    text.add_counter("store_calls", store_calls);
-    text.add_counter("datagrams_unsent", unsent);
-    text.add_gauge("flows_cached", balancer.cached_flow_count() as u64);
-    text.add_gauge(
-        "settings_version",
-        balancer.catalog_view().catalog().settings_version.get(),
-    );
-    text.add_gauge(
-        "catalog_revision",
-        balancer.catalog_view().catalog().revision.get(),
-    );
-    text.add_gauge(
-        "endpoints",
-        balancer.catalog_view().catalog().endpoints.len() as u64,
-    );
-    let (bounds, counts, sum) = balancer.counters().opening_wait_histogram();
-    text.add_histogram("opening_accepted_ms", bounds, counts, sum);
-    text.into_text()
-}
--- a/crates/passthrough-node/src/catalog_source.rs
+++ b/crates/passthrough-node/src/catalog_source.rs
@@ -39,7 +39,7 @@
         revision: Revision,
     ) -> impl Future<Output = Result<bool, Self::Error>> + Send;
 
-    /// Removes and returns the invalid items that were skipped since the last call.
+    /// Removes and returns the invalid items that were skipped since the last call, each once.
     fn take_skipped_items(&mut self) -> Vec<Self::SkippedItem>;
 
     /// Returns the number of calls made to the source so far.
@@ -53,6 +53,8 @@
     pub(crate) catalog: Option<Catalog>,
     /// Number of calls made to the source so far.
     pub(crate) calls: u64,
+    /// Number of invalid items that were skipped so far.
+    pub(crate) skipped_items: u64,
 }
 
 /// The source's confirmation that `revision` was its newest catalog revision.
@@ -80,6 +82,7 @@
     log: EventLog,
 ) {
     let mut schedule = ReadSchedule::default();
+    let mut skipped_items = 0;
     loop {
         if !*reading_enabled.borrow() {
             if reading_enabled.wait_for(|it| *it).await.is_err() {
@@ -90,6 +93,7 @@
         let called_at = clock::now();
         let result = source.next_catalog(schedule.wait()).await;
         for skipped in source.take_skipped_items() {
+            skipped_items += 1;
             let cause = skipped.to_string();
             log.write_line(
                 LineKind::StateChange,
@@ -111,7 +115,12 @@
                     ChangeSeen::No
                 };
                 let calls = source.call_count();
-                if updates.send(SourceUpdate { catalog, calls }).await.is_err() {
+                let update = SourceUpdate {
+                    catalog,
+                    calls,
+                    skipped_items,
+                };
+                if updates.send(update).await.is_err() {
                     return;
                 }
                 schedule.on_answer(change)
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -396,7 +396,8 @@
         out: &mut impl Outbox,
     ) {
         let mut candidates = Candidates::default();
-        candidates.push_candidate(Candidate::new(agent, self.agents.endpoint_slots(agent)));
+        let slots = self.agents.endpoint_slots(agent, service);
+        candidates.push_candidate(Candidate::new(agent, slots));
         let forward = Forward::new(service, self.config.address, class, candidates);
         write_forwarded_packet(&forward, packet, &mut self.scratch);
         out.send_to_peer(agent, &self.scratch);
--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -1,6 +1,6 @@
 //! Tracks the liveness and load of the agents beside the endpoints.
 
-use std::net::Ipv4Addr;
+use std::{cmp::Reverse, net::Ipv4Addr, ops::Range};
 
 use units::{Millis, Revision};
 
@@ -50,8 +50,8 @@
     is_lost: bool,
     /// Store revision at which the latest entry with the agent's address was created.
     registered_at: Revision,
-    /// Service whose routes the agent's latest report lists completely, if it does.
-    listed_service: Option<ServiceKey>,
+    /// Whether the agent's latest report lists the routes of all flows of its endpoint.
+    lists_every_route: bool,
     utilization: Utilization,
     utilization_at: Millis,
     /// Exponential moving average of the utilization in the agent's load reports; the latest report
@@ -81,7 +81,10 @@
 /// The agents of all listed endpoints and of recently retired ones.
 #[derive(Debug, Default)]
 pub(crate) struct Agents {
-    /// States of the agents, sorted by the agent's address.
+    /// States of the agents, sorted by the agent's address and the endpoint's service.
+    ///
+    /// Entries of several services may name one agent, which knows its own service. It is told of each,
+    /// so that no entry hides another one.
     agents: Vec<AgentState>,
 }
 
@@ -90,32 +93,47 @@
     /// already known.
     pub(crate) fn update_endpoints(&mut self, now: Millis, view: &CatalogView) {
         let mut agents: Vec<AgentState> = Vec::with_capacity(view.catalog().endpoints.len());
-        // Listed endpoints come first, so that deduplication drops a retired endpoint with the same
-        // agent.
         for endpoint in view
             .catalog()
             .endpoints
             .iter()
             .chain(view.retired_endpoints())
         {
-            let known = self.find_agent(endpoint.agent_address());
+            let known = self
+                .find_agents(endpoint.agent_address())
+                .iter()
+                .min_by_key(|it| it.endpoint.service != endpoint.service);
+            let is_same_service = known.is_some_and(|it| it.endpoint.service == endpoint.service);
             agents.push(AgentState {
                 endpoint: *endpoint,
-                sent_state: known.and_then(|it| it.sent_state),
+                sent_state: known
+                    .and_then(|it| it.sent_state)
+                    .filter(|_| is_same_service),
                 last_reply_at: known.map_or(now, |it| it.last_reply_at),
                 unanswered_since: known.and_then(|it| it.unanswered_since),
                 last_notice_at: known.and_then(|it| it.last_notice_at),
                 is_lost: known.is_some_and(|it| it.is_lost),
                 registered_at: endpoint.registered_at,
-                listed_service: known.and_then(|it| it.listed_service),
+                lists_every_route: known.is_some_and(|it| it.lists_every_route),
                 utilization: known.map_or(0, |it| it.utilization),
                 utilization_at: known.map_or(now, |it| it.utilization_at),
                 average: known.map_or_else(AverageUtilization::default, |it| it.average),
             });
         }
-        agents.sort_by_key(|it| it.endpoint.agent_address());
+        // Of several entries of a service with one agent, a listed one comes before a retired one, and
+        // the one that registered last before the others.
+        agents.sort_by_key(|it| {
+            (
+                it.endpoint.agent_address(),
+                it.endpoint.service,
+                it.endpoint.state == EndpointState::Retired,
+                Reverse(it.registered_at),
+                it.endpoint.key,
+            )
+        });
         agents.dedup_by(|later, first| {
-            let is_same = later.endpoint.agent_address() == first.endpoint.agent_address();
+            let place = |it: &AgentState| (it.endpoint.agent_address(), it.endpoint.service);
+            let is_same = place(later) == place(first);
             if is_same {
                 first.registered_at = first.registered_at.max(later.registered_at);
             }
@@ -161,12 +179,14 @@
             .collect()
     }
 
-    /// Records that an agent was sent the current state of its endpoint.
-    pub(crate) fn mark_state_sent(&mut self, now: Millis, agent: Ipv4Addr) {
-        if let Some(state) = self.find_agent_mut(agent) {
+    /// Records that an agent was sent the current state of its endpoint of a service.
+    pub(crate) fn mark_state_sent(&mut self, now: Millis, agent: Ipv4Addr, service: ServiceKey) {
+        for state in self.find_agents_mut(agent) {
             state.unanswered_since.get_or_insert(now);
-            state.last_notice_at = Some(now);
-            state.sent_state = Some((state.endpoint.state, state.endpoint.slots.get()));
+            if state.endpoint.service == service {
+                state.last_notice_at = Some(now);
+                state.sent_state = Some((state.endpoint.state, state.endpoint.slots.get()));
+            }
         }
     }
 
@@ -177,15 +197,15 @@
         utilization: Utilization,
         out: &mut impl Outbox,
     ) {
-        let Some(state) = self.find_agent_mut(agent) else {
-            return;
-        };
-        state.last_reply_at = now;
-        state.unanswered_since = None;
-        state.utilization = utilization;
-        state.utilization_at = now;
-        if state.is_lost {
-            state.is_lost = false;
+        let mut was_lost = false;
+        for state in self.find_agents_mut(agent) {
+            state.last_reply_at = now;
+            state.unanswered_since = None;
+            state.utilization = utilization;
+            state.utilization_at = now;
+            was_lost |= std::mem::take(&mut state.is_lost);
+        }
+        if was_lost {
             out.report_event(Event::AgentRegained { agent });
         }
     }
@@ -199,13 +219,11 @@
         out: &mut impl Outbox,
     ) {
         self.record_reply(now, agent, report.utilization, out);
-        if let Some(state) = self.find_agent_mut(agent) {
-            state.listed_service = report.lists_every_route.then_some(report.service);
-        }
-        if report.utilization == UTILIZATION_CLOSED {
-            return;
-        }
-        if let Some(state) = self.find_agent_mut(agent) {
+        for state in self.find_agents_mut(agent) {
+            state.lists_every_route = report.lists_every_route;
+            if report.utilization == UTILIZATION_CLOSED {
+                continue;
+            }
             state.average.utilization = state.average.utilization.midpoint(report.utilization);
             state.average.idle = state.average.idle.midpoint(report.idle_utilization);
         }
@@ -220,11 +238,16 @@
 
     /// Marks agents whose replies are overdue as lost.
     pub(crate) fn mark_lost_agents(&mut self, now: Millis, out: &mut impl Outbox) {
+        let mut last_lost = None;
         for state in &mut self.agents {
-            if !state.is_lost && state.is_unanswered(now, LOST_AFTER_MS) {
-                state.is_lost = true;
+            if state.is_lost || !state.is_unanswered(now, LOST_AFTER_MS) {
+                continue;
+            }
+            state.is_lost = true;
+            let agent = state.endpoint.agent_address();
+            if last_lost.replace(agent) != Some(agent) {
                 out.report_event(Event::AgentLost {
-                    agent: state.endpoint.agent_address(),
+                    agent,
                     silent_ms: now.since(state.last_reply_at).get(),
                 });
             }
@@ -309,33 +332,44 @@
                 it.endpoint.state == EndpointState::Retired && it.is_unanswered(now, LOST_AFTER_MS);
             is_gone
                 || it.registered_at > settings_changed_at
-                || it.listed_service == Some(it.endpoint.service)
+                || it.lists_every_route
                 || services.contains(&it.endpoint.service)
         };
         !self.agents.is_empty() && self.agents.iter().all(is_known)
     }
 
-    /// Returns the concurrency slots of the agent's endpoint, or zero if the agent is unknown.
-    pub(crate) fn endpoint_slots(&self, agent: Ipv4Addr) -> u8 {
-        let slots = self
-            .find_agent(agent)
-            .map_or(0, |it| it.endpoint.slots.get());
+    /// Returns the concurrency slots of the agent's endpoint of a service, or zero if it is unknown.
+    pub(crate) fn endpoint_slots(&self, agent: Ipv4Addr, service: ServiceKey) -> u8 {
+        let states = self.find_agents(agent).iter();
+        let slots = states
+            .map(|it| it.endpoint)
+            .find(|it| it.service == service)
+            .map_or(0, |it| it.slots.get());
         u8::try_from(slots).unwrap_or(u8::MAX)
     }
 
+    /// Returns the state of an agent; what its replies tell is the same for all its services.
     fn find_agent(&self, agent: Ipv4Addr) -> Option<&AgentState> {
-        let idx = self
-            .agents
-            .binary_search_by_key(&agent, |it| it.endpoint.agent_address())
-            .ok()?;
-        Some(&self.agents[idx])
+        self.find_agents(agent).first()
+    }
+
+    fn find_agents(&self, agent: Ipv4Addr) -> &[AgentState] {
+        &self.agents[self.range_of(agent)]
+    }
+
+    fn find_agents_mut(&mut self, agent: Ipv4Addr) -> &mut [AgentState] {
+        let range = self.range_of(agent);
+        &mut self.agents[range]
     }
 
-    fn find_agent_mut(&mut self, agent: Ipv4Addr) -> Option<&mut AgentState> {
-        let idx = self
+    fn range_of(&self, agent: Ipv4Addr) -> Range<usize> {
+        let begin = self
             .agents
-            .binary_search_by_key(&agent, |it| it.endpoint.agent_address())
-            .ok()?;
-        Some(&mut self.agents[idx])
+            .partition_point(|it| it.endpoint.agent_address() < agent);
+        let len = self.agents[begin..]
+            .iter()
+            .take_while(|it| it.endpoint.agent_address() == agent)
+            .count();
+        begin..begin + len
     }
 }
--- a/crates/passthrough/src/balancer/notices.rs
+++ b/crates/passthrough/src/balancer/notices.rs
@@ -49,7 +49,8 @@
         };
         write_state_notice(notice, &mut self.scratch);
         out.send_to_peer(endpoint.agent_address(), &self.scratch);
-        self.agents.mark_state_sent(now, endpoint.agent_address());
+        self.agents
+            .mark_state_sent(now, endpoint.agent_address(), endpoint.service);
     }
 
     pub(super) fn on_load_report(
--- a/crates/passthrough/src/catalog.rs
+++ b/crates/passthrough/src/catalog.rs
@@ -225,11 +225,28 @@
     ///
     /// Of several routes with the same address, the first one holds, so that all balancers use the
     /// same one and a delta can name it by its address.
+    ///
+    /// Several entries of one service may name the same host: an endpoint that started again under
+    /// another id, or an entry that another writer left. If one of them is draining, all are, so that
+    /// an endpoint that drains is never hidden by another entry.
     pub fn sort_entries(&mut self) {
         self.routes.sort_by_key(|it| it.address);
         self.routes.dedup_by_key(|it| it.address);
         self.endpoints.sort_by_key(|it| it.key);
         self.endpoints.dedup_by_key(|it| it.key);
+        let mut draining: Vec<(ServiceKey, Ipv4Addr)> = self
+            .endpoints
+            .iter()
+            .filter(|it| it.state == EndpointState::Draining)
+            .map(|it| (it.service, it.agent_address()))
+            .collect();
+        draining.sort_unstable();
+        for endpoint in &mut self.endpoints {
+            let place = (endpoint.service, endpoint.agent_address());
+            if draining.binary_search(&place).is_ok() {
+                endpoint.state = EndpointState::Draining;
+            }
+        }
     }
 
     /// Finds the route of an address and port that callers send to.
