Count the end of a lookup's chain of agents once

What callers could see: a reset of a live flow if the report that one chain of agents doesn't hold it arrived twice.

Cause: a balancer counted reports, not chains. A repeated report ended another chain, whose agent, possibly the holder's, had not answered yet; the lookup then failed and proved that nobody held the flow.

Change: a report names the service, and a balancer counts each last agent of a chain once for each service. Result: flow_lookup repeated_reports_of_one_chain_prove_nothing failed before and passes now; a report is 8 bytes longer.

--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -456,7 +456,9 @@
             return self.send_reset(flow, segment.acknowledged, ResetReason::EndpointForgot, out);
         }
         let class = PacketClass::for_known_agent(segment);
-        self.return_packet_to_balancer(held.origin, class, 0, packet, out);
+        let service = self.config.service;
+        let forward = Forward::new(service, held.origin, class, Candidates::default());
+        self.return_packet_to_balancer(&forward, packet, out);
     }
 
     /// Forwards a packet to the next candidate agent. After the last candidate, the packet returns
@@ -474,13 +476,7 @@
     ) {
         self.counters.passed_on += 1;
         if forward.must_accept {
-            return self.return_packet_to_balancer(
-                forward.origin,
-                forward.class,
-                forward.lookup_id,
-                packet,
-                out,
-            );
+            return self.return_packet_to_balancer(&forward, packet, out);
         }
         if utilization < forward.best_utilization {
             forward.best_position = forward.position;
@@ -491,13 +487,7 @@
             if forward.class != PacketClass::Opening
                 || forward.best_utilization == UTILIZATION_CLOSED
             {
-                return self.return_packet_to_balancer(
-                    forward.origin,
-                    forward.class,
-                    forward.lookup_id,
-                    packet,
-                    out,
-                );
+                return self.return_packet_to_balancer(&forward, packet, out);
             }
             forward.position = forward.best_position;
             forward.must_accept = true;
@@ -518,24 +508,27 @@
 
     fn return_packet_to_balancer(
         &mut self,
-        origin: Ipv4Addr,
-        class: PacketClass,
-        lookup_id: u16,
+        forward: &Forward,
         packet: &[u8],
         out: &mut impl Outbox,
     ) {
         self.counters.sent_back += 1;
-        if class == PacketClass::Lookup {
+        if forward.class == PacketClass::Lookup {
             // The balancer has retained the packet whose lookup it started.
             let Ok(segment) = F::decode_segment(packet) else {
                 return;
             };
-            let flow = segment.caller_flow();
-            write_flow_not_held(FlowNotHeld { flow, lookup_id }, &mut self.scratch);
+            let flow_not_held = FlowNotHeld {
+                flow: segment.caller_flow(),
+                lookup_id: forward.lookup_id,
+                service: forward.service,
+            };
+            write_flow_not_held(flow_not_held, &mut self.scratch);
         } else {
+            let class = forward.class;
             write_returned_packet(Returned { class }, packet, &mut self.scratch);
         }
-        out.send_to_peer(origin, &self.scratch);
+        out.send_to_peer(forward.origin, &self.scratch);
     }
 
     fn send_flow_held(&mut self, now: Millis, origin: Ipv4Addr, flow: Flow, out: &mut impl Outbox) {
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -261,7 +261,7 @@
             Ok(Message(Body::Digest(digest))) => return self.on_digest(now, sender, digest, out),
             Ok(Message(Body::Chunk(chunk))) => return self.on_catalog_chunk(now, chunk, out),
             Ok(Message(Body::FlowNotHeld(it))) => {
-                return self.on_chain_exhausted(now, it.flow, it.lookup_id, out);
+                return self.on_chain_exhausted(now, sender, it, out);
             }
             Ok(Message(Body::Retired(list))) => return self.on_retired_list(now, list, out),
             Ok(_) | Err(_) => return self.drop_packet(DropReason::Malformed, out),
--- a/crates/passthrough/src/balancer/lookups.rs
+++ b/crates/passthrough/src/balancer/lookups.rs
@@ -1,10 +1,13 @@
 //! Tracks the lookups that find out which agent's endpoint holds an uncached flow.
 
-use std::collections::{HashMap, VecDeque};
+use std::{
+    collections::{HashMap, VecDeque},
+    net::Ipv4Addr,
+};
 
 use units::Millis;
 
-use crate::Flow;
+use crate::{Flow, ServiceKey, message::FlowNotHeld};
 
 /// Time after which the unfinished chains of agents in a lookup count as lost.
 const CHAIN_TIMEOUT_MS: Millis = Millis::new(150);
@@ -29,6 +32,9 @@
     attempts: usize,
     /// Number of chains of asked agents that have not reported their end.
     pending_chains: usize,
+    /// The chains that have ended, each by its last agent and its service. A report that arrives
+    /// twice must not count for another chain.
+    ended_chains: Vec<(Ipv4Addr, ServiceKey)>,
     started: Millis,
     /// Endpoint generation of the catalog view whose endpoints are asked.
     generation: u64,
@@ -86,6 +92,7 @@
             id: 0,
             attempts: 0,
             pending_chains: 0,
+            ended_chains: Vec::new(),
             started: now,
             generation,
             failures: 0,
@@ -105,6 +112,7 @@
         lookup.attempts += 1;
         lookup.id = self.last_lookup_id;
         lookup.pending_chains = chains;
+        lookup.ended_chains.clear();
         lookup.started = now;
         lookup.generation = generation;
         lookup.acknowledged = acknowledged;
@@ -146,14 +154,20 @@
     pub(crate) fn record_chain_end(
         &mut self,
         now: Millis,
-        flow: Flow,
-        lookup_id: u16,
+        last_agent: Ipv4Addr,
+        flow_not_held: FlowNotHeld,
         generation: u64,
     ) -> Option<FailedLookup> {
+        let flow = flow_not_held.flow;
         let lookup = self.by_flow.get_mut(&flow)?;
-        if lookup.id != lookup_id || lookup.pending_chains == 0 {
+        let chain = (last_agent, flow_not_held.service);
+        if lookup.id != flow_not_held.lookup_id
+            || lookup.pending_chains == 0
+            || lookup.ended_chains.contains(&chain)
+        {
             return None;
         }
+        lookup.ended_chains.push(chain);
         lookup.pending_chains -= 1;
         if lookup.pending_chains > 0 {
             return None;
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -11,8 +11,8 @@
     ServiceKey,
     catalog::{LOOKUP_SUBSET_MAX, PLACEMENT_SUBSET_MAX},
     message::{
-        AcceptLimits, Candidate, Candidates, FlowHeld, Forward, Instances, LookupRequest,
-        PacketClass, Returned, lookup_agents_per_request, write_forwarded_packet,
+        AcceptLimits, Candidate, Candidates, FlowHeld, FlowNotHeld, Forward, Instances,
+        LookupRequest, PacketClass, Returned, lookup_agents_per_request, write_forwarded_packet,
         write_lookup_request,
     },
 };
@@ -284,18 +284,20 @@
         }
     }
 
-    /// Handles the end of a lookup chain whose agents' endpoints all don't hold the flow.
+    /// Handles the end of a lookup chain whose agents' endpoints all don't hold the flow; `agent` is
+    /// the last of them.
     pub(super) fn on_chain_exhausted(
         &mut self,
         now: Millis,
-        flow: Flow,
-        lookup_id: u16,
+        agent: Ipv4Addr,
+        flow_not_held: FlowNotHeld,
         out: &mut impl Outbox,
     ) {
+        let flow = flow_not_held.flow;
         let generation = self.view.endpoint_generation();
         let Some(failed) = self
             .lookups
-            .record_chain_end(now, flow, lookup_id, generation)
+            .record_chain_end(now, agent, flow_not_held, generation)
         else {
             return;
         };
--- a/crates/passthrough/src/message.rs
+++ b/crates/passthrough/src/message.rs
@@ -399,6 +399,8 @@
 pub(crate) struct FlowNotHeld {
     pub(crate) flow: Flow,
     pub(crate) lookup_id: u16,
+    /// The service whose agents were asked.
+    pub(crate) service: ServiceKey,
 }
 
 #[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
@@ -407,6 +409,7 @@
     preamble: Preamble,
     flow: [u8; FLOW_BYTES],
     lookup_id: U16,
+    service: U64,
 }
 
 #[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
--- a/crates/passthrough/src/message/decode.rs
+++ b/crates/passthrough/src/message/decode.rs
@@ -108,6 +108,7 @@
     Ok(Body::FlowNotHeld(FlowNotHeld {
         flow: Flow::from_bytes(header.flow),
         lookup_id: header.lookup_id.get(),
+        service: ServiceKey::new(header.service.get()),
     }))
 }
 
--- a/crates/passthrough/src/message/write.rs
+++ b/crates/passthrough/src/message/write.rs
@@ -61,6 +61,7 @@
         preamble: Preamble::new(kind::FLOW_NOT_HELD),
         flow: flow_not_held.flow.to_bytes(),
         lookup_id: U16::new(flow_not_held.lookup_id),
+        service: U64::new(flow_not_held.service.get()),
     };
     out.clear();
     out.extend_from_slice(header.as_bytes());
--- a/crates/passthrough/tests/flow_lookup.rs
+++ b/crates/passthrough/tests/flow_lookup.rs
@@ -373,3 +373,21 @@
         assert_eq!(network.reset_count(caller(7)), 1, "{data_bytes} bytes");
     }
 }
+
+/// Guards against a reset of a live flow because the end of one chain of agents was reported twice and
+/// counted for another chain, whose agent was not reached.
+#[test]
+fn repeated_reports_of_one_chain_prove_nothing() {
+    let mut network = SimNetwork::new(1, 9);
+    let (holder, caller, sequence) = open_flow_at(&mut network, |_| true);
+    network.start_balancer(0);
+    network.advance_ms(1_400);
+    network.isolated.insert(agent_ip(holder));
+    network.repeats_messages = true;
+    for _ in 0..6 {
+        network.send_request(0, caller, sequence, 2);
+        network.advance_ms(300);
+        network.deliver_catalog(0);
+    }
+    assert_eq!(network.reset_count(caller), 0, "the holder was not asked");
+}
--- a/crates/passthrough/tests/support/mod.rs
+++ b/crates/passthrough/tests/support/mod.rs
@@ -111,6 +111,8 @@
     /// State of the generator that loses, repeats and delays messages between instances; zero
     /// delivers all messages in order.
     pub(crate) disorder: u64,
+    /// Whether every message between instances arrives twice.
+    pub(crate) repeats_messages: bool,
 }
 
 impl SimNetwork {
@@ -501,6 +503,9 @@
                 continue;
             }
             let is_message = matches!(destination, Destination::Peer { .. });
+            if is_message && self.repeats_messages {
+                self.schedule(at, destination, bytes.clone());
+            }
             if self.disorder == 0 || !is_message {
                 self.schedule(at, destination, bytes);
                 continue;
