Read the store for a second after the first answer of a takeover

Cause: a balancer that took over read for a second from the takeover on. If its first call failed, that second was nearly over when the store answered, and then nobody read until the ranks of the lost readers had passed to others. Seen in reader_loss store_is_read_without_a_pause_after_a_takeover, when digests came at other times.

Change: the second begins with the store's first answer. Result: the test holds also when digests come at other times.

--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -29,6 +29,7 @@
 };
 use agents::Agents;
 use catalog_sync::RetiredSync;
+use duties::Takeover;
 use flows::FlowCache;
 use former_targets::FormerTargetSync;
 use lookups::Lookups;
@@ -108,9 +109,9 @@
     /// Time at which the store became reachable again after an outage.
     store_recovered_at: Option<Millis>,
     reads_store: bool,
-    /// Time at which this balancer last began to read the store, or `None` if it doesn't read the
+    /// The takeover by which this balancer began to read the store, or `None` if it doesn't read the
     /// store or has read it since its start.
-    took_over_at: Option<Millis>,
+    takeover: Option<Takeover>,
     /// Rank among the live balancers as a reader of the store, as of the latest regular digest.
     reader_rank: usize,
     next_notice: Millis,
@@ -157,7 +158,7 @@
             is_standby: false,
             store_recovered_at: None,
             reads_store: true,
-            took_over_at: None,
+            takeover: None,
             reader_rank: 0,
             next_notice: now,
             next_digest: now,
--- a/crates/passthrough/src/balancer/catalog_sync.rs
+++ b/crates/passthrough/src/balancer/catalog_sync.rs
@@ -159,6 +159,7 @@
         out: &mut impl Outbox,
     ) -> bool {
         self.detect_store_recovery(now);
+        self.record_store_answer(now);
         let base = self.view.catalog().revision;
         let replaced =
             catalog.is_some_and(|it| self.apply_catalog(now, it, CatalogOrigin::Store, out));
--- a/crates/passthrough/src/balancer/duties.rs
+++ b/crates/passthrough/src/balancer/duties.rs
@@ -27,12 +27,20 @@
 /// reads the store itself.
 const STANDBY_READERS_DELAY_MAX_MS: u64 = 1_000;
 
-/// Minimum time for which a balancer that took over reads the store.
+/// Minimum time for which a balancer that took over reads the store after the store's first answer.
 ///
-/// The store's first answer makes the confirmation young again, long before the ranks of the lost
-/// readers have passed to others.
+/// That answer makes the confirmation young again, long before the ranks of the lost readers have
+/// passed to others.
 const TAKEOVER_DURATION_MIN_MS: Millis = Millis::new(1_000);
 
+/// A takeover of reading the store from readers that were lost.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Takeover {
+    /// Time of the store's first answer, until then the time of the takeover.
+    since: Millis,
+    is_answered: bool,
+}
+
 impl<F: PacketFormat> Balancer<F> {
     /// Enters standby if enough balancers of the zone have much faster links, or leaves standby.
     pub(super) fn update_standby(&mut self, now: Millis, out: &mut impl Outbox) {
@@ -62,15 +70,18 @@
     pub(super) fn update_store_reader(&mut self, now: Millis, out: &mut impl Outbox) {
         let is_stale = self.takeover_at().is_none_or(|it| now >= it);
         let has_just_begun = self
-            .took_over_at
-            .is_some_and(|it| now.since(it) < TAKEOVER_DURATION_MIN_MS);
+            .takeover
+            .is_some_and(|it| now.since(it.since) < TAKEOVER_DURATION_MIN_MS);
         let is_reader = self.reader_rank < STORE_READERS && !self.stopping;
         let reads = is_stale || has_just_begun || is_reader;
         if reads == self.reads_store {
             return;
         }
         self.reads_store = reads;
-        self.took_over_at = reads.then_some(now);
+        self.takeover = reads.then_some(Takeover {
+            since: now,
+            is_answered: false,
+        });
         out.report_event(Event::StoreDuty {
             reads,
             peers: self.peers.len(),
@@ -78,6 +89,18 @@
         });
     }
 
+    /// Records that the store answered this balancer.
+    pub(super) const fn record_store_answer(&mut self, now: Millis) {
+        if let Some(takeover) = &mut self.takeover
+            && !takeover.is_answered
+        {
+            *takeover = Takeover {
+                since: now,
+                is_answered: true,
+            };
+        }
+    }
+
     /// Returns the time at which this balancer reads the store itself unless the store confirms the
     /// catalog before, or `None` if the store has never confirmed it.
     pub(super) fn takeover_at(&self) -> Option<Millis> {
