Accept fractions in settings and show a refused file

Cause: stop_grace_s was read as a whole number, so the whole settings file was refused, at a reload with one log line and at a start for good. Evidence: settings_refused at the reload; at each start the same error and the end of the process. Ruled out: ports still in use, the kill itself (with a whole number all start).

Change: the grace period takes a fraction and is kept in milliseconds; a link below 1 Mbit/s counts as 1; errors name key, value and bound. The gauge settings_refused stays up while the file on disk is refused, in both roles.

--- a/crates/passthrough-node/src/agent.rs
+++ b/crates/passthrough-node/src/agent.rs
@@ -215,7 +215,8 @@
         }
         if now >= next_metrics {
             next_metrics = now.plus(METRICS_INTERVAL_MS);
-            server_state.set_metrics(render_metrics(&agent, sockets.unsent_count()));
+            let (unsent, refused) = (sockets.unsent_count(), settings_file.is_refused());
+            server_state.set_metrics(render_metrics(&agent, unsent, u64::from(refused)));
             log.flush_buffer();
         }
     }
@@ -265,12 +266,13 @@
     }
 }
 
-fn render_metrics<F: PacketFormat>(agent: &Agent<F>, unsent: u64) -> String {
+fn render_metrics<F: PacketFormat>(agent: &Agent<F>, unsent: u64, settings_refused: u64) -> String {
     let mut text = Exposition::default();
     for (name, value) in agent.counters().named_values() {
         text.add_counter(name, value);
     }
     text.add_counter("datagrams_unsent", unsent);
+    text.add_gauge("settings_refused", settings_refused);
     text.add_gauge("flows_held", agent.held_flow_count() as u64);
     text.add_gauge("requests_running", u64::from(agent.running_request_count()));
     text.into_text()
--- a/crates/passthrough-node/src/balancer.rs
+++ b/crates/passthrough-node/src/balancer.rs
@@ -147,7 +147,7 @@
         let has_work = tokio::select! {
             biased;
             _ = terminate.recv() => {
-                process.begin_shutdown(settings_file.current_settings().stop_grace_ms());
+                process.begin_shutdown(settings_file.current_settings().stop_grace_ms);
                 false
             }
             _ = hangup.recv() => {
@@ -176,6 +176,7 @@
         if let Some(settings) = reloaded {
             process.apply_settings(&settings);
         }
+        process.settings_refused = settings_file.is_refused();
         if let Some(revision) = process.balancer.take_confirmation_request(clock::now()) {
             // If a confirmation request is in flight, the new request is dropped, and the balancer
             // asks again later.
@@ -196,6 +197,8 @@
     was_ready: bool,
     store_calls: u64,
     skipped_items: u64,
+    /// Whether the settings file on disk was refused when it was last read.
+    settings_refused: bool,
     next_metrics: Millis,
     last_caller_packet: Millis,
     shutdown: Option<Shutdown>,
@@ -246,6 +249,7 @@
             was_ready: false,
             store_calls: 0,
             skipped_items: 0,
+            settings_refused: false,
             next_metrics: now,
             last_caller_packet: now,
             shutdown: None,
@@ -389,6 +393,7 @@
         text.add_counter("store_calls", self.store_calls);
         text.add_counter("store_items_skipped", self.skipped_items);
         text.add_counter("datagrams_unsent", self.sockets.unsent_count());
+        text.add_gauge("settings_refused", u64::from(self.settings_refused));
         text.add_gauge("flows_cached", balancer.cached_flow_count() as u64);
         text.add_gauge(
             "settings_version",
--- a/crates/passthrough-node/src/settings_file.rs
+++ b/crates/passthrough-node/src/settings_file.rs
@@ -26,6 +26,9 @@
     /// The settings from the last valid version of the file.
     current: S,
     modified_at: Option<SystemTime>,
+    /// Whether the file was refused when it was last read, so that the process could not start with
+    /// it.
+    is_refused: bool,
     next_check: Millis,
 }
 
@@ -38,6 +41,7 @@
             path,
             current,
             modified_at,
+            is_refused: false,
             next_check: Millis::new(0),
         }
     }
@@ -48,6 +52,12 @@
         &self.current
     }
 
+    /// Returns whether the file was refused when it was last read.
+    #[must_use]
+    pub const fn is_refused(&self) -> bool {
+        self.is_refused
+    }
+
     /// Reads the settings file, and returns its settings if they are valid and differ from the
     /// current ones.
     ///
@@ -57,6 +67,7 @@
         let parsed = fs::read_to_string(&self.path)
             .map_err(|err| err.to_string())
             .and_then(|text| settings::parse_settings::<S>(&text).map_err(|err| err.to_string()));
+        self.is_refused = parsed.is_err();
         let settings = match parsed {
             Ok(settings) => settings,
             Err(cause) => {
--- a/crates/settings/src/passthrough.rs
+++ b/crates/settings/src/passthrough.rs
@@ -2,7 +2,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4};
 
-use serde::{Deserialize, Deserializer, Serialize, de};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 use units::{InstanceId, Millis, Zone};
 
 use crate::{SettingsError, Validate, check};
@@ -21,7 +21,7 @@
     pub caller_address: SocketAddr,
     /// Port on which balancers and agents exchange messages, which is the same on all instances.
     pub peer_port: u16,
-    /// Speed of this instance's network link, in Mbit/s; a fraction is dropped.
+    /// Speed of this instance's network link, in Mbit/s; a fraction of a speed above 1 is dropped.
     #[serde(deserialize_with = "whole_mbps")]
     pub link_mbps: u32,
     /// Addresses at which other balancers may run; only the hosts are used, not the ports.
@@ -34,8 +34,14 @@
     /// Address on which the process serves its metrics; `None` serves no metrics.
     #[serde(default)]
     pub metrics_address: Option<SocketAddr>,
-    /// Maximum time between SIGTERM and the process's exit, in seconds.
-    pub stop_grace_s: u64,
+    /// Maximum time between SIGTERM and the process's exit; seconds in the file, with a fraction or
+    /// without.
+    #[serde(
+        rename = "stop_grace_s",
+        deserialize_with = "millis_from_seconds",
+        serialize_with = "millis_to_seconds"
+    )]
+    pub stop_grace_ms: Millis,
 }
 
 impl PassthroughBalancerSettings {
@@ -45,12 +51,6 @@
         SocketAddr::new(IpAddr::V4(self.address), self.peer_port)
     }
 
-    /// Returns the maximum time between SIGTERM and the process's exit.
-    #[must_use]
-    pub const fn stop_grace_ms(&self) -> Millis {
-        Millis::new(self.stop_grace_s.saturating_mul(1_000))
-    }
-
     /// Returns the IP addresses of instances on which other balancers may run.
     #[must_use]
     pub fn seed_instances(&self) -> Vec<Ipv4Addr> {
@@ -66,7 +66,7 @@
         check::check_address("readiness_address", self.readiness_address)?;
         check::check_distinct_ports(self.peer_port, self.caller_address.port())?;
         check::check_link_mbps("link_mbps", self.link_mbps)?;
-        check::check_drain_timeout("stop_grace_s", self.stop_grace_ms())
+        check::check_drain_timeout("stop_grace_s", self.stop_grace_ms)
     }
 }
 
@@ -118,19 +118,49 @@
     }
 }
 
-/// Deserializes a speed in Mbit/s and drops its fraction.
+/// Deserializes a speed in Mbit/s and drops its fraction; a speed below 1 counts as 1.
 fn whole_mbps<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
     let speed = f64::deserialize(deserializer)?;
     if !(0.0..=f64::from(u32::MAX)).contains(&speed) {
         return Err(de::Error::custom(format!(
-            "`{speed}` is not a valid speed in Mbit/s"
+            "`link_mbps`: `{speed}` is not a valid speed; give Mbit/s from 1 to {}",
+            u32::MAX
         )));
     }
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the range was checked, and the fraction is dropped on purpose"
-    )]
-    let whole = speed as u32;
-    Ok(whole)
+    Ok(if speed > 0.0 && speed < 1.0 {
+        1
+    } else {
+        truncate(speed)
+    })
+}
+
+/// Deserializes a time in seconds, with a fraction or without.
+fn millis_from_seconds<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Millis, D::Error> {
+    const SECONDS_MAX: u32 = 24 * 3_600;
+    let seconds = f64::deserialize(deserializer)?;
+    if !(0.0..=f64::from(SECONDS_MAX)).contains(&seconds) {
+        return Err(de::Error::custom(format!(
+            "`stop_grace_s`: `{seconds}` is out of range; give more than 0 and at most {SECONDS_MAX} \
+             seconds"
+        )));
+    }
+    Ok(Millis::new(truncate(seconds * 1_000.0).into()))
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes the field by reference"
+)]
+fn millis_to_seconds<S: Serializer>(time: &Millis, serializer: S) -> Result<S::Ok, S::Error> {
+    time.to_duration().as_secs_f64().serialize(serializer)
+}
+
+/// Drops the fraction of a number from 0 to `u32::MAX`.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the callers check the range, and the fraction is dropped on purpose"
+)]
+const fn truncate(number: f64) -> u32 {
+    number as u32
 }
--- a/crates/settings/tests/passthrough_settings.rs
+++ b/crates/settings/tests/passthrough_settings.rs
@@ -26,7 +26,7 @@
     let settings: PassthroughBalancerSettings =
         parse_settings(&balancer_settings().to_string()).unwrap();
     assert_eq!(settings.link_mbps, 11);
-    assert_eq!(settings.stop_grace_ms().get(), 6_000);
+    assert_eq!(settings.stop_grace_ms.get(), 6_000);
     assert_eq!(settings.seed_instances().len(), 1);
     let settings: PassthroughAgentSettings = parse_settings(&agent_settings().to_string()).unwrap();
     assert_eq!(settings.peer_address(), "10.1.0.12:7720".parse().unwrap());
@@ -41,7 +41,13 @@
         ("store_address", json!("store"), "invalid socket address"),
         ("link_mbps", json!(0), "link_mbps"),
         ("link_mbps", json!(-4), "not a valid speed"),
+        ("link_mbps", json!(1e10), "link_mbps"),
+        ("link_mbps", json!("11"), "string"),
         ("stop_grace_s", json!(0), "stop_grace_s"),
+        ("stop_grace_s", json!(0.0001), "stop_grace_s"),
+        ("stop_grace_s", json!(-0.5), "`stop_grace_s`: `-0.5`"),
+        ("stop_grace_s", json!(86_400.5), "at most 86400"),
+        ("stop_grace_s", json!(true), "boolean"),
         ("instance", json!(""), "instance"),
         ("unknown", json!(1), "unknown field"),
     ];
@@ -70,3 +76,29 @@
         assert!(error.contains(expected), "{field}: {error}");
     }
 }
+
+/// Guards against a balancer that doesn't start because the platform writes a number as a fraction.
+#[test]
+fn numbers_may_be_fractions() {
+    let cases = [
+        ("stop_grace_s", json!(6), 6_000, 11),
+        ("stop_grace_s", json!(6.0), 6_000, 11),
+        ("stop_grace_s", json!(6.5), 6_500, 11),
+        ("stop_grace_s", json!(0.001), 1, 11),
+        ("stop_grace_s", json!(86_400.0), 86_400_000, 11),
+        ("link_mbps", json!(11), 6_000, 11),
+        ("link_mbps", json!(11.9), 6_000, 11),
+        ("link_mbps", json!(0.5), 6_000, 1),
+        ("link_mbps", json!(1_000.0), 6_000, 1_000),
+    ];
+    for (field, value, grace_ms, link_mbps) in cases {
+        let mut settings = balancer_settings();
+        settings[field] = value.clone();
+        let parsed: PassthroughBalancerSettings = parse_settings(&settings.to_string()).unwrap();
+        let found = (parsed.stop_grace_ms.get(), parsed.link_mbps);
+        assert_eq!(found, (grace_ms, link_mbps), "{field}: {value}");
+        let written = serde_json::to_string(&parsed).unwrap();
+        let again: PassthroughBalancerSettings = parse_settings(&written).unwrap();
+        assert_eq!(again, parsed, "{written}");
+    }
+}
