--- a/crates/passthrough-node/src/read_schedule.rs
+++ b/crates/passthrough-node/src/read_schedule.rs
@@ -56,11 +56,11 @@
     }
 
     /// Records an answer of the source, and returns the delay until the next call.
-    pub const fn on_answer(&mut self, has_changed: ChangeSeen) -> Duration {
+    pub const fn on_answer(&mut self, change: ChangeSeen) -> Duration {
         self.is_answered = true;
         self.has_read = true;
         self.failed_calls = 0;
-        match has_changed {
+        match change {
             ChangeSeen::Yes => COALESCE_DELAY,
             ChangeSeen::No => Duration::ZERO,
         }
--- a/crates/passthrough/src/balancer/former_targets.rs
+++ b/crates/passthrough/src/balancer/former_targets.rs
@@ -91,8 +91,8 @@
         let has_seen_all = sync
             .settings_since
             .is_some_and(|it| now.since(it) > FORMER_TARGET_RETENTION_MS);
-        let is_told = sync.was_told || self.routes_are_known_outside(now, &[]);
-        (has_seen_all || is_told) && self.view.former_targets().is_complete()
+        self.view.former_targets().is_complete()
+            && (has_seen_all || sync.was_told || self.routes_are_known_outside(now, &[]))
     }
 
     /// Returns whether no endpoint of another service than `services` can hold a flow of a route that
--- a/crates/passthrough/src/former_targets.rs
+++ b/crates/passthrough/src/former_targets.rs
@@ -46,24 +46,21 @@
 }
 
 impl FormerTargets {
-    /// Records the targets that routes lose when `new` replaces `old`. Returns whether any of them
-    /// was unknown.
-    pub(crate) fn record_replacement(&mut self, now: Millis, old: &Catalog, new: &Catalog) -> bool {
-        let mut is_news = false;
+    /// Records the targets that routes lose when `new` replaces `old`.
+    pub(crate) fn record_replacement(&mut self, now: Millis, old: &Catalog, new: &Catalog) {
         for route in &old.routes {
             let successor = new.find_route(route.address);
             for target in &route.targets {
                 if successor.is_some_and(|it| it.leads_to(target.service)) {
                     continue;
                 }
-                is_news |= self.insert(FormerTarget {
+                let _is_new = self.insert(FormerTarget {
                     address: route.address,
                     service: target.service,
                     seen_at: now,
                 });
             }
         }
-        is_news
     }
 
     /// Adds a former target, and returns whether it was unknown.
@@ -121,6 +118,6 @@
 }
 
 /// Returns whether a former target that was seen at `seen_at` can't hold flows any more.
-pub(crate) const fn is_expired(now: Millis, seen_at: Millis) -> bool {
+const fn is_expired(now: Millis, seen_at: Millis) -> bool {
     now.since(seen_at).get() > FORMER_TARGET_RETENTION_MS.get()
 }
