Agree on the fields of routes, services, endpoints and messages that new decisions need

Routes keep what the operator states about their requests (kind, goal, timeout, priority), services how their cold endpoints are loaded, endpoints how long they stay cold, and catalogs which zones are out of use. Forwarded openings carry the requests' profile and the opening's age; state notices carry the zone's evacuation, the endpoint's birth and its cold rate. A revision holds the era of the store in its upper bits, so that comparisons order by era first. Nothing decides by these fields yet.

--- a/crates/passthrough/src/balancer/notices.rs
+++ b/crates/passthrough/src/balancer/notices.rs
@@ -46,6 +46,12 @@
             state: endpoint.state,
             slots: endpoint.slots.get(),
             idle_timeout_ms: u32::try_from(catalog.idle_timeout_ms.get()).unwrap_or(u32::MAX),
+            is_evacuated: catalog.is_evacuated(endpoint.zone),
+            born_ms: endpoint.born_ms,
+            cold_left_ms: u32::try_from(endpoint.cold_left_ms.get()).unwrap_or(u32::MAX),
+            cold_rate: catalog
+                .find_cold_start(endpoint.service)
+                .map_or(0, |it| it.rate.get()),
         };
         write_state_notice(notice, &mut self.scratch);
         out.send_to_peer(endpoint.agent_address(), &self.scratch);
--- a/crates/passthrough/src/balancer/openings.rs
+++ b/crates/passthrough/src/balancer/openings.rs
@@ -51,6 +51,11 @@
         now.since(self.received_at) > EXPIRY_MS
     }
 
+    /// Returns the time since the opening packet's first copy arrived, in milliseconds.
+    pub(crate) fn age_ms(&self, now: Millis) -> u16 {
+        u16::try_from(now.since(self.received_at).get()).unwrap_or(u16::MAX)
+    }
+
     pub(crate) fn was_offered_to(&self, agent: Ipv4Addr) -> bool {
         self.offered_to.contains(&agent)
     }
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -46,6 +46,7 @@
         let flow = opening.flow;
         // The route may have changed since the opening packet was last offered.
         let route = self.view.catalog().find_route(flow.service_address);
+        let requests = route.map(|it| it.requests).unwrap_or_default();
         let Some(service) = route.and_then(|it| it.service_for_new_flow(flow.hash())) else {
             return self.drop_packet(DropReason::NoRoute, out);
         };
@@ -98,7 +99,8 @@
             PacketClass::Opening,
             candidates,
         )
-        .with_limits(limits);
+        .with_limits(limits)
+        .with_requests(requests, opening.age_ms(now));
         write_forwarded_packet(&forward, &opening.packet, &mut self.scratch);
         out.send_to_peer(first.agent_address(), &self.scratch);
         out.report_event(Event::OpeningPlaced {
--- a/crates/passthrough/src/catalog.rs
+++ b/crates/passthrough/src/catalog.rs
@@ -7,7 +7,7 @@
 };
 
 use serde::{Deserialize, Serialize};
-use units::{Millis, Revision, SettingsVersion, Slots};
+use units::{Millis, PerSecond, Revision, SettingsVersion, Slots};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -129,6 +129,8 @@
     pub slots: Slots,
     /// Whether the endpoint accepts new flows.
     pub state: EndpointState,
+    /// Time for which the endpoint stayed cold when it last wrote its entry; zero if it was warm.
+    pub cold_left_ms: Millis,
     /// Start time of the endpoint's process, as reported by the endpoint; a different value means a
     /// restart.
     pub born_ms: u64,
@@ -163,6 +165,43 @@
     pub weight: u32,
 }
 
+/// How the requests of a route may be executed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RequestKind {
+    /// A request may be executed more than once.
+    Idempotent,
+    /// A request must be executed at most once.
+    #[default]
+    NonIdempotent,
+    /// A request carries a large body, and must be executed at most once.
+    Upload,
+    /// A request leads to a large answer, and may be executed more than once.
+    Download,
+}
+
+impl RequestKind {
+    /// Returns whether a request may be executed more than once.
+    #[must_use]
+    pub const fn is_repeatable(self) -> bool {
+        matches!(self, Self::Idempotent | Self::Download)
+    }
+}
+
+/// What the operator states about the requests of a route.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestProfile {
+    /// Whether a request may be executed more than once.
+    pub kind: RequestKind,
+    /// Time within which a request should be answered, counted from the caller's first attempt;
+    /// zero if none is stated.
+    pub goal_ms: Millis,
+    /// Time after which an answer is of no use to the caller; zero if none is stated.
+    pub timeout_ms: Millis,
+    /// Rank among the routes of a service; zero is the highest.
+    pub priority: u8,
+}
+
 /// A route from an address that callers use to the services behind it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
@@ -172,6 +211,8 @@
     ///
     /// Invariant: a route has at least one target, and no target's weight is zero.
     pub targets: Vec<RouteTarget>,
+    /// What the operator states about the route's requests.
+    pub requests: RequestProfile,
 }
 
 impl Route {
@@ -203,6 +244,17 @@
     }
 }
 
+/// How an endpoint of a service is loaded after it has started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// The service that the limit applies to.
+    pub service: ServiceKey,
+    /// Time for which an endpoint is cold after its start.
+    pub duration_ms: Millis,
+    /// Requests that a cold endpoint bears; zero if the operator states no rate.
+    pub rate: PerSecond,
+}
+
 /// Routes and endpoints of one revision of the platform's store.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Catalog {
@@ -216,6 +268,11 @@
     pub idle_timeout_ms: Millis,
     /// Routes, sorted by the address that callers send to, which no two of them share.
     pub routes: Vec<Route>,
+    /// Limits on cold endpoints of services, sorted by the service's key.
+    pub cold_starts: Vec<ColdStart>,
+    /// Availability zones whose endpoints get no new flows until the operator takes the request
+    /// back, sorted.
+    pub evacuated_zones: Vec<ZoneKey>,
     /// Endpoints that the store lists, sorted by key.
     pub endpoints: Vec<Endpoint>,
 }
@@ -232,6 +289,10 @@
     pub fn sort_entries(&mut self) {
         self.routes.sort_by_key(|it| it.address);
         self.routes.dedup_by_key(|it| it.address);
+        self.cold_starts.sort_by_key(|it| it.service);
+        self.cold_starts.dedup_by_key(|it| it.service);
+        self.evacuated_zones.sort_unstable();
+        self.evacuated_zones.dedup();
         self.endpoints.sort_by_key(|it| it.key);
         self.endpoints.dedup_by_key(|it| it.key);
         let mut draining: Vec<(ServiceKey, Ipv4Addr)> = self
@@ -259,6 +320,22 @@
         Some(&self.routes[idx])
     }
 
+    /// Returns whether the operator has taken the zone's endpoints out of use.
+    #[must_use]
+    pub fn is_evacuated(&self, zone: ZoneKey) -> bool {
+        self.evacuated_zones.binary_search(&zone).is_ok()
+    }
+
+    /// Finds the limit on cold endpoints of a service.
+    #[must_use]
+    pub fn find_cold_start(&self, service: ServiceKey) -> Option<&ColdStart> {
+        let idx = self
+            .cold_starts
+            .binary_search_by_key(&service, |it| it.service)
+            .ok()?;
+        Some(&self.cold_starts[idx])
+    }
+
     /// Finds an endpoint of the catalog by its key.
     #[must_use]
     pub fn find_endpoint(&self, key: EndpointKey) -> Option<&Endpoint> {
--- a/crates/passthrough/src/catalog_delta.rs
+++ b/crates/passthrough/src/catalog_delta.rs
@@ -11,7 +11,7 @@
 use units::{Millis, Revision, SettingsVersion};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{Catalog, Endpoint, EndpointKey, Route};
+use crate::{Catalog, ColdStart, Endpoint, EndpointKey, Route, ZoneKey};
 
 /// Maximum number of items in the change log.
 ///
@@ -34,6 +34,10 @@
     removed_routes: Vec<SocketAddrV4>,
     endpoints: Vec<Endpoint>,
     removed_endpoints: Vec<EndpointKey>,
+    /// All limits on cold endpoints, which are few.
+    cold_starts: Vec<ColdStart>,
+    /// All evacuated zones, which are few.
+    evacuated_zones: Vec<ZoneKey>,
     /// Hash of the resulting catalog's content, by which the receiver detects that its catalog
     /// differed from the sender's.
     content_hash: u64,
@@ -85,6 +89,8 @@
             settings_changed_at: self.settings_changed_at,
             idle_timeout_ms: self.idle_timeout_ms,
             routes,
+            cold_starts: self.cold_starts,
+            evacuated_zones: self.evacuated_zones,
             endpoints,
         };
         result.sort_entries();
@@ -153,6 +159,8 @@
             removed_routes: Vec::new(),
             endpoints: Vec::new(),
             removed_endpoints: Vec::new(),
+            cold_starts: catalog.cold_starts.clone(),
+            evacuated_zones: catalog.evacuated_zones.clone(),
             content_hash: content_hash(catalog),
         };
         for (address, _) in self.routes.iter().filter(|it| it.1 > base) {
@@ -192,6 +200,8 @@
         catalog.settings_changed_at,
         catalog.idle_timeout_ms,
         &catalog.routes,
+        &catalog.cold_starts,
+        &catalog.evacuated_zones,
         &catalog.endpoints,
     );
     let bytes = postcard::to_stdvec(&content);
--- a/crates/passthrough/src/lib.rs
+++ b/crates/passthrough/src/lib.rs
@@ -25,8 +25,8 @@
 pub use agent::{Agent, AgentConfig, AgentCounters};
 pub use balancer::{Balancer, BalancerConfig, BalancerCounters};
 pub use catalog::{
-    Catalog, CatalogView, Endpoint, EndpointKey, EndpointState, Route, RouteTarget, ServiceKey,
-    StoreState, ZoneKey,
+    Catalog, CatalogView, ColdStart, Endpoint, EndpointKey, EndpointState, RequestKind,
+    RequestProfile, Route, RouteTarget, ServiceKey, StoreState, ZoneKey,
 };
 pub use event::{DropReason, Event, EventKind, ResetReason};
 pub use flow::Flow;
--- a/crates/passthrough/src/message.rs
+++ b/crates/passthrough/src/message.rs
@@ -13,6 +13,7 @@
     net::{Ipv4Addr, SocketAddrV4},
 };
 
+use units::Millis;
 use zerocopy::{
     FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned,
     byteorder::network_endian::{U16, U32, U64},
@@ -29,13 +30,15 @@
     write_returned_packet, write_state_notice,
 };
 
-use crate::{EndpointState, Flow, Segment, ServiceKey, flow::FLOW_BYTES};
+use crate::{
+    EndpointState, Flow, RequestKind, RequestProfile, Segment, ServiceKey, flow::FLOW_BYTES,
+};
 
 /// Magic number that identifies a datagram as a message.
 const MAGIC: u16 = 0x4C47;
 
 /// Version of the layout of all messages.
-const LAYOUT_VERSION: u8 = 4;
+const LAYOUT_VERSION: u8 = 5;
 
 /// Maximum number of candidate agents in the header of a forwarded packet.
 pub(crate) const CANDIDATES_MAX: usize = 8;
@@ -282,6 +285,10 @@
     /// Candidates whose utilization exceeds these limits forward the opening packet to the next
     /// candidate.
     pub(crate) limits: AcceptLimits,
+    /// What the operator states about the request that an opening packet announces.
+    pub(crate) requests: RequestProfile,
+    /// Time since a balancer received the opening packet's first copy.
+    pub(crate) age_ms: u16,
     pub(crate) candidates: Candidates,
 }
 
@@ -303,10 +310,24 @@
             best_position: 0,
             best_utilization: UTILIZATION_CLOSED,
             limits: AcceptLimits::FREE_SLOT,
+            requests: RequestProfile {
+                kind: RequestKind::NonIdempotent,
+                goal_ms: Millis::new(0),
+                timeout_ms: Millis::new(0),
+                priority: 0,
+            },
+            age_ms: 0,
             candidates,
         }
     }
 
+    /// Sets what is known of the request that an opening packet announces.
+    pub(crate) const fn with_requests(mut self, requests: RequestProfile, age_ms: u16) -> Self {
+        self.requests = requests;
+        self.age_ms = age_ms;
+        self
+    }
+
     /// Sets the utilization limits above which candidates forward an opening packet to the next
     /// candidate.
     pub(crate) const fn with_limits(mut self, limits: AcceptLimits) -> Self {
@@ -340,10 +361,14 @@
     position: u8,
     count: u8,
     best_position: u8,
-    _reserved: u8,
+    request_kind: u8,
+    priority: u8,
     best_utilization: U16,
     utilization_limit: U16,
     idle_limit: U16,
+    goal_ms: U16,
+    timeout_ms: U16,
+    age_ms: U16,
 }
 
 /// An agent's message to the balancer that sent a packet: the agent's endpoint holds the packet's
@@ -437,6 +462,14 @@
     pub(crate) state: EndpointState,
     pub(crate) slots: u16,
     pub(crate) idle_timeout_ms: u32,
+    /// Whether the operator has taken the endpoint's availability zone out of use.
+    pub(crate) is_evacuated: bool,
+    /// Start time of the endpoint's process, as the endpoint's entry states it.
+    pub(crate) born_ms: u64,
+    /// Time for which the endpoint stayed cold when it wrote its entry.
+    pub(crate) cold_left_ms: u32,
+    /// Requests a second that the endpoint bears while it is cold; zero if no rate is stated.
+    pub(crate) cold_rate: u32,
 }
 
 #[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
@@ -446,9 +479,12 @@
     service: U64,
     revision: U64,
     state: u8,
-    _reserved: u8,
+    is_evacuated: u8,
     slots: U16,
     idle_timeout_ms: U32,
+    born_ms: U64,
+    cold_left_ms: U32,
+    cold_rate: U32,
 }
 
 /// An agent's reply to a state notice: its endpoint's load and routes, and the balancers from which
--- a/crates/passthrough/src/message/decode.rs
+++ b/crates/passthrough/src/message/decode.rs
@@ -1,5 +1,6 @@
 //! Decoding of messages between balancers and agents.
 
+use units::Millis;
 use zerocopy::{FromBytes, Immutable, KnownLayout, Ref, Unaligned};
 
 use super::{
@@ -11,7 +12,7 @@
     PeerStatus, Preamble, REPORTED_BALANCERS_MAX, REPORTED_ROUTES_MAX, ReturnHeader, Returned,
     RouteAddress, StateNotice, StateNoticeHeader, kind,
 };
-use crate::{EndpointState, Flow, ServiceKey};
+use crate::{EndpointState, Flow, RequestKind, RequestProfile, ServiceKey};
 
 /// Decodes a datagram from a balancer or an agent into a message.
 ///
@@ -63,11 +64,30 @@
             utilization: header.utilization_limit.get(),
             idle: header.idle_limit.get(),
         },
+        requests: RequestProfile {
+            kind: decode_request_kind(header.request_kind)?,
+            goal_ms: Millis::new(header.goal_ms.get().into()),
+            timeout_ms: Millis::new(header.timeout_ms.get().into()),
+            priority: header.priority,
+        },
+        age_ms: header.age_ms.get(),
         candidates,
     };
     Ok(Body::Forward(forward, packet))
 }
 
+const fn decode_request_kind(byte: u8) -> Result<RequestKind, MessageError> {
+    match byte {
+        0 => Ok(RequestKind::Idempotent),
+        1 => Ok(RequestKind::NonIdempotent),
+        2 => Ok(RequestKind::Upload),
+        3 => Ok(RequestKind::Download),
+        _ => Err(MessageError::InvalidField {
+            field: "request_kind",
+        }),
+    }
+}
+
 fn decode_returned_packet(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
     let (header, packet) = decode_prefix::<ReturnHeader>(datagram)?;
     let returned = Returned {
@@ -126,6 +146,10 @@
         state,
         slots: header.slots.get(),
         idle_timeout_ms: header.idle_timeout_ms.get(),
+        is_evacuated: header.is_evacuated != 0,
+        born_ms: header.born_ms.get(),
+        cold_left_ms: header.cold_left_ms.get(),
+        cold_rate: header.cold_rate.get(),
     }))
 }
 
--- a/crates/passthrough/src/message/write.rs
+++ b/crates/passthrough/src/message/write.rs
@@ -1,5 +1,6 @@
 //! Encoding of messages between balancers and agents.
 
+use units::Millis;
 use zerocopy::{
     IntoBytes as _,
     byteorder::network_endian::{U16, U32, U64},
@@ -11,7 +12,7 @@
     LoadReportHeader, LookupRequest, LookupRequestHeader, NO_RETIRED_TOLD, Preamble,
     REPORTED_ROUTES_MAX, ReturnHeader, Returned, StateNotice, StateNoticeHeader, kind,
 };
-use crate::EndpointState;
+use crate::{EndpointState, RequestKind};
 
 /// Encodes a packet with its forwarding state into `out`.
 pub(crate) fn write_forwarded_packet(forward: &Forward, packet: &[u8], out: &mut Vec<u8>) {
@@ -25,10 +26,19 @@
         position: forward.position,
         count: forward.candidates.len(),
         best_position: forward.best_position,
-        _reserved: 0,
+        request_kind: match forward.requests.kind {
+            RequestKind::Idempotent => 0,
+            RequestKind::NonIdempotent => 1,
+            RequestKind::Upload => 2,
+            RequestKind::Download => 3,
+        },
+        priority: forward.requests.priority,
         best_utilization: U16::new(forward.best_utilization),
         utilization_limit: U16::new(forward.limits.utilization),
         idle_limit: U16::new(forward.limits.idle),
+        goal_ms: saturated_millis(forward.requests.goal_ms),
+        timeout_ms: saturated_millis(forward.requests.timeout_ms),
+        age_ms: U16::new(forward.age_ms),
     };
     out.clear();
     out.extend_from_slice(header.as_bytes());
@@ -36,6 +46,11 @@
     out.extend_from_slice(packet);
 }
 
+/// Returns a time in 16 bits; a longer time becomes the longest one.
+fn saturated_millis(time: Millis) -> U16 {
+    U16::new(u16::try_from(time.get()).unwrap_or(u16::MAX))
+}
+
 /// Encodes a lookup request into `out`.
 pub(crate) fn write_lookup_request(request: &LookupRequest<'_>, packet: &[u8], out: &mut Vec<u8>) {
     let header = LookupRequestHeader {
@@ -101,9 +116,12 @@
             EndpointState::Draining => 1,
             EndpointState::Retired => 2,
         },
-        _reserved: 0,
+        is_evacuated: u8::from(notice.is_evacuated),
         slots: U16::new(notice.slots),
         idle_timeout_ms: U32::new(notice.idle_timeout_ms),
+        born_ms: U64::new(notice.born_ms),
+        cold_left_ms: U32::new(notice.cold_left_ms),
+        cold_rate: U32::new(notice.cold_rate),
     };
     out.clear();
     out.extend_from_slice(header.as_bytes());
--- a/crates/passthrough/tests/route_changes.rs
+++ b/crates/passthrough/tests/route_changes.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddrV4;
 
-use passthrough::{Event, Route, RouteTarget, ServiceKey};
+use passthrough::{Event, RequestProfile, Route, RouteTarget, ServiceKey};
 use support::{
     Flags, SERVICE, SERVICE_ADDRESS, SimNetwork, agent_ip, balancer_ip, caller, encode_packet,
     route_to_service,
@@ -36,6 +36,7 @@
     Route {
         address: SERVICE_ADDRESS,
         targets,
+        requests: RequestProfile::default(),
     }
 }
 
--- a/crates/passthrough/tests/support/mod.rs
+++ b/crates/passthrough/tests/support/mod.rs
@@ -13,7 +13,7 @@
 
 use passthrough::{
     Agent, AgentConfig, Balancer, BalancerConfig, Catalog, Endpoint, EndpointKey, EndpointState,
-    Event, Outbox, PacketFormat, Route, RouteTarget, ServiceKey, ZoneKey,
+    Event, Outbox, PacketFormat, RequestProfile, Route, RouteTarget, ServiceKey, ZoneKey,
 };
 use units::{Millis, Revision, SettingsVersion, Slots};
 
@@ -129,6 +129,8 @@
             settings_changed_at: Revision::new(10),
             idle_timeout_ms: Millis::new(15_000),
             routes: vec![route_to_service(SERVICE_ADDRESS, SERVICE)],
+            cold_starts: Vec::new(),
+            evacuated_zones: Vec::new(),
             endpoints: Vec::new(),
         };
         for number in 0..endpoints {
@@ -180,6 +182,7 @@
             slots: Slots::new(2),
             state: EndpointState::Ready,
             born_ms: 1,
+            cold_left_ms: Millis::new(0),
             registered_at: self.catalog.revision,
             retired_at: None,
         });
@@ -542,6 +545,7 @@
     Route {
         address,
         targets: vec![RouteTarget { service, weight: 1 }],
+        requests: RequestProfile::default(),
     }
 }
 
--- a/crates/units/src/ids.rs
+++ b/crates/units/src/ids.rs
@@ -33,12 +33,44 @@
     BundleVersion(u64), "bundle version", ""
 }
 
+number_newtype! {
+    /// The era of the platform's data, which rises when the data come back from an older copy.
+    StoreEra(u16), "store era", ""
+}
+
 number_newtype! {
     /// A revision of the platform's data, as a position in its change history; higher revisions are
     /// newer.
+    ///
+    /// The upper 16 bits are the era and the lower 48 bits the number within it, so that each
+    /// revision of a later era is newer than all revisions of earlier ones.
     Revision(u64), "revision", ""
 }
 
+impl Revision {
+    /// Highest number of a revision within its era.
+    pub const NUMBER_MAX: u64 = (1 << 48) - 1;
+
+    /// Creates the revision with a number within an era, or returns `None` if the number exceeds
+    /// [`Self::NUMBER_MAX`].
+    #[must_use]
+    pub fn in_era(era: StoreEra, number: u64) -> Option<Self> {
+        (number <= Self::NUMBER_MAX).then_some(Self((u64::from(era.get()) << 48) | number))
+    }
+
+    /// Returns the era that the revision belongs to.
+    #[must_use]
+    pub const fn era(self) -> StoreEra {
+        StoreEra::new((self.0 >> 48) as u16)
+    }
+
+    /// Returns the revision's number within its era.
+    #[must_use]
+    pub const fn number(self) -> u64 {
+        self.0 & Self::NUMBER_MAX
+    }
+}
+
 number_newtype! {
     /// The version of the operator's settings for passthrough flows; higher versions are newer.
     SettingsVersion(u64), "settings version", ""
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -11,6 +11,6 @@
 pub use error::ParseUnitError;
 pub use ids::{
     BundleDigest, BundleVersion, EndpointId, Incarnation, InstanceId, KeyIndex, Revision,
-    ServiceId, SettingsVersion, Zone,
+    ServiceId, SettingsVersion, StoreEra, Zone,
 };
 pub use quantities::{ByteSize, Millis, PerSecond, Slots, Weight};
