Place no new flows in zones that the operator has taken out of use

The store's requests to evacuate a zone were not read, so openings went on to its endpoints for as long as the request lasted.

The list spreads with the catalog. Balancers place nothing at endpoints of such zones, and agents refuse openings for their own zone, so that a balancer that hasn't heard places nothing there either; they are told at once. Open flows stay. If all endpoints that would take a flow are out of use, the unopened flow is reset at once, but not by a balancer that has just started or just after an outage of the store, when entries may be missing.

A cached flow that its caller has closed is a new one if its port is used again, so neither balancer nor agent delivers that opening in a zone out of use. Resetting also when all endpoints drain was ruled out, since a drain ends soon and copies ask again.

--- a/crates/passthrough-node/src/balancer.rs
+++ b/crates/passthrough-node/src/balancer.rs
@@ -403,6 +403,9 @@
             "catalog_revision",
             balancer.catalog_view().catalog().revision.get(),
         );
+        let (zones, longest) = balancer.zones_out_of_use(clock::now());
+        text.add_gauge("zones_out_of_use", zones as u64);
+        text.add_gauge("zones_out_of_use_ms", longest.get());
         text.add_gauge(
             "endpoints",
             balancer.catalog_view().catalog().endpoints.len() as u64,
--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -59,6 +59,8 @@
     /// Concurrency slots of the endpoint, zero until a balancer has stated their number.
     slots: Slots,
     state: EndpointState,
+    /// Whether the operator has taken the endpoint's availability zone out of use.
+    is_evacuated: bool,
     /// Catalog revision that `state` comes from; state notices of older revisions are ignored.
     revision: u64,
     /// Whether the agent's process is shutting down.
@@ -86,6 +88,7 @@
             outliers: OutlierDetector::default(),
             slots: Slots::new(0),
             state: EndpointState::Ready,
+            is_evacuated: false,
             revision: 0,
             stopping: false,
             balancers: Vec::new(),
@@ -293,7 +296,10 @@
         if let Some(candidate) = forward.current_candidate() {
             self.slots = Slots::new(u16::from(candidate.slots));
         }
-        if self.flows.is_accepted(flow) {
+        // A caller may use the port of a closed flow again, which opens a new one.
+        let is_copy =
+            self.flows.is_accepted(flow) && !(self.is_evacuated && self.flows.is_closed(flow));
+        if is_copy {
             self.flows.set_origin_balancer(flow, forward.origin);
             return Self::deliver_to_endpoint(packet, 0, out);
         }
@@ -308,7 +314,7 @@
             load: self.load_for_event(),
             slots: self.slots.get(),
             position: forward.position,
-            leaving: self.state != EndpointState::Ready || self.stopping,
+            leaving: !self.is_in_use(),
             silent: self.health.is_silent(),
             penalty: self.outliers.utilization_penalty(now),
         });
@@ -551,9 +557,10 @@
     ) {
         self.record_balancer_notice(now, sender);
         if notice.service == self.config.service && notice.revision >= self.revision {
-            let changed = self.state != notice.state;
+            let changed = self.state != notice.state || self.is_evacuated != notice.is_evacuated;
             self.revision = notice.revision;
             self.state = notice.state;
+            self.is_evacuated = notice.is_evacuated;
             self.slots = Slots::new(notice.slots);
             self.flows
                 .set_idle_timeout(Millis::new(u64::from(notice.idle_timeout_ms)));
@@ -561,6 +568,7 @@
                 out.report_event(Event::EndpointStateChanged {
                     state: notice.state,
                     slots: notice.slots,
+                    is_evacuated: notice.is_evacuated,
                     revision: notice.revision,
                 });
             }
@@ -621,13 +629,15 @@
         out.report_event(Event::ResetSent { flow, reason });
     }
 
+    /// Returns whether the endpoint may be given new flows, by the operator's wish and its own.
+    fn is_in_use(&self) -> bool {
+        !self.stopping && self.state == EndpointState::Ready && !self.is_evacuated
+    }
+
     /// Returns the endpoint's utilization that the agent reports to balancers.
     fn reported_utilization(&mut self, now: Millis) -> Utilization {
         self.flows.expire_expected_requests(now);
-        if self.stopping
-            || self.state != EndpointState::Ready
-            || self.health.is_closed_to_openings(now)
-        {
+        if !self.is_in_use() || self.health.is_closed_to_openings(now) {
             return UTILIZATION_CLOSED;
         }
         let slots = u32::from(self.slots.get().max(1));
--- a/crates/passthrough/src/agent/held_flows.rs
+++ b/crates/passthrough/src/agent/held_flows.rs
@@ -121,6 +121,13 @@
             .is_some_and(|it| it.phase > Phase::Unconfirmed)
     }
 
+    /// Returns whether an end of the flow has closed it.
+    pub(crate) fn is_closed(&self, flow: Flow) -> bool {
+        self.flows
+            .get(&flow)
+            .is_some_and(|it| it.caller_closed || it.endpoint_closed)
+    }
+
     pub(crate) fn set_origin_balancer(&mut self, flow: Flow, origin: Ipv4Addr) {
         if let Some(held) = self.flows.get_mut(&flow) {
             held.origin = origin;
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -15,6 +15,7 @@
 mod routing;
 mod transfers;
 mod uploads;
+mod zones;
 
 use std::{marker::PhantomData, net::Ipv4Addr};
 
@@ -38,6 +39,7 @@
 use retired_sync::RetiredSync;
 use transfers::TransferQueue;
 use uploads::UploadLimiter;
+use zones::ZonesOutOfUse;
 
 /// Interval between two state notices to an agent. An agent counts as lost when it leaves three
 /// notices in a row unanswered.
@@ -105,6 +107,7 @@
     unverified_until: Option<Millis>,
     retired_sync: RetiredSync,
     former_target_sync: FormerTargetSync,
+    zones_out_of_use: ZonesOutOfUse,
     stopping: bool,
     is_standby: bool,
     /// Time at which the store became reachable again after an outage.
@@ -155,6 +158,7 @@
             unverified_until: None,
             retired_sync: RetiredSync::default(),
             former_target_sync: FormerTargetSync::default(),
+            zones_out_of_use: ZonesOutOfUse::default(),
             stopping: false,
             is_standby: false,
             store_recovered_at: None,
@@ -370,7 +374,10 @@
         };
         let known = self.flows.look_up_flow(now, flow, segment);
         // An opening is placed by the route in force. The rest of a flow stays where it was opened.
-        let known = known.filter(|it| !segment.is_opening_packet() || route.leads_to(it.service));
+        let known = known.filter(|it| {
+            !segment.is_opening_packet()
+                || (route.leads_to(it.service) && self.may_deliver_copy(it))
+        });
         if let Some(known) = known {
             if segment.fin || segment.rst {
                 self.uploads.release_upload(flow);
--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -5,7 +5,7 @@
 use units::{Millis, Revision};
 
 use crate::{
-    CatalogView, Endpoint, EndpointState, Event, Outbox, ServiceKey, ZoneKey,
+    Catalog, CatalogView, Endpoint, EndpointState, Event, Outbox, ServiceKey, ZoneKey,
     message::{AcceptLimits, LoadReport, UTILIZATION_CLOSED, UTILIZATION_FULL, Utilization},
 };
 
@@ -37,11 +37,36 @@
 /// flows.
 const IDLE_TOLERANCE_DIVISOR: u32 = 8;
 
+/// What a state notice tells an agent at once when it changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct NoticedState {
+    pub(crate) state: EndpointState,
+    pub(crate) slots: u16,
+    pub(crate) is_evacuated: bool,
+    pub(crate) born_ms: u64,
+    pub(crate) cold_left_ms: u32,
+    pub(crate) cold_rate: u32,
+}
+
+impl NoticedState {
+    pub(crate) fn new(endpoint: &Endpoint, catalog: &Catalog) -> Self {
+        let cold_start = catalog.find_cold_start(endpoint.service);
+        Self {
+            state: endpoint.state,
+            slots: endpoint.slots.get(),
+            is_evacuated: catalog.is_evacuated(endpoint.zone),
+            born_ms: endpoint.born_ms,
+            cold_left_ms: u32::try_from(endpoint.cold_left_ms.get()).unwrap_or(u32::MAX),
+            cold_rate: cold_start.map_or(0, |it| it.rate.get()),
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct AgentState {
     endpoint: Endpoint,
-    /// Endpoint state and concurrency slots in the latest state notice to the agent.
-    sent_state: Option<(EndpointState, u16)>,
+    /// The latest state notice to the agent.
+    sent_state: Option<NoticedState>,
     /// Time of the agent's latest reply, or the time at which the agent was first listed.
     last_reply_at: Millis,
     /// Time of the first notice that the agent has not answered, if there is one.
@@ -169,9 +194,9 @@
     }
 
     /// Returns the endpoints whose current state has not been sent to the agents beside them.
-    pub(crate) fn endpoints_to_notify(&self) -> Vec<Endpoint> {
+    pub(crate) fn endpoints_to_notify(&self, catalog: &Catalog) -> Vec<Endpoint> {
         let changed =
-            |it: &&AgentState| it.sent_state != Some((it.endpoint.state, it.endpoint.slots.get()));
+            |it: &&AgentState| it.sent_state != Some(NoticedState::new(&it.endpoint, catalog));
         self.agents
             .iter()
             .filter(changed)
@@ -180,12 +205,18 @@
     }
 
     /// Records that an agent was sent the current state of its endpoint of a service.
-    pub(crate) fn mark_state_sent(&mut self, now: Millis, agent: Ipv4Addr, service: ServiceKey) {
+    pub(crate) fn mark_state_sent(
+        &mut self,
+        now: Millis,
+        agent: Ipv4Addr,
+        service: ServiceKey,
+        sent: NoticedState,
+    ) {
         for state in self.find_agents_mut(agent) {
             state.unanswered_since.get_or_insert(now);
             if state.endpoint.service == service {
                 state.last_notice_at = Some(now);
-                state.sent_state = Some((state.endpoint.state, state.endpoint.slots.get()));
+                state.sent_state = Some(sent);
             }
         }
     }
@@ -348,6 +379,14 @@
         u8::try_from(slots).unwrap_or(u8::MAX)
     }
 
+    /// Returns the availability zone of the agent's endpoint of a service, if it is known.
+    pub(crate) fn endpoint_zone(&self, agent: Ipv4Addr, service: ServiceKey) -> Option<ZoneKey> {
+        let mut states = self.find_agents(agent).iter();
+        states
+            .find(|it| it.endpoint.service == service)
+            .map(|it| it.endpoint.zone)
+    }
+
     /// Returns the state of an agent; what its replies tell is the same for all its services.
     fn find_agent(&self, agent: Ipv4Addr) -> Option<&AgentState> {
         self.find_agents(agent).first()
--- a/crates/passthrough/src/balancer/catalog_sync.rs
+++ b/crates/passthrough/src/balancer/catalog_sync.rs
@@ -27,7 +27,7 @@
 ///
 /// The period is long enough for a digest to reach balancers whose addresses are learned only from
 /// agents' load reports.
-const STARTUP_PERIOD_MS: Millis = Millis::new(3_000);
+pub(super) const STARTUP_PERIOD_MS: Millis = Millis::new(3_000);
 
 /// Maximum interval between two requests to the store to confirm the catalog.
 ///
@@ -44,7 +44,7 @@
 
 /// Time after the store's recovery from an outage in which an endpoint without a store entry may
 /// still be running.
-const ENTRY_RENEWAL_MS: Millis = Millis::new(2_000);
+pub(super) const ENTRY_RENEWAL_MS: Millis = Millis::new(2_000);
 
 /// Time after a request for the changes of the catalog until the balancer asks again, possibly
 /// another balancer.
@@ -271,6 +271,7 @@
             from_peer: source == CatalogOrigin::Peer,
         });
         self.agents.update_endpoints(now, &self.view);
+        self.update_zones_out_of_use(now, out);
         self.lookups
             .schedule_outdated_retries(now, self.view.endpoint_generation());
         self.send_state_change_notices(now, out);
--- a/crates/passthrough/src/balancer/counters.rs
+++ b/crates/passthrough/src/balancer/counters.rs
@@ -17,6 +17,8 @@
     pub openings_repeated: u64,
     /// Opening packets abandoned because the caller has given up.
     pub openings_expired: u64,
+    /// Openings placed in other zones because the balancer's own zone is out of use.
+    pub openings_out_of_zone: u64,
     /// Lookups of the endpoint that holds a flow.
     pub lookups: u64,
     /// Lookups in which all asked agents replied that their endpoints don't hold the flow.
@@ -51,12 +53,13 @@
 
     /// Returns the balancer's metric names with their counter values.
     #[must_use]
-    pub const fn named_values(&self) -> [(&'static str, u64); 12] {
+    pub const fn named_values(&self) -> [(&'static str, u64); 13] {
         [
             ("caller_packets", self.packets),
             ("openings", self.openings),
             ("openings_repeated", self.openings_repeated),
             ("openings_expired", self.openings_expired),
+            ("openings_out_of_zone", self.openings_out_of_zone),
             ("lookups", self.lookups),
             ("lookups_failed", self.lookups_failed),
             ("resets_sent", self.resets),
--- a/crates/passthrough/src/balancer/flows.rs
+++ b/crates/passthrough/src/balancer/flows.rs
@@ -32,6 +32,8 @@
     pub(crate) agent: Ipv4Addr,
     /// The service at which the flow was placed, which its route may have left since.
     pub(crate) service: ServiceKey,
+    /// Whether the caller has closed the flow.
+    pub(crate) is_closed: bool,
     /// Whether the received packet belongs to a long upload.
     pub(crate) is_upload: bool,
 }
@@ -62,6 +64,7 @@
         Some(CachedFlow {
             agent: entry.agent,
             service: entry.service,
+            is_closed: entry.closed,
             is_upload: segment.data_bytes > 0 && entry.upload_detector.record_packet(now),
         })
     }
--- a/crates/passthrough/src/balancer/notices.rs
+++ b/crates/passthrough/src/balancer/notices.rs
@@ -4,7 +4,7 @@
 
 use units::Millis;
 
-use super::Balancer;
+use super::{Balancer, agents::NoticedState};
 use crate::{
     Endpoint, Outbox, PacketFormat,
     message::{LoadReport, StateNotice, write_state_notice},
@@ -20,14 +20,15 @@
         }
     }
 
-    /// Sends a state notice to each agent whose endpoint's state or slots have changed.
+    /// Sends a state notice to each agent whose endpoint's state, slots or cold start have changed, or
+    /// whose zone was taken out of use or back.
     ///
     /// In a large fleet, an agent hears of a change from the balancers of its zone and from those
     /// that read the store, and from others with their next regular notice.
     pub(super) fn send_state_change_notices(&mut self, now: Millis, out: &mut impl Outbox) {
         let tells_all = self.agents.is_small_fleet() || self.reads_store;
         let zone = self.config.zone;
-        let changed = self.agents.endpoints_to_notify();
+        let changed = self.agents.endpoints_to_notify(self.view.catalog());
         for endpoint in changed.iter().filter(|it| tells_all || it.zone == zone) {
             self.send_state_notice(now, endpoint, out);
         }
@@ -40,23 +41,22 @@
         out: &mut impl Outbox,
     ) {
         let catalog = self.view.catalog();
+        let sent = NoticedState::new(endpoint, catalog);
         let notice = StateNotice {
             service: endpoint.service,
             revision: catalog.revision.get(),
-            state: endpoint.state,
-            slots: endpoint.slots.get(),
+            state: sent.state,
+            slots: sent.slots,
             idle_timeout_ms: u32::try_from(catalog.idle_timeout_ms.get()).unwrap_or(u32::MAX),
-            is_evacuated: catalog.is_evacuated(endpoint.zone),
-            born_ms: endpoint.born_ms,
-            cold_left_ms: u32::try_from(endpoint.cold_left_ms.get()).unwrap_or(u32::MAX),
-            cold_rate: catalog
-                .find_cold_start(endpoint.service)
-                .map_or(0, |it| it.rate.get()),
+            is_evacuated: sent.is_evacuated,
+            born_ms: sent.born_ms,
+            cold_left_ms: sent.cold_left_ms,
+            cold_rate: sent.cold_rate,
         };
         write_state_notice(notice, &mut self.scratch);
         out.send_to_peer(endpoint.agent_address(), &self.scratch);
         self.agents
-            .mark_state_sent(now, endpoint.agent_address(), endpoint.service);
+            .mark_state_sent(now, endpoint.agent_address(), endpoint.service, sent);
     }
 
     pub(super) fn on_load_report(
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -5,11 +5,11 @@
 
 use units::Millis;
 
-use super::{Balancer, HOLD_STEP_MS, openings::PendingOpening};
+use super::{Balancer, HOLD_STEP_MS, openings::PendingOpening, zones::Placeable};
 use crate::{
     DropReason, Endpoint, EndpointState, Event, Flow, Outbox, PacketFormat, ResetReason, Segment,
     ServiceKey,
-    catalog::{LOOKUP_SUBSET_MAX, PLACEMENT_SUBSET_MAX},
+    catalog::LOOKUP_SUBSET_MAX,
     message::{
         AcceptLimits, Candidate, Candidates, FlowHeld, FlowNotHeld, Forward, Instances,
         LookupRequest, PacketClass, Returned, lookup_agents_per_request, write_forwarded_packet,
@@ -50,13 +50,15 @@
         let Some(service) = route.and_then(|it| it.service_for_new_flow(flow.hash())) else {
             return self.drop_packet(DropReason::NoRoute, out);
         };
-        self.view.collect_endpoint_subset(
-            service,
-            flow.hash(),
-            PLACEMENT_SUBSET_MAX,
-            &mut self.subset,
-        );
-        self.subset.retain(|it| it.state == EndpointState::Ready);
+        match self.collect_placeable_endpoints(service, flow.hash()) {
+            Placeable::Endpoints => {}
+            Placeable::OnlyOutOfUse if self.may_turn_away(now) => {
+                return self.send_reset(flow, 0, ResetReason::ZonesOutOfUse, out);
+            }
+            Placeable::OnlyOutOfUse | Placeable::Nowhere => {
+                return self.drop_packet(DropReason::NoEndpoint, out);
+            }
+        }
         let (zone, agents) = (self.config.zone, &self.agents);
         let is_late = opening.offer_count() > 0;
         self.subset.sort_by_key(|it| {
@@ -111,6 +113,9 @@
             catalog_revision: self.view.catalog().revision.get(),
         });
         self.counters.openings += 1;
+        let is_first = opening.offer_count() == 0;
+        self.counters.openings_out_of_zone +=
+            u64::from(is_first && self.view.catalog().is_evacuated(self.config.zone));
         opening.record_offer(now, first.agent_address());
         self.openings.insert_opening(opening);
     }
--- a/crates/passthrough/src/event.rs
+++ b/crates/passthrough/src/event.rs
@@ -1,10 +1,10 @@
 //! Events for the log: decisions about flows, and state changes.
 
-use std::net::Ipv4Addr;
+use std::{fmt::Display, net::Ipv4Addr};
 
 use serde::{Serialize, Serializer};
 
-use crate::{EndpointState, Flow};
+use crate::{EndpointState, Flow, ZoneKey};
 
 /// Why a packet was dropped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -32,6 +32,8 @@
     EndpointGone,
     /// Every endpoint of the service was asked, and none of them holds the flow.
     HeldByNone,
+    /// The flow was not opened: all endpoints that would accept it are in zones out of use.
+    ZonesOutOfUse,
 }
 
 /// A decision or a state change.
@@ -117,6 +119,8 @@
     EndpointStateChanged {
         state: EndpointState,
         slots: u16,
+        /// Whether the endpoint's availability zone is out of use.
+        is_evacuated: bool,
         revision: u64,
     },
     /// The endpoint beside the agent returned a packet of a flow that it had accepted before.
@@ -140,6 +144,29 @@
         endpoints: usize,
         from_peer: bool,
     },
+    /// The operator has taken an availability zone with this many listed endpoints out of use; those
+    /// elsewhere get its new flows.
+    ZoneOutOfUse {
+        #[serde(serialize_with = "serialize_as_display")]
+        zone: ZoneKey,
+        endpoints: usize,
+        endpoints_elsewhere: usize,
+        revision: u64,
+    },
+    /// The operator has taken an availability zone back into use.
+    ZoneBackInUse {
+        #[serde(serialize_with = "serialize_as_display")]
+        zone: ZoneKey,
+        /// Time for which this balancer knew the zone as out of use.
+        after_ms: u64,
+        revision: u64,
+    },
+    /// The operator has taken a zone out of use that no listed endpoint and no known balancer is in.
+    ZoneUnknown {
+        #[serde(serialize_with = "serialize_as_display")]
+        zone: ZoneKey,
+        revision: u64,
+    },
     /// An agent or another balancer told of a service that a route led to before; `count` such
     /// services are known now.
     FormerTargetsChanged { count: usize, catalog_revision: u64 },
@@ -192,6 +219,9 @@
     }
 }
 
-fn serialize_as_display<S: Serializer>(flow: &Flow, serializer: S) -> Result<S::Ok, S::Error> {
-    serializer.collect_str(flow)
+fn serialize_as_display<T: Display, S: Serializer>(
+    value: &T,
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(value)
 }
