Pace the openings of cold endpoints at their agents

An endpoint that was replaced, added, crashed or taken back got as many openings as its free slots took, over all balancers, though it bears less for some seconds.

Every opening passes the endpoint's agent, so the agent counts them: in any sliding second no more than the operator's rate, half of it in the first second of a new agent, since the one before may have used the other half, and five before any balancer has told it anything. Its clock starts when it hears of a start, so late news only lengthen the time; a repeated statement changes nothing and a higher one starts it anew. A crash and the return of the zone count as a start until a balancer has told. Where no rate is stated, slots and the measured work of requests that found a free slot give it.

What is paced is passed on like the openings of a full endpoint. Notices go out at once when an endpoint becomes cold, not while its time runs down. Pacing at the balancers was ruled out: none of them knows what the others send.

--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -1,6 +1,7 @@
 //! Implements the agent's state machine: it admits opening packets and tracks the flows that the
 //! endpoint beside the agent holds.
 
+mod cold_start;
 mod counters;
 mod deliveries;
 mod health;
@@ -11,7 +12,7 @@
 
 use std::{marker::PhantomData, net::Ipv4Addr};
 
-use units::{Millis, Slots};
+use units::{Millis, PerSecond, Slots};
 
 pub use counters::AgentCounters;
 
@@ -26,6 +27,7 @@
         write_returned_packet,
     },
 };
+use cold_start::{ColdStartPacer, StatedStart, Warmth};
 use deliveries::{Delivery, PendingDeliveries};
 use health::EndpointHealth;
 use held_flow::Phase;
@@ -56,6 +58,7 @@
     deliveries: PendingDeliveries,
     health: EndpointHealth,
     outliers: OutlierDetector,
+    cold_start: ColdStartPacer,
     /// Concurrency slots of the endpoint, zero until a balancer has stated their number.
     slots: Slots,
     state: EndpointState,
@@ -86,6 +89,7 @@
             deliveries: PendingDeliveries::default(),
             health: EndpointHealth::default(),
             outliers: OutlierDetector::default(),
+            cold_start: ColdStartPacer::default(),
             slots: Slots::new(0),
             state: EndpointState::Ready,
             is_evacuated: false,
@@ -102,7 +106,10 @@
 
     /// Changes the service of the endpoint beside the agent. Packets for other services are not
     /// delivered to the endpoint.
-    pub const fn set_service(&mut self, service: ServiceKey) {
+    pub fn set_service(&mut self, service: ServiceKey) {
+        if self.config.service != service {
+            self.cold_start = ColdStartPacer::default();
+        }
         self.config.service = service;
     }
 
@@ -216,6 +223,7 @@
             self.flows.remove_unused_flows(now);
             self.balancers
                 .retain(|it| now.since(it.1) <= BALANCER_TTL_MS);
+            self.report_warmth(now, out);
             self.next_sweep = now.plus(SWEEP_INTERVAL_MS);
         }
     }
@@ -338,6 +346,7 @@
             .insert_unconfirmed(now, flow, forward.origin, tag);
         self.health.on_opening_offered(now);
         self.outliers.on_opening_offered(now);
+        self.cold_start.record_delivery(now);
         self.counters.offered += 1;
         Self::deliver_to_endpoint(packet, tag, out);
     }
@@ -385,6 +394,9 @@
             self.record_crash(now, out);
         }
         let endpoint_update = self.flows.on_endpoint_segment(now, flow, segment);
+        if let Some(answered) = endpoint_update.answered {
+            self.cold_start.record_answer(answered, self.slots);
+        }
         self.record_request_outcome(now, endpoint_update.outcome, out);
         let Some(query) = endpoint_update.holder_query else {
             return;
@@ -419,11 +431,31 @@
     /// Records that the endpoint crashed and lost its flows.
     fn record_crash(&mut self, now: Millis, out: &mut impl Outbox) {
         if let Some(hold_off) = self.outliers.record_crash(now) {
+            self.cold_start.suspect_start(now);
             let hold_off_ms = hold_off.get();
             out.report_event(Event::EndpointCrashed { hold_off_ms });
         }
     }
 
+    fn report_warmth(&mut self, now: Millis, out: &mut impl Outbox) {
+        match self.cold_start.take_change(now, self.slots) {
+            Some(Warmth::Cold {
+                left,
+                rate,
+                is_learned,
+            }) => out.report_event(Event::EndpointCold {
+                left_ms: left.get(),
+                rate,
+                is_learned,
+            }),
+            Some(Warmth::Warm) => {
+                let paced = self.counters.paced;
+                out.report_event(Event::EndpointWarm { paced });
+            }
+            None => {}
+        }
+    }
+
     /// Handles a packet that the endpoint returned because it doesn't hold the flow.
     fn on_returned_packet(
         &mut self,
@@ -558,6 +590,15 @@
         self.record_balancer_notice(now, sender);
         if notice.service == self.config.service && notice.revision >= self.revision {
             let changed = self.state != notice.state || self.is_evacuated != notice.is_evacuated;
+            if self.is_evacuated && !notice.is_evacuated {
+                self.cold_start.suspect_start(now);
+            }
+            let stated = StatedStart {
+                born_ms: notice.born_ms,
+                cold_left: Millis::new(u64::from(notice.cold_left_ms)),
+                rate: PerSecond::new(notice.cold_rate),
+            };
+            self.cold_start.on_stated_start(now, stated);
             self.revision = notice.revision;
             self.state = notice.state;
             self.is_evacuated = notice.is_evacuated;
@@ -572,6 +613,7 @@
                     revision: notice.revision,
                 });
             }
+            self.report_warmth(now, out);
         }
         // The report lists the balancers by turns if there are more than it has room for.
         let turn = self.report_turn % self.balancers.len().max(1);
@@ -658,6 +700,10 @@
         if utilization == UTILIZATION_CLOSED {
             return UTILIZATION_CLOSED;
         }
+        if !self.cold_start.may_deliver(now, self.slots) {
+            self.counters.paced += 1;
+            return UTILIZATION_CLOSED;
+        }
         let penalty = self.outliers.utilization_penalty(now);
         utilization
             .saturating_add(penalty)
--- a/crates/passthrough/src/agent/counters.rs
+++ b/crates/passthrough/src/agent/counters.rs
@@ -7,6 +7,8 @@
     pub offered: u64,
     /// Opening packets that the endpoint did not answer in time.
     pub unanswered: u64,
+    /// Opening packets passed on because a cold endpoint has got as many as it bears.
+    pub paced: u64,
     /// Packets from callers other than opening packets.
     pub segments: u64,
     /// Packets from the endpoint sent to callers.
@@ -31,10 +33,11 @@
 impl AgentCounters {
     /// Returns the agent's metric names with their counter values.
     #[must_use]
-    pub const fn named_values(&self) -> [(&'static str, u64); 11] {
+    pub const fn named_values(&self) -> [(&'static str, u64); 12] {
         [
             ("openings_offered", self.offered),
             ("openings_unanswered", self.unanswered),
+            ("openings_paced", self.paced),
             ("segments", self.segments),
             ("answers", self.answers),
             ("searches", self.searches),
--- a/crates/passthrough/src/agent/held_flow.rs
+++ b/crates/passthrough/src/agent/held_flow.rs
@@ -16,6 +16,8 @@
     /// The caller has sent a request and is waiting for the answer.
     Running {
         since: Millis,
+        /// Number of working flows when the request arrived, including the request's own.
+        working: u32,
     },
 }
 
--- a/crates/passthrough/src/agent/held_flows.rs
+++ b/crates/passthrough/src/agent/held_flows.rs
@@ -37,6 +37,17 @@
     pub(crate) holder_query: Option<HolderQuery>,
     /// The outcome of the request that the packet ended, if it ended one.
     pub(crate) outcome: Option<RequestOutcome>,
+    /// The request that the packet answered, if it answered one.
+    pub(crate) answered: Option<AnsweredRequest>,
+}
+
+/// A request that the endpoint answered.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AnsweredRequest {
+    /// Time from the request until its answer.
+    pub(crate) duration: Millis,
+    /// Number of working flows when the request arrived, including the request's own.
+    pub(crate) working: u32,
 }
 
 /// A balancer to notify that the endpoint holds a flow, and the tag of the delivery of the
@@ -190,7 +201,13 @@
             .is_none_or(|it| end.wrapping_sub(it).cast_signed() > 0);
         if segment.data_bytes > 0 && is_new {
             held.caller_end = Some(end);
-            held.request = RequestState::Running { since: now };
+            // The flow itself counts already if the request was expected.
+            let own = u32::from(before != LoadClass::Working);
+            let working = self.load + own;
+            held.request = RequestState::Running {
+                since: now,
+                working,
+            };
         }
         if segment.rst || segment.fin {
             held.caller_closed = true;
@@ -230,6 +247,7 @@
         });
         let before = held.load_class();
         let mut outcome = None;
+        let mut answered = None;
         held.last_used = now;
         held.phase = held.phase.max(if segment.syn {
             Phase::Accepted
@@ -237,11 +255,17 @@
             Phase::Open
         });
         if segment.data_bytes > 0 || segment.rst || segment.fin {
-            if let RequestState::Running { since } = held.request {
+            if let RequestState::Running { since, working } = held.request {
                 if held.has_answered {
                     self.usage.record_request_duration(now.since(since));
                 }
                 outcome = held.request_outcome(segment);
+                if outcome == Some(RequestOutcome::Answered) {
+                    answered = Some(AnsweredRequest {
+                        duration: now.since(since),
+                        working,
+                    });
+                }
             }
             held.request = RequestState::None;
             held.has_answered |= segment.data_bytes > 0;
@@ -263,6 +287,7 @@
         EndpointUpdate {
             holder_query,
             outcome,
+            answered,
         }
     }
 
@@ -337,7 +362,7 @@
         }
         let idle_timeout = self.idle_timeout;
         self.flows.retain(|_, held| {
-            if let RequestState::Running { since } = held.request
+            if let RequestState::Running { since, .. } = held.request
                 && now.since(since) > RUNNING_REQUEST_TTL_MS
             {
                 held.request = RequestState::None;
--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -60,6 +60,19 @@
             cold_rate: cold_start.map_or(0, |it| it.rate.get()),
         }
     }
+
+    /// Returns whether an agent that was sent `sent` has to hear of this state at once.
+    ///
+    /// A cold endpoint's time runs down at the agent as well.
+    fn is_news_after(self, sent: Option<Self>) -> bool {
+        sent.is_none_or(|sent| {
+            let aged = Self {
+                cold_left_ms: sent.cold_left_ms.min(self.cold_left_ms),
+                ..sent
+            };
+            aged != self
+        })
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -195,8 +208,9 @@
 
     /// Returns the endpoints whose current state has not been sent to the agents beside them.
     pub(crate) fn endpoints_to_notify(&self, catalog: &Catalog) -> Vec<Endpoint> {
-        let changed =
-            |it: &&AgentState| it.sent_state != Some(NoticedState::new(&it.endpoint, catalog));
+        let changed = |it: &&AgentState| {
+            NoticedState::new(&it.endpoint, catalog).is_news_after(it.sent_state)
+        };
         self.agents
             .iter()
             .filter(changed)
--- a/crates/passthrough/src/event.rs
+++ b/crates/passthrough/src/event.rs
@@ -123,6 +123,17 @@
         is_evacuated: bool,
         revision: u64,
     },
+    /// The endpoint beside the agent is cold for `left_ms`, or may be, and gets `rate` openings a
+    /// second at most.
+    EndpointCold {
+        left_ms: u64,
+        rate: u32,
+        /// Whether the rate comes from the measured work, since the operator states none.
+        is_learned: bool,
+    },
+    /// The endpoint beside the agent is warm; `paced` openings were passed on since the agent's start
+    /// because the endpoint was cold.
+    EndpointWarm { paced: u64 },
     /// The endpoint beside the agent returned a packet of a flow that it had accepted before.
     EndpointForgotFlow {
         #[serde(serialize_with = "serialize_as_display")]
--- a/crates/passthrough/tests/support/endpoint.rs
+++ b/crates/passthrough/tests/support/endpoint.rs
@@ -21,12 +21,19 @@
     pub(crate) is_unresponsive: bool,
     /// Time that the endpoint takes to answer a request, in milliseconds.
     pub(crate) request_ms: u64,
+    /// Number of requests that run at once, while later ones wait; with zero, all run at once.
+    pub(crate) slots: usize,
+    /// The network's time, and the times at which the slots become free.
+    pub(crate) now: u64,
+    free_at: Vec<u64>,
     /// The endpoint resets the flow of one in this many requests; with zero, it resets no flow.
     pub(crate) resets_one_of: usize,
     /// Whether the endpoint closes the flow after each answer, with the FIN overtaking the answer.
     pub(crate) closes_early: bool,
     /// Number of opening packets that the endpoint received.
     pub(crate) openings: usize,
+    /// Number of flows that were opened; copies of an opening packet don't count.
+    pub(crate) opened_flows: usize,
     /// Number of packets with request data that the endpoint received on its flows.
     pub(crate) requests: usize,
     /// Number of packets that the endpoint returned because it did not hold their flow.
@@ -40,9 +47,13 @@
             run: u32::try_from(run).unwrap(),
             is_unresponsive: false,
             request_ms: 0,
+            slots: 0,
+            now: 0,
+            free_at: Vec::new(),
             resets_one_of: 0,
             closes_early: false,
             openings: 0,
+            opened_flows: 0,
             requests: 0,
             other_packets: 0,
         }
@@ -84,6 +95,7 @@
         };
         if segment.is_opening_packet() {
             self.openings += 1;
+            self.opened_flows += usize::from(!self.flows.contains_key(&caller));
             self.flows.entry(caller).or_insert(false);
             return vec![(0, send(Flags::SYN_ACK, sequence, 0))];
         }
@@ -110,7 +122,18 @@
         }
         vec![
             (0, send(Flags::ACK, sequence + 1, 0)),
-            (self.request_ms, send(Flags::ACK, sequence + 1, 40)),
+            (self.run_request(), send(Flags::ACK, sequence + 1, 40)),
         ]
     }
+
+    /// Returns the time until a request that arrives now is answered.
+    fn run_request(&mut self) -> u64 {
+        if self.slots == 0 {
+            return self.request_ms;
+        }
+        self.free_at.resize(self.slots, 0);
+        let slot = self.free_at.iter_mut().min().expect("one slot at least");
+        *slot = self.now.max(*slot) + self.request_ms;
+        *slot - self.now
+    }
 }
--- a/crates/passthrough/tests/support/mod.rs
+++ b/crates/passthrough/tests/support/mod.rs
@@ -455,6 +455,7 @@
         let Some(endpoint) = self.endpoints.get_mut(&ip) else {
             return;
         };
+        endpoint.now = now;
         for (delay, answer) in endpoint.on_packet(ip, bytes) {
             let at = now + DELAY_MS + delay;
             let destination = Destination::Outbound(ip);
