--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -1,6 +1,7 @@
 //! Implements the agent's state machine: it admits opening packets and tracks the flows that the
 //! endpoint beside the agent holds.
 
+mod cold_start;
 mod counters;
 mod deliveries;
 mod health;
@@ -11,7 +12,7 @@
 
 use std::{marker::PhantomData, net::Ipv4Addr};
 
-use units::{Millis, Slots};
+use units::{Millis, PerSecond, Slots};
 
 pub use counters::AgentCounters;
 
@@ -26,6 +27,7 @@
         write_returned_packet,
     },
 };
+use cold_start::{ColdStartPacer, StatedStart, Warmth};
 use deliveries::{Delivery, PendingDeliveries};
 use health::EndpointHealth;
 use held_flow::Phase;
@@ -56,9 +58,12 @@
     deliveries: PendingDeliveries,
     health: EndpointHealth,
     outliers: OutlierDetector,
+    cold_start: ColdStartPacer,
     /// Concurrency slots of the endpoint, zero until a balancer has stated their number.
     slots: Slots,
     state: EndpointState,
+    /// Whether the operator has taken the endpoint's availability zone out of use.
+    is_evacuated: bool,
     /// Catalog revision that `state` comes from; state notices of older revisions are ignored.
     revision: u64,
     /// Whether the agent's process is shutting down.
@@ -84,8 +89,10 @@
             deliveries: PendingDeliveries::default(),
             health: EndpointHealth::default(),
             outliers: OutlierDetector::default(),
+            cold_start: ColdStartPacer::default(),
             slots: Slots::new(0),
             state: EndpointState::Ready,
+            is_evacuated: false,
             revision: 0,
             stopping: false,
             balancers: Vec::new(),
@@ -99,7 +106,10 @@
 
     /// Changes the service of the endpoint beside the agent. Packets for other services are not
     /// delivered to the endpoint.
-    pub const fn set_service(&mut self, service: ServiceKey) {
+    pub fn set_service(&mut self, service: ServiceKey) {
+        if self.config.service != service {
+            self.cold_start = ColdStartPacer::default();
+        }
         self.config.service = service;
     }
 
@@ -213,6 +223,7 @@
             self.flows.remove_unused_flows(now);
             self.balancers
                 .retain(|it| now.since(it.1) <= BALANCER_TTL_MS);
+            self.report_warmth(now, out);
             self.next_sweep = now.plus(SWEEP_INTERVAL_MS);
         }
     }
@@ -293,7 +304,10 @@
         if let Some(candidate) = forward.current_candidate() {
             self.slots = Slots::new(u16::from(candidate.slots));
         }
-        if self.flows.is_accepted(flow) {
+        // A caller may use the port of a closed flow again, which opens a new one.
+        let is_copy =
+            self.flows.is_accepted(flow) && !(self.is_evacuated && self.flows.is_closed(flow));
+        if is_copy {
             self.flows.set_origin_balancer(flow, forward.origin);
             return Self::deliver_to_endpoint(packet, 0, out);
         }
@@ -308,7 +322,7 @@
             load: self.load_for_event(),
             slots: self.slots.get(),
             position: forward.position,
-            leaving: self.state != EndpointState::Ready || self.stopping,
+            leaving: !self.is_in_use(),
             silent: self.health.is_silent(),
             penalty: self.outliers.utilization_penalty(now),
         });
@@ -332,6 +346,7 @@
             .insert_unconfirmed(now, flow, forward.origin, tag);
         self.health.on_opening_offered(now);
         self.outliers.on_opening_offered(now);
+        self.cold_start.record_delivery(now);
         self.counters.offered += 1;
         Self::deliver_to_endpoint(packet, tag, out);
     }
@@ -379,6 +394,9 @@
             self.record_crash(now, out);
         }
         let endpoint_update = self.flows.on_endpoint_segment(now, flow, segment);
+        if let Some(answered) = endpoint_update.answered {
+            self.cold_start.record_answer(answered, self.slots);
+        }
         self.record_request_outcome(now, endpoint_update.outcome, out);
         let Some(query) = endpoint_update.holder_query else {
             return;
@@ -413,11 +431,31 @@
     /// Records that the endpoint crashed and lost its flows.
     fn record_crash(&mut self, now: Millis, out: &mut impl Outbox) {
         if let Some(hold_off) = self.outliers.record_crash(now) {
+            self.cold_start.suspect_start(now);
             let hold_off_ms = hold_off.get();
             out.report_event(Event::EndpointCrashed { hold_off_ms });
         }
     }
 
+    fn report_warmth(&mut self, now: Millis, out: &mut impl Outbox) {
+        match self.cold_start.take_change(now, self.slots) {
+            Some(Warmth::Cold {
+                left,
+                rate,
+                is_learned,
+            }) => out.report_event(Event::EndpointCold {
+                left_ms: left.get(),
+                rate,
+                is_learned,
+            }),
+            Some(Warmth::Warm) => {
+                let paced = self.counters.paced;
+                out.report_event(Event::EndpointWarm { paced });
+            }
+            None => {}
+        }
+    }
+
     /// Handles a packet that the endpoint returned because it doesn't hold the flow.
     fn on_returned_packet(
         &mut self,
@@ -551,9 +589,19 @@
     ) {
         self.record_balancer_notice(now, sender);
         if notice.service == self.config.service && notice.revision >= self.revision {
-            let changed = self.state != notice.state;
+            let changed = self.state != notice.state || self.is_evacuated != notice.is_evacuated;
+            if self.is_evacuated && !notice.is_evacuated {
+                self.cold_start.suspect_start(now);
+            }
+            let stated = StatedStart {
+                born_ms: notice.born_ms,
+                cold_left: Millis::new(u64::from(notice.cold_left_ms)),
+                rate: PerSecond::new(notice.cold_rate),
+            };
+            self.cold_start.on_stated_start(now, stated);
             self.revision = notice.revision;
             self.state = notice.state;
+            self.is_evacuated = notice.is_evacuated;
             self.slots = Slots::new(notice.slots);
             self.flows
                 .set_idle_timeout(Millis::new(u64::from(notice.idle_timeout_ms)));
@@ -561,9 +609,11 @@
                 out.report_event(Event::EndpointStateChanged {
                     state: notice.state,
                     slots: notice.slots,
+                    is_evacuated: notice.is_evacuated,
                     revision: notice.revision,
                 });
             }
+            self.report_warmth(now, out);
         }
         // The report lists the balancers by turns if there are more than it has room for.
         let turn = self.report_turn % self.balancers.len().max(1);
@@ -621,13 +671,15 @@
         out.report_event(Event::ResetSent { flow, reason });
     }
 
+    /// Returns whether the endpoint may be given new flows, by the operator's wish and its own.
+    fn is_in_use(&self) -> bool {
+        !self.stopping && self.state == EndpointState::Ready && !self.is_evacuated
+    }
+
     /// Returns the endpoint's utilization that the agent reports to balancers.
     fn reported_utilization(&mut self, now: Millis) -> Utilization {
         self.flows.expire_expected_requests(now);
-        if self.stopping
-            || self.state != EndpointState::Ready
-            || self.health.is_closed_to_openings(now)
-        {
+        if !self.is_in_use() || self.health.is_closed_to_openings(now) {
             return UTILIZATION_CLOSED;
         }
         let slots = u32::from(self.slots.get().max(1));
@@ -648,6 +700,10 @@
         if utilization == UTILIZATION_CLOSED {
             return UTILIZATION_CLOSED;
         }
+        if !self.cold_start.may_deliver(now, self.slots) {
+            self.counters.paced += 1;
+            return UTILIZATION_CLOSED;
+        }
         let penalty = self.outliers.utilization_penalty(now);
         utilization
             .saturating_add(penalty)
