Rely on all settings seen since the first list when a flow is reset

After a loss of power of all machines a change of the settings came while endpoints registered, and dead flows stayed silent until every agent had run for the idle timeout: the proof wanted each endpoint of another service to have registered after the last change. Ruled out as a proof: equal targets before and after (a route may have led elsewhere in between) and versions (they leave out numbers).

A balancer now knows since which revision it has seen all settings that were in force. A change written at the revision after that of the list before leaves it; after a change that may hide another one it starts anew, forgets what others told and believes only balancers whose list includes the change.

--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -318,20 +318,20 @@
     /// are known to lead or to have led to their service.
     ///
     /// An agent's reports tell so if they list the routes of all flows of its endpoint. An endpoint
-    /// that registered after the settings were last changed has got no flow by earlier settings,
-    /// since whoever knows of it has the changed ones. Lost agents of retired endpoints are not
-    /// waited for.
+    /// that registered after `routes_known_since` has got flows only by settings that this balancer has
+    /// seen, since whoever knows of it has settings of that time or later ones. Lost agents of retired
+    /// endpoints are not waited for.
     pub(crate) fn routes_are_known_outside(
         &self,
         now: Millis,
         services: &[ServiceKey],
-        settings_changed_at: Revision,
+        routes_known_since: Revision,
     ) -> bool {
         let is_known = |it: &AgentState| {
             let is_gone =
                 it.endpoint.state == EndpointState::Retired && it.is_unanswered(now, LOST_AFTER_MS);
             is_gone
-                || it.registered_at > settings_changed_at
+                || it.registered_at > routes_known_since
                 || it.lists_every_route
                 || services.contains(&it.endpoint.service)
         };
--- a/crates/passthrough/src/balancer/catalog_sync.rs
+++ b/crates/passthrough/src/balancer/catalog_sync.rs
@@ -260,7 +260,7 @@
             return false;
         }
         if self.has_settings() {
-            self.former_target_sync.settings_since.get_or_insert(now);
+            self.record_settings(now);
         }
         let catalog = self.view.catalog();
         out.report_event(Event::CatalogInForce {
--- a/crates/passthrough/src/balancer/former_targets.rs
+++ b/crates/passthrough/src/balancer/former_targets.rs
@@ -9,7 +9,7 @@
 
 use std::net::SocketAddrV4;
 
-use units::Millis;
+use units::{Millis, Revision};
 
 use super::Balancer;
 use crate::{
@@ -23,11 +23,35 @@
 pub(super) struct FormerTargetSync {
     /// Time at which the first catalog with the operator's settings came into force.
     pub(super) settings_since: Option<Millis>,
-    /// Whether another balancer has told which services routes led to before this one started.
+    /// Time since which this balancer has seen all settings in force; later than `settings_since` if it
+    /// missed settings in between.
+    seen_since: Option<Millis>,
+    /// Store revision since which this balancer has seen all settings in force.
+    known_since: Revision,
+    /// Whether another balancer has told which services routes led to before `known_since`.
     was_told: bool,
 }
 
+impl FormerTargetSync {
+    /// Records that a catalog with settings came into force. Settings that were missed leave only what
+    /// was learned since.
+    fn record_catalog(&mut self, now: Millis, known_since: Revision) {
+        self.settings_since.get_or_insert(now);
+        if self.seen_since.is_none() || self.known_since != known_since {
+            self.seen_since = Some(now);
+            self.known_since = known_since;
+            self.was_told = false;
+        }
+    }
+}
+
 impl<F: PacketFormat> Balancer<F> {
+    /// Records that a catalog with the operator's settings came into force.
+    pub(super) fn record_settings(&mut self, now: Millis) {
+        self.former_target_sync
+            .record_catalog(now, self.view.routes_known_since());
+    }
+
     /// Records that endpoints of a service hold flows of a route.
     pub(super) fn record_served_route(
         &mut self,
@@ -60,7 +84,9 @@
         if self.view.add_former_targets(former) {
             self.on_former_targets_added(now, out);
         }
-        self.former_target_sync.was_told |= digest.lists_former_targets;
+        // A balancer with an older catalog may not know the settings that this one missed.
+        let is_recent = digest.revision >= self.view.routes_known_since().get();
+        self.former_target_sync.was_told |= digest.lists_former_targets && is_recent;
     }
 
     /// Returns the former targets for one digest; by turns if there are more than it has room for.
@@ -75,7 +101,7 @@
     /// Returns whether the endpoints that a lookup of the flow asks include every endpoint that may
     /// hold it.
     pub(super) fn knows_all_holders(&self, now: Millis, flow: Flow) -> bool {
-        if !self.knows_retired_endpoints(now) {
+        if !self.knows_retired_endpoints(now) || !self.view.former_targets().is_complete() {
             return false;
         }
         let services = self.view.services_of_flow(flow);
@@ -84,12 +110,12 @@
 
     /// Returns whether this balancer knows all services that routes led to before.
     ///
-    /// It does after it has had the settings for as long as a flow may live, or after another
+    /// It does after it has seen all settings for as long as a flow may live, or after another
     /// balancer that knows them or all agents have told it.
     pub(super) fn knows_former_targets(&self, now: Millis) -> bool {
         let sync = &self.former_target_sync;
         let has_seen_all = sync
-            .settings_since
+            .seen_since
             .is_some_and(|it| now.since(it) > FORMER_TARGET_RETENTION_MS);
         self.view.former_targets().is_complete()
             && (has_seen_all || sync.was_told || self.routes_are_known_outside(now, &[]))
@@ -98,9 +124,9 @@
     /// Returns whether no endpoint of another service than `services` can hold a flow of a route that
     /// isn't known to have led to its service.
     fn routes_are_known_outside(&self, now: Millis, services: &[ServiceKey]) -> bool {
-        let settings_changed_at = self.view.catalog().settings_changed_at;
+        let routes_known_since = self.view.routes_known_since();
         self.agents
-            .routes_are_known_outside(now, services, settings_changed_at)
+            .routes_are_known_outside(now, services, routes_known_since)
     }
 
     fn on_former_targets_added(&mut self, now: Millis, out: &mut impl Outbox) {
--- a/crates/passthrough/src/catalog.rs
+++ b/crates/passthrough/src/catalog.rs
@@ -15,6 +15,7 @@
     catalog_delta::{CatalogDelta, ChangeLog},
     former_targets::{FormerTarget, FormerTargets},
     rendezvous,
+    settings_history::SettingsHistory,
 };
 
 /// Time for which an endpoint may hold flows after it was removed from the catalog.
@@ -365,6 +366,7 @@
     retired: Vec<Endpoint>,
     /// Services that routes led to before and whose endpoints may still hold flows.
     former_targets: FormerTargets,
+    settings_history: SettingsHistory,
     /// Number that increases whenever endpoints or targets of routes are added that may hold flows.
     generation: u64,
     /// Listed and retired endpoints, sorted by service and position on the service's hash ring.
@@ -404,6 +406,8 @@
         }
         self.former_targets
             .record_replacement(now, &self.catalog, &catalog);
+        self.settings_history
+            .record_replacement(&self.catalog, &catalog);
         for old in &self.catalog.endpoints {
             let successor = catalog.find_endpoint(old.key);
             if successor.is_some() {
@@ -486,6 +490,12 @@
         &self.former_targets
     }
 
+    /// Returns the store revision since which this view knows what each route led to: its targets in
+    /// force and its former targets.
+    pub(crate) const fn routes_known_since(&self) -> Revision {
+        self.settings_history.known_since()
+    }
+
     /// Returns the services whose endpoints may hold a flow: the one at which the flow would be
     /// placed now, then the other targets of its route, then the route's former targets.
     ///
