--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -5,6 +5,7 @@
 mod catalog_sync;
 mod counters;
 mod duties;
+mod early_packets;
 mod flows;
 mod former_targets;
 mod lookups;
@@ -30,6 +31,7 @@
 };
 use agents::Agents;
 use duties::Takeover;
+use early_packets::EarlyPackets;
 use flows::FlowCache;
 use former_targets::FormerTargetSync;
 use lookups::Lookups;
@@ -84,6 +86,7 @@
     view: CatalogView,
     flows: FlowCache,
     uploads: UploadLimiter,
+    early_packets: EarlyPackets,
     openings: PendingOpenings,
     lookups: Lookups,
     agents: Agents,
@@ -140,6 +143,7 @@
             view: CatalogView::default(),
             flows: FlowCache::default(),
             uploads,
+            early_packets: EarlyPackets::default(),
             openings: PendingOpenings::default(),
             lookups: Lookups::default(),
             agents: Agents::default(),
@@ -312,6 +316,7 @@
     /// The callers of retained packets have sent newer copies or have given up. A balancer that is
     /// told nothing goes on with its catalog after a moment, since the store may be down.
     pub fn on_stall(&mut self, now: Millis, stalled: Millis, out: &mut impl Outbox) {
+        self.early_packets.clear();
         self.openings = PendingOpenings::default();
         self.lookups.forget_packets();
         // The silence of others during the stall is this balancer's own.
@@ -362,8 +367,8 @@
         out: &mut impl Outbox,
     ) {
         let flow = segment.caller_flow();
-        if self.view.catalog().settings_version.get() == 0 {
-            return self.drop_packet(DropReason::NoSettings, out);
+        if !self.has_settings() {
+            return self.hold_early_packet(now, segment, packet, out);
         }
         let Some(route) = self.view.catalog().find_route(flow.service_address) else {
             return self.drop_packet(DropReason::NoRoute, out);
--- a/crates/passthrough/src/balancer/catalog_sync.rs
+++ b/crates/passthrough/src/balancer/catalog_sync.rs
@@ -274,6 +274,9 @@
         self.lookups
             .schedule_outdated_retries(now, self.view.endpoint_generation());
         self.send_state_change_notices(now, out);
+        if self.has_settings() {
+            self.route_early_packets(now, out);
+        }
         true
     }
 
--- a/crates/passthrough/tests/power_loss.rs
+++ b/crates/passthrough/tests/power_loss.rs
@@ -6,7 +6,9 @@
 use std::net::SocketAddrV4;
 
 use passthrough::EndpointKey;
-use support::{SERVICE, SERVICE_ADDRESS, SimNetwork, agent_ip, caller, route_to_service};
+use support::{
+    Flags, SERVICE, SERVICE_ADDRESS, SimNetwork, agent_ip, caller, encode_packet, route_to_service,
+};
 use units::{Millis, Revision, SettingsVersion};
 
 const OTHER_SERVICE: &str = "photos";
@@ -207,3 +209,28 @@
     }
     assert_eq!(network.reset_count(open), 0);
 }
+
+/// Guards against dead flows whose last copy arrives before the balancer's first list, and checks that
+/// openings are held likewise, but no packet for longer than a second.
+#[test]
+fn packets_before_the_first_list_are_held() {
+    for (wait_ms, is_held) in [(500, true), (1_100, false)] {
+        let (mut network, flows) = network_after_power_loss();
+        for (service, number) in endpoint_numbers() {
+            register_again(&mut network, service, number);
+        }
+        network.start_balancer_without_store(0);
+        let open = caller(100);
+        let opening = encode_packet(open, SERVICE_ADDRESS, Flags::SYN, 1, 0, 0);
+        network.send_caller_packet(0, &opening);
+        send_on_all_flows(&mut network, &flows, 0);
+        network.advance_ms(wait_ms);
+        network.deliver_catalog(0);
+        network.advance_ms(RESET_BOUND_MS);
+        let is_reset = |it: &(SocketAddrV4, u32)| network.reset_count(it.0) == 1;
+        assert_eq!(flows.iter().all(is_reset), is_held, "{wait_ms}");
+        assert_eq!(flows.iter().any(is_reset), is_held, "{wait_ms}");
+        let is_accepted = network.received.iter().any(|it| it.1.destination == open);
+        assert_eq!(is_accepted, is_held, "{wait_ms}");
+    }
+}
