Repeat lookups whose chains were lost

A lookup that hasn't finished is repeated now with the packet at hand after 150, 300 and 600 ms, three times in a row at most. Test lookup_with_lost_chains_is_repeated fails without.

--- a/crates/passthrough/src/balancer/lookups.rs
+++ b/crates/passthrough/src/balancer/lookups.rs
@@ -1,7 +1,8 @@
 //! Tracks the lookups that find out which agent's endpoint holds an uncached flow.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap, VecDeque},
     net::Ipv4Addr,
 };
 
@@ -18,6 +19,13 @@
 /// A catalog may be a few hundred milliseconds old, so a single failed lookup proves nothing.
 const RETRY_DELAY_MS: Millis = Millis::new(150);
 
+/// Maximum number of times that a lookup is repeated in a row because chains of it were lost.
+///
+/// After a loss of power of all machines, lookups of thousands of dead flows overrun agents, which drop
+/// some of them, and the caller's next copy may come after its deadline. The pause doubles each time,
+/// so that an agent that doesn't answer at all costs few lookups.
+const LOST_CHAIN_RETRIES_MAX: u32 = 3;
+
 /// Time for which a flow's lookup is tracked after its latest start.
 const LOOKUP_RETENTION_MS: Millis = Millis::new(5_000);
 
@@ -38,6 +46,8 @@
     started: Millis,
     /// Endpoint generation of the catalog view whose endpoints are asked.
     generation: u64,
+    /// Number of lookups in a row that did not finish.
+    unfinished: u32,
     failures: u8,
     first_failure: Option<Millis>,
     /// The caller's latest acknowledgement number, which a reset of the flow carries as its
@@ -52,6 +62,14 @@
     const fn is_failed(&self) -> bool {
         self.failures > 0 && self.pending_chains == 0
     }
+
+    /// Returns the time after its start at which the lookup is repeated if chains are still pending.
+    const fn lost_chain_delay(&self) -> Option<Millis> {
+        if self.unfinished >= LOST_CHAIN_RETRIES_MAX || self.packet.is_empty() {
+            return None;
+        }
+        Some(Millis::new(CHAIN_TIMEOUT_MS.get() << self.unfinished))
+    }
 }
 
 /// A lookup in which all asked agents replied that their endpoints don't hold the flow.
@@ -70,6 +88,8 @@
     by_flow: HashMap<Flow, Lookup>,
     /// Times at which failed lookups are retried, with their flows, earliest first.
     retries: VecDeque<(Millis, Flow)>,
+    /// Times at which lookups count as lost, with their flows and ids, earliest first.
+    timeouts: BinaryHeap<Reverse<(Millis, Flow, u16)>>,
     last_lookup_id: u16,
 }
 
@@ -95,6 +115,7 @@
             ended_chains: Vec::new(),
             started: now,
             generation,
+            unfinished: 0,
             failures: 0,
             first_failure: None,
             acknowledged,
@@ -116,11 +137,39 @@
         lookup.started = now;
         lookup.generation = generation;
         lookup.acknowledged = acknowledged;
+        if let Some(delay) = lookup.lost_chain_delay() {
+            self.timeouts
+                .push(Reverse((now.plus(delay), flow, lookup.id)));
+        }
         (self.last_lookup_id, attempt)
     }
 
     /// Removes the next lookup retry that is due, and returns its flow and the caller's packet.
     pub(crate) fn take_due_retry(&mut self, now: Millis) -> Option<(Flow, Vec<u8>)> {
+        self.take_failure_retry(now)
+            .or_else(|| self.take_lost_lookup(now))
+    }
+
+    /// Removes the next lookup whose chains count as lost.
+    fn take_lost_lookup(&mut self, now: Millis) -> Option<(Flow, Vec<u8>)> {
+        while let Some(Reverse((due, flow, id))) = self.timeouts.peek().copied() {
+            if due > now {
+                return None;
+            }
+            self.timeouts.pop();
+            let lost = self
+                .by_flow
+                .get_mut(&flow)
+                .filter(|it| it.id == id && it.pending_chains > 0);
+            if let Some(lookup) = lost {
+                lookup.unfinished += 1;
+                return Some((flow, lookup.packet.clone()));
+            }
+        }
+        None
+    }
+
+    fn take_failure_retry(&mut self, now: Millis) -> Option<(Flow, Vec<u8>)> {
         while let Some((due, flow)) = self.retries.front().copied() {
             if due > now {
                 return None;
@@ -138,7 +187,9 @@
 
     /// Returns the time at which the next lookup retry is due.
     pub(crate) fn next_retry_at(&self) -> Option<Millis> {
-        self.retries.front().map(|it| it.0)
+        let failed = self.retries.front().map(|it| it.0);
+        let lost = self.timeouts.peek().map(|it| it.0.0);
+        failed.into_iter().chain(lost).min()
     }
 
     /// Ends the lookup of a flow and returns whether one was in progress.
@@ -176,6 +227,7 @@
             self.retries.push_front((now, flow));
             return None;
         }
+        lookup.unfinished = 0;
         lookup.failures = lookup.failures.saturating_add(1);
         if lookup.first_failure.is_none() && !lookup.packet.is_empty() {
             self.retries.push_back((now.plus(RETRY_DELAY_MS), flow));
@@ -220,6 +272,7 @@
     pub(crate) fn forget_packets(&mut self) {
         self.by_flow.clear();
         self.retries.clear();
+        self.timeouts.clear();
     }
 
     pub(crate) fn remove_expired_lookups(&mut self, now: Millis) {
--- a/crates/passthrough/tests/power_loss.rs
+++ b/crates/passthrough/tests/power_loss.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddrV4;
 
-use passthrough::EndpointKey;
+use passthrough::{EndpointKey, Event};
 use support::{
     Flags, SERVICE, SERVICE_ADDRESS, SimNetwork, agent_ip, caller, encode_packet, route_to_service,
 };
@@ -234,3 +234,30 @@
         assert_eq!(is_accepted, is_held, "{wait_ms}");
     }
 }
+
+/// Guards against a dead flow that stays silent because an agent dropped the only lookup of it, and
+/// checks that an agent that never answers costs a bounded number of lookups.
+#[test]
+fn lookup_with_lost_chains_is_repeated() {
+    for is_back in [true, false] {
+        let (mut network, flows) = network_after_power_loss();
+        for (service, number) in endpoint_numbers() {
+            register_again(&mut network, service, number);
+        }
+        network.start_balancer(0);
+        network.advance_ms(100);
+        network.isolated.insert(agent_ip(2));
+        let begin = network.events.len();
+        send_on_all_flows(&mut network, &flows[..1], 0);
+        network.advance_ms(100);
+        if is_back {
+            network.isolated.remove(&agent_ip(2));
+        }
+        network.advance_ms(4_000);
+        let resets = network.reset_count(flows[0].0);
+        assert_eq!(resets, usize::from(is_back));
+        let started = |it: &&(_, Event)| matches!(it.1, Event::LookupStarted { .. });
+        let lookups = network.events[begin..].iter().filter(started).count();
+        assert!((2..=4).contains(&lookups), "{lookups} lookups");
+    }
+}
