--- a/crates/passthrough/src/balancer/catalog_sync.rs
+++ b/crates/passthrough/src/balancer/catalog_sync.rs
@@ -260,7 +260,7 @@
             return false;
         }
         if self.has_settings() {
-            self.former_target_sync.settings_since.get_or_insert(now);
+            self.record_settings(now);
         }
         let catalog = self.view.catalog();
         out.report_event(Event::CatalogInForce {
@@ -275,6 +275,9 @@
         self.lookups
             .schedule_outdated_retries(now, self.view.endpoint_generation());
         self.send_state_change_notices(now, out);
+        if self.has_settings() {
+            self.route_early_packets(now, out);
+        }
         true
     }
 
