--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -26,6 +26,10 @@
 /// flows.
 const DRAIN_BOUND: Duration = Duration::from_secs(3);
 
+/// Time after the operator takes an endpoint's zone out of use from which the endpoint must receive no
+/// opening packets of new flows.
+const EVACUATION_BOUND: Duration = Duration::from_secs(5);
+
 /// Time that an endpoint takes to process a request.
 const PROCESSING_TIME: Duration = Duration::from_millis(12);
 
@@ -39,6 +43,7 @@
     /// healthy.
     has_gray_failure: bool,
     draining_since: Option<Instant>,
+    evacuated_since: Option<Instant>,
     /// Flows whose opening packet was accepted, by caller and service address. The value is `true`
     /// once the flow is established.
     flows: BTreeMap<(SocketAddrV4, SocketAddrV4), bool>,
@@ -51,6 +56,7 @@
 pub(crate) struct Endpoint {
     pub(crate) name: String,
     pub(crate) service: &'static str,
+    pub(crate) zone: &'static str,
     /// The addresses of the routes whose flows the endpoint accepts.
     service_addresses: [SocketAddrV4; 2],
     address: SocketAddrV4,
@@ -65,7 +71,7 @@
     /// Starts an endpoint and registers it as ready in the store.
     pub(crate) async fn start(
         name: String,
-        (service, service_addresses): (&'static str, [SocketAddrV4; 2]),
+        (service, zone, service_addresses): (&'static str, &'static str, [SocketAddrV4; 2]),
         (address, outbound): (SocketAddrV4, SocketAddrV4),
         store: Store,
         report: Arc<RunReport>,
@@ -73,6 +79,7 @@
         let endpoint = Self {
             name,
             service,
+            zone,
             service_addresses,
             address,
             outbound,
@@ -81,6 +88,7 @@
                 is_up: true,
                 has_gray_failure: false,
                 draining_since: None,
+                evacuated_since: None,
                 flows: BTreeMap::new(),
                 processed_requests: BTreeSet::new(),
             })),
@@ -130,6 +138,11 @@
         self.register_in_state("draining");
     }
 
+    /// Records that the operator has taken the endpoint's zone out of use or back.
+    pub(crate) fn set_evacuated(&self, is_evacuated: bool) {
+        self.lock_state().evacuated_since = is_evacuated.then(Instant::now);
+    }
+
     /// Starts or ends a gray failure of the endpoint, which then resets a third of its requests.
     pub(crate) fn set_gray_failure(&self, has_gray_failure: bool) {
         self.lock_state().has_gray_failure = has_gray_failure;
@@ -154,7 +167,7 @@
     fn register_in_state(&self, state: &str) {
         let run = self.lock_state().run;
         let entry = json!({
-            "service": self.service, "address": self.address.to_string(), "zone": "a",
+            "service": self.service, "address": self.address.to_string(), "zone": self.zone,
             "version": "v1", "slots": 4, "state": state, "cold_left_ms": 0, "seq": 1, "born": run,
         });
         self.store.put_entry(&self.store_key(), &entry);
@@ -230,14 +243,21 @@
         let address_hash = u32::from(*self.address.ip()).wrapping_mul(0x85EB_CA6B);
         let own_sequence = state.run.wrapping_mul(0x9E37_79B9) ^ address_hash;
         if segment.is_opening_packet() {
-            let is_late = state
-                .draining_since
-                .is_some_and(|it| it.elapsed() > DRAIN_BOUND);
-            if is_late && self.report.time_bounds_apply() && !state.flows.contains_key(&id) {
+            let is_late = |since: Option<Instant>, bound| {
+                let is_new = !state.flows.contains_key(&id);
+                let is_over = since.is_some_and(|it| it.elapsed() > bound);
+                is_new && is_over && self.report.time_bounds_apply()
+            };
+            if is_late(state.draining_since, DRAIN_BOUND) {
                 self.record_violation(
                     "received an opening more than 3 s after it announced its drain",
                 );
             }
+            if is_late(state.evacuated_since, EVACUATION_BOUND) {
+                self.record_violation(
+                    "received an opening more than 5 s after its zone was taken out of use",
+                );
+            }
             state.flows.entry(id).or_insert(false);
             return vec![Self::reply_packet(
                 &segment,
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -10,8 +10,13 @@
 use rustix::process::Signal;
 
 use crate::{
-    endpoint::Endpoint, network::Network, process::Process, proxy::ConnectionFault,
-    report::RunReport, router::PacketFault, store::Mode,
+    endpoint::Endpoint,
+    network::{Network, ZONES},
+    process::Process,
+    proxy::ConnectionFault,
+    report::RunReport,
+    router::PacketFault,
+    store::Mode,
 };
 
 /// Action that ends a fault of the test network.
@@ -26,6 +31,7 @@
     RegisterEndpoint(usize),
     EndGrayFailure(usize),
     ClearPacketFault,
+    TakeZoneBack(&'static str),
 }
 
 /// Injects random faults for `fault_time`, then ends all faults that still last.
@@ -40,6 +46,7 @@
     // existed thus still produce the same other faults.
     let mut partial_fault_rng = StdRng::seed_from_u64(rng.clone().random());
     let mut series_rng = StdRng::seed_from_u64(partial_fault_rng.clone().random());
+    let mut zone_rng = StdRng::seed_from_u64(series_rng.clone().random());
     let mut recoveries: Vec<(Instant, Recovery)> = Vec::new();
     while Instant::now() < end {
         if rng.random_range(0..20) == 0 {
@@ -48,6 +55,9 @@
             end_due_faults(network, &mut recoveries, time_after_all_faults(), report).await;
             report.extend_fault_time(Instant::now());
             drain_without_faults(network, rng, report).await;
+            if zone_rng.random() {
+                evacuate_without_faults(network, &mut zone_rng, report).await;
+            }
         }
         if let Some((duration, recovery)) = inject_fault(network, rng, report).await {
             let until = Instant::now() + duration;
@@ -63,6 +73,13 @@
         if series_rng.random_range(0..4) == 0 {
             recoveries.extend(inject_series(network, &mut series_rng, report).await);
         }
+        if zone_rng.random_range(0..8) == 0 {
+            let zone = ZONES[zone_rng.random_range(0..ZONES.len())];
+            network.set_zone_evacuated(zone, true);
+            let until = Instant::now() + Duration::from_millis(zone_rng.random_range(50..4_000));
+            report.extend_fault_time(until);
+            recoveries.push((until, Recovery::TakeZoneBack(zone)));
+        }
         report.faults.fetch_add(1, Ordering::Relaxed);
         let pause = Duration::from_millis(rng.random_range(50..900));
         tokio::time::sleep(pause).await;
@@ -231,6 +248,16 @@
     report.faults.fetch_add(1, Ordering::Relaxed);
 }
 
+/// Takes a zone out of use without other faults, so that the time bound on opening packets to its
+/// endpoints can be checked.
+async fn evacuate_without_faults(network: &Network, rng: &mut StdRng, report: &RunReport) {
+    let zone = ZONES[rng.random_range(0..ZONES.len())];
+    network.set_zone_evacuated(zone, true);
+    tokio::time::sleep(Duration::from_secs(7)).await;
+    network.set_zone_evacuated(zone, false);
+    report.faults.fetch_add(1, Ordering::Relaxed);
+}
+
 async fn pause_process(
     process: &Process,
     duration: Duration,
@@ -304,6 +331,10 @@
                 network.router.set_packet_fault(PacketFault::None);
                 Ok(())
             }
+            Recovery::TakeZoneBack(zone) => {
+                network.set_zone_evacuated(zone, false);
+                Ok(())
+            }
             Recovery::RegisterEndpoint(idx) => {
                 endpoint_at(network, idx).register_ready();
                 Ok(())
--- a/crates/soak/src/network.rs
+++ b/crates/soak/src/network.rs
@@ -42,6 +42,9 @@
     ),
 ];
 
+/// Availability zones, between which the endpoints of a service alternate.
+pub(crate) const ZONES: [&str; 2] = ["a", "b"];
+
 /// Address of a route that all services share, by weights that change.
 const SHARED_ADDRESS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 3), 443);
 
@@ -197,6 +200,23 @@
         self.store.put_entry("op/config", &config);
     }
 
+    /// Takes an availability zone out of use or back, as the operator does.
+    pub(crate) fn set_zone_evacuated(&self, zone: &str, is_evacuated: bool) {
+        let key = format!("op/evacuate/{zone}");
+        if is_evacuated {
+            self.store.put_entry(&key, &json!({}));
+        } else {
+            self.store.remove_entry(&key);
+        }
+        let endpoints = self
+            .endpoints
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        for endpoint in endpoints.iter().filter(|it| it.zone == zone) {
+            endpoint.set_evacuated(is_evacuated);
+        }
+    }
+
     /// Stops all processes under test. Their logs are kept if the run violated an invariant.
     pub(crate) async fn stop_processes(&mut self, report: &RunReport) {
         for process in self.balancers.iter_mut().chain(&mut self.agents) {
@@ -228,8 +248,9 @@
     ) -> io::Result<()> {
         let ip = Ipv4Addr::new(127, self.subnet, 2, number + 1);
         let at = |port| SocketAddrV4::new(ip, port);
+        let zone = ZONES[usize::from(number) % ZONES.len()];
         let settings = json!({
-            "instance": format!("agent-{number}"), "availability_zone": "a", "address": ip,
+            "instance": format!("agent-{number}"), "availability_zone": zone, "address": ip,
             "service": service, "endpoint_address": at(ENDPOINT_PORT).to_string(),
             "outbound_address": at(OUTBOUND_PORT).to_string(),
             "caller_address": at(CALLER_PORT).to_string(), "peer_port": PEER_PORT,
@@ -242,7 +263,7 @@
         self.agents.push(process);
         let endpoint = Endpoint::start(
             format!("e-{number}"),
-            (service, [service_address, SHARED_ADDRESS]),
+            (service, zone, [service_address, SHARED_ADDRESS]),
             (at(ENDPOINT_PORT), at(OUTBOUND_PORT)),
             self.store.clone(),
             Arc::clone(&self.report),
