Date confirmations of the store by echoed stamps, not by their receipt

Ruled out: first sight of the store's answers (too young by one way) and a question for each confirmation (a third more bytes at relays). Change: digests and chunks carry a stamp of the sender's clock and the receiver's latest stamp with the time held; the receiver dates the message by these. A message that can't be dated confirms nothing, and its sender is asked for one that can. A reader tells a small fleet at once if its answer is late, as after a change.

--- a/crates/passthrough-node/src/balancer.rs
+++ b/crates/passthrough-node/src/balancer.rs
@@ -284,8 +284,12 @@
     fn on_source_update(&mut self, update: SourceUpdate) {
         self.store_calls = update.calls;
         self.skipped_items = update.skipped_items;
-        self.balancer
-            .on_store_read(clock::now(), update.catalog, &mut self.sockets);
+        self.balancer.on_store_answer(
+            clock::now(),
+            update.answered_at,
+            update.catalog,
+            &mut self.sockets,
+        );
     }
 
     fn on_source_confirmation(&mut self, it: &Confirmation) {
@@ -360,8 +364,9 @@
             if forward_caller_packets(now, balancer, sockets, &mut self.inbox) {
                 self.last_caller_packet = now;
             }
-            receive_peer_messages(now, balancer, sockets, &mut self.inbox);
+            receive_peer_messages(balancer, sockets, &mut self.inbox);
         }
+        let now = clock::now();
         if now >= self.balancer.next_deadline() {
             self.balancer.on_timer(now, &mut self.sockets);
         }
@@ -446,7 +451,6 @@
 }
 
 fn receive_peer_messages<F: PacketFormat>(
-    now: Millis,
     balancer: &mut Balancer<F>,
     sockets: &mut Sockets,
     inbox: &mut Inbox,
@@ -456,6 +460,9 @@
         if count == 0 {
             return;
         }
+        // The clock is read after the socket, since no message may count as received before it was
+        // sent.
+        let now = clock::now();
         for idx in 0..count {
             let (datagram, sender) = inbox.received_datagram(idx);
             balancer.on_datagram(now, *sender.ip(), datagram, sockets);
--- a/crates/passthrough-node/src/catalog_source.rs
+++ b/crates/passthrough-node/src/catalog_source.rs
@@ -49,6 +49,8 @@
 /// The result of a successful read of the catalog source.
 #[derive(Debug)]
 pub(crate) struct SourceUpdate {
+    /// Time at which the source answered, or an earlier one.
+    pub(crate) answered_at: Millis,
     /// The changed catalog, or `None` if the source confirmed the previous one.
     pub(crate) catalog: Option<Catalog>,
     /// Number of calls made to the source so far.
@@ -91,7 +93,9 @@
             schedule.resume();
         }
         let called_at = clock::now();
-        let result = source.next_catalog(schedule.wait()).await;
+        let wait = schedule.wait();
+        let result = source.next_catalog(wait).await;
+        let received_at = clock::now();
         for skipped in source.take_skipped_items() {
             skipped_items += 1;
             let cause = skipped.to_string();
@@ -114,8 +118,15 @@
                 } else {
                     ChangeSeen::No
                 };
+                // A call that found no change was answered when its wait was over, also if the answer
+                // then lay in the socket of a process that stood still.
+                let answered_at = match change {
+                    ChangeSeen::Yes => received_at,
+                    ChangeSeen::No => received_at.min(called_at.plus(wait)),
+                };
                 let calls = source.call_count();
                 let update = SourceUpdate {
+                    answered_at,
                     catalog,
                     calls,
                     skipped_items,
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -3,6 +3,7 @@
 
 mod agents;
 mod catalog_sync;
+mod confirmation;
 mod counters;
 mod duties;
 mod flows;
@@ -29,6 +30,7 @@
     message::{Body, Candidate, Candidates, Forward, PacketClass, write_forwarded_packet},
 };
 use agents::Agents;
+use confirmation::MessageClock;
 use duties::Takeover;
 use flows::FlowCache;
 use former_targets::FormerTargetSync;
@@ -90,10 +92,11 @@
     peers: Peers,
     assembler: TransferAssembler,
     transfers: TransferQueue,
+    message_clock: MessageClock,
     next_pull: Millis,
     next_relay: Millis,
-    /// Time of the store's latest confirmation, to this or another balancer, that the current
-    /// catalog is the newest.
+    /// Time at or before the store's latest confirmation, to this or another balancer, that the
+    /// current catalog is the newest.
     confirmed_at: Option<Millis>,
     started: Millis,
     /// Time of the latest stall of the process.
@@ -135,6 +138,7 @@
         let seeds = config.seeds.clone();
         let uploads = UploadLimiter::new(config.link_mbps);
         let transfers = TransferQueue::new(now, config.link_mbps);
+        let message_clock = MessageClock::new(config.address, now);
         let mut balancer = Self {
             config,
             view: CatalogView::default(),
@@ -146,6 +150,7 @@
             peers: Peers::default(),
             assembler: TransferAssembler::default(),
             transfers,
+            message_clock,
             next_pull: now,
             next_relay: now,
             confirmed_at: None,
@@ -261,7 +266,9 @@
                 return self.on_load_report(now, sender, report, out);
             }
             Ok(Message(Body::Digest(digest))) => return self.on_digest(now, sender, digest, out),
-            Ok(Message(Body::Chunk(chunk))) => return self.on_catalog_chunk(now, chunk, out),
+            Ok(Message(Body::Chunk(chunk))) => {
+                return self.on_catalog_chunk(now, sender, chunk, out);
+            }
             Ok(Message(Body::FlowNotHeld(it))) => {
                 return self.on_chain_exhausted(now, sender, it, out);
             }
--- a/crates/passthrough/src/balancer/catalog_sync.rs
+++ b/crates/passthrough/src/balancer/catalog_sync.rs
@@ -16,6 +16,7 @@
 use crate::{
     Catalog, Event, Outbox, PacketFormat, ResetReason, StoreState,
     catalog_transfer::{EncodedTransfer, TransferContent},
+    clock_echo::ClockMark,
     message::{
         AgedFormerTarget, Chunk, Digest, DigestRequest, Member, PeerStatus, write_catalog_chunk,
         write_digest,
@@ -65,6 +66,8 @@
     Pull,
     /// News of the store's confirmation, without other balancers.
     Confirmation,
+    /// A request for a confirmation that can be dated.
+    EchoRequest,
     /// An answer to a starting balancer, which has been sent this many retired endpoints.
     RetiredTold(u16),
 }
@@ -109,7 +112,7 @@
         if revision != self.view.catalog().revision {
             return;
         }
-        self.confirmed_at = Some(now);
+        self.record_confirmation(asked_at);
         self.stalled_since_confirmation = Millis::new(0);
         let generation = self.view.endpoint_generation();
         for (flow, sequence) in self.lookups.confirmed_failures(asked_at, generation) {
@@ -121,12 +124,24 @@
         }
     }
 
-    /// Handles the result of a read from the store; `catalog` is `None` if the store had no change.
+    /// Handles the result of a read from the store that is known at once.
+    pub fn on_store_read(
+        &mut self,
+        now: Millis,
+        catalog: Option<Catalog>,
+        out: &mut impl Outbox,
+    ) -> bool {
+        self.on_store_answer(now, now, catalog, out)
+    }
+
+    /// Handles the result of a read from the store, which answered at `answered_at` or later;
+    /// `catalog` is `None` if the store had no change.
     ///
     /// Returns whether a newer catalog was applied.
-    pub fn on_store_read(
+    pub fn on_store_answer(
         &mut self,
         now: Millis,
+        answered_at: Millis,
         catalog: Option<Catalog>,
         out: &mut impl Outbox,
     ) -> bool {
@@ -135,13 +150,14 @@
         let base = self.view.catalog().revision;
         let replaced =
             catalog.is_some_and(|it| self.apply_catalog(now, it, CatalogOrigin::Store, out));
-        self.confirmed_at = Some(now);
+        let is_awaited = self.is_confirmation_awaited(answered_at);
+        self.record_confirmation(answered_at);
         let targets = self.forwarding_targets(now, CatalogOrigin::Store);
         // When all balancers start, each reads the store, and needs no copy from every other one.
         let is_first_read = base == Revision::default();
         if replaced && !is_first_read {
             self.push_changes(now, base, &targets, out);
-        } else if !self.peers.is_small_fleet() {
+        } else if is_awaited || !self.peers.is_small_fleet() {
             self.send_confirmation(now, &targets, out);
         }
         replaced
@@ -214,6 +230,7 @@
     pub(super) fn send_queued_transfers(&mut self, now: Millis, out: &mut impl Outbox) {
         let confirmed_age_ms = self.confirmed_age_ms(now);
         let revision = self.view.catalog().revision;
+        let (stamp, peers) = (self.message_clock.stamps().stamp(now), &self.peers);
         let scratch = &mut self.scratch;
         self.transfers
             .send_due_chunks(now, |target, transfer, idx| {
@@ -222,7 +239,8 @@
                 } else {
                     u32::MAX
                 };
-                if let Some(chunk) = transfer.chunk(idx, age) {
+                let echo = peers.echo(now, target);
+                if let Some(chunk) = transfer.chunk(idx, age, ClockMark { stamp, echo }) {
                     write_catalog_chunk(chunk, scratch);
                     out.send_to_peer(target, scratch);
                 }
@@ -312,7 +330,9 @@
         out: &mut impl Outbox,
     ) {
         let members: Vec<Member> = match purpose {
-            DigestPurpose::Confirmation | DigestPurpose::Pull => Vec::new(),
+            DigestPurpose::Confirmation | DigestPurpose::Pull | DigestPurpose::EchoRequest => {
+                Vec::new()
+            }
             DigestPurpose::Regular | DigestPurpose::Reply | DigestPurpose::RetiredTold(_) => {
                 self.peers.choose_members(now, self.config.address, peer)
             }
@@ -324,7 +344,9 @@
             self.view.catalog().revision
         };
         let former_targets: Vec<AgedFormerTarget> = match purpose {
-            DigestPurpose::Confirmation | DigestPurpose::Pull => Vec::new(),
+            DigestPurpose::Confirmation | DigestPurpose::Pull | DigestPurpose::EchoRequest => {
+                Vec::new()
+            }
             DigestPurpose::Regular | DigestPurpose::Reply | DigestPurpose::RetiredTold(_) => {
                 self.choose_former_targets(now)
             }
@@ -333,9 +355,11 @@
         let digest = Digest {
             revision: revision.get(),
             confirmed_age_ms: self.confirmed_age_ms(now),
+            mark: self.clock_mark(now, peer),
             request: match purpose {
                 DigestPurpose::Regular => DigestRequest::Answer,
                 DigestPurpose::Pull => DigestRequest::Changes,
+                DigestPurpose::EchoRequest => DigestRequest::Echo,
                 DigestPurpose::Reply
                 | DigestPurpose::Confirmation
                 | DigestPurpose::RetiredTold(_) => DigestRequest::Nothing,
@@ -366,6 +390,7 @@
         out: &mut impl Outbox,
     ) {
         self.peers.record_status(now, peer, now, digest.status, out);
+        self.peers.record_stamp(now, peer, digest.mark.stamp);
         for member in digest.members {
             if member.address() != self.config.address {
                 self.peers.record_member(now, *member, out);
@@ -374,8 +399,14 @@
         self.adopt_former_targets(now, &digest, out);
         let is_answered = self.sync_retired_endpoints(now, peer, &digest, out);
         let own = self.view.catalog().revision.get();
-        let is_news =
-            self.adopt_confirmation(now, Revision::new(digest.revision), digest.confirmed_age_ms);
+        let revision = Revision::new(digest.revision);
+        let at = self.date_confirmation(now, revision, digest.confirmed_age_ms, digest.mark);
+        let is_news = self.adopt_confirmation(at);
+        if digest.request == DigestRequest::Echo {
+            self.send_digest(now, peer, DigestPurpose::Confirmation, out);
+        } else if digest.confirmed_age_ms != u32::MAX {
+            self.request_echo(now, peer, digest.mark, out);
+        }
         if is_news && now >= self.next_relay {
             self.next_relay = now.plus(RELAY_INTERVAL_MS);
             let targets = self.forwarding_targets(now, CatalogOrigin::Peer);
@@ -405,9 +436,11 @@
     pub(super) fn on_catalog_chunk(
         &mut self,
         now: Millis,
+        peer: Ipv4Addr,
         chunk: Chunk<'_>,
         out: &mut impl Outbox,
     ) {
+        self.peers.record_stamp(now, peer, chunk.mark.stamp);
         let revision = Revision::new(chunk.revision);
         let base = self.view.catalog().revision;
         if revision <= base {
@@ -419,14 +452,19 @@
         let Some(catalog) = self.resulting_catalog(revision, content) else {
             return;
         };
+        let own_stalls = self.stalled_since_confirmation;
         self.detect_store_recovery(now);
         if !self.apply_catalog(now, catalog, CatalogOrigin::Peer, out) {
             return;
         }
         self.assembler.needs_whole_catalog = false;
         self.assembler.drop_outdated(revision);
-        self.confirmed_at = None;
-        let _is_news = self.adopt_confirmation(now, revision, chunk.confirmed_age_ms);
+        // The store's answer with this revision is younger than its confirmation of an earlier one, so
+        // the latest confirmation's age holds for a chunk that can't be dated, too.
+        match self.date_confirmation(now, revision, chunk.confirmed_age_ms, chunk.mark) {
+            Some(at) => self.record_confirmation(at),
+            None => self.stalled_since_confirmation = own_stalls,
+        }
         let targets = self.forwarding_targets(now, CatalogOrigin::Peer);
         self.push_changes(now, base, &targets, out);
     }
@@ -456,30 +494,6 @@
         catalog.filter(|it| it.revision == revision)
     }
 
-    /// Adopts a store confirmation that another balancer received, if it confirms the revision of
-    /// this balancer's catalog. Returns whether the confirmation was newer than the latest one.
-    pub(super) fn adopt_confirmation(
-        &mut self,
-        now: Millis,
-        revision: Revision,
-        age_ms: u32,
-    ) -> bool {
-        if revision != self.view.catalog().revision || age_ms == u32::MAX {
-            return false;
-        }
-        let age = u64::from(age_ms);
-        if age > now.get() {
-            return false;
-        }
-        let at = Millis::new(now.get() - age);
-        if self.confirmed_at.is_some_and(|it| it >= at) {
-            return false;
-        }
-        self.detect_store_recovery(at);
-        self.confirmed_at = Some(at);
-        true
-    }
-
     /// Records the store's recovery if the store's response at `at` is the first after an outage.
     pub(super) fn detect_store_recovery(&mut self, at: Millis) {
         let own_stalls = std::mem::take(&mut self.stalled_since_confirmation);
--- a/crates/passthrough/src/balancer/peers.rs
+++ b/crates/passthrough/src/balancer/peers.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     Event, Outbox, ZoneKey,
+    clock_echo::{ClockEcho, HeardStamp},
     message::{Member, PeerStatus},
 };
 
@@ -75,6 +76,8 @@
     status: PeerStatus,
     /// Time of the latest change of `status`.
     status_changed_at: Millis,
+    /// The latest stamp of the balancer's clock, which messages to it echo.
+    stamp: Option<HeardStamp>,
 }
 
 impl Peer {
@@ -126,6 +129,7 @@
             is_lost: true,
             status: PeerStatus::default(),
             status_changed_at: now,
+            stamp: None,
         };
         self.known.insert(idx, peer);
     }
@@ -160,6 +164,24 @@
         }
     }
 
+    /// Records a stamp that came with a message of a balancer.
+    pub(crate) fn record_stamp(&mut self, now: Millis, address: Ipv4Addr, stamp: u32) {
+        let Ok(idx) = self.find_peer(address) else {
+            return;
+        };
+        let heard = HeardStamp::new(stamp, now);
+        let latest = &mut self.known[idx].stamp;
+        if latest.is_none_or(|it| !heard.is_overtaken_by(it)) {
+            *latest = Some(heard);
+        }
+    }
+
+    /// Returns the echo for a message to a balancer.
+    pub(crate) fn echo(&self, now: Millis, address: Ipv4Addr) -> Option<ClockEcho> {
+        let idx = self.find_peer(address).ok()?;
+        self.known[idx].stamp.and_then(|it| it.echo(now))
+    }
+
     /// Records what another balancer's digest tells about a third one.
     ///
     /// In a small fleet only the third balancer's own digests count, since all send to all.
--- a/crates/passthrough/src/balancer/transfers.rs
+++ b/crates/passthrough/src/balancer/transfers.rs
@@ -17,10 +17,10 @@
 const BURST_MIN_BYTES: u64 = 12_000;
 
 /// Size of the headers of a datagram with a chunk, in bytes: the message's, UDP's and IP's.
-const CHUNK_HEADERS_BYTES: u64 = 60;
+const CHUNK_HEADERS_BYTES: u64 = 70;
 
 /// Size of a datagram with a full chunk, in bytes.
-const CHUNK_DATAGRAM_MAX_BYTES: u64 = 1_260;
+const CHUNK_DATAGRAM_MAX_BYTES: u64 = 1_270;
 
 /// Maximum number of queued transfers. The oldest one is dropped, and its receiver asks again.
 const QUEUED_MAX: usize = 2_048;
--- a/crates/passthrough/src/catalog_transfer.rs
+++ b/crates/passthrough/src/catalog_transfer.rs
@@ -7,6 +7,7 @@
 use crate::{
     Catalog, Endpoint,
     catalog_delta::CatalogDelta,
+    clock_echo::ClockMark,
     message::{Chunk, write_retired_list},
 };
 
@@ -97,12 +98,18 @@
     }
 
     /// Returns the chunk with the given index, or `None` after the last chunk.
-    pub(crate) fn chunk(&self, index: u16, confirmed_age_ms: u32) -> Option<Chunk<'_>> {
+    pub(crate) fn chunk(
+        &self,
+        index: u16,
+        confirmed_age_ms: u32,
+        mark: ClockMark,
+    ) -> Option<Chunk<'_>> {
         let bytes = self.bytes.chunks(CHUNK_BYTES).nth(index.into())?;
         Some(Chunk {
             revision: self.revision.get(),
             transfer_id: self.id,
             confirmed_age_ms,
+            mark,
             index,
             count: self.chunks,
             bytes,
--- a/crates/passthrough/src/lib.rs
+++ b/crates/passthrough/src/lib.rs
@@ -14,6 +14,7 @@
 mod catalog;
 mod catalog_delta;
 mod catalog_transfer;
+pub mod clock_echo;
 mod event;
 mod flow;
 mod former_targets;
--- a/crates/passthrough/src/message.rs
+++ b/crates/passthrough/src/message.rs
@@ -31,7 +31,9 @@
 };
 
 use crate::{
-    EndpointState, Flow, RequestKind, RequestProfile, Segment, ServiceKey, flow::FLOW_BYTES,
+    EndpointState, Flow, RequestKind, RequestProfile, Segment, ServiceKey,
+    clock_echo::{ClockEcho, ClockMark},
+    flow::FLOW_BYTES,
 };
 
 /// Magic number that identifies a datagram as a message.
@@ -550,6 +552,41 @@
     }
 }
 
+/// Time held of an echo that a message doesn't carry.
+const NO_ECHO_HELD: u16 = u16::MAX;
+
+/// The wire format of a [`ClockMark`].
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct WireClockMark {
+    stamp: U32,
+    echo_stamp: U32,
+    echo_held_ms: U16,
+}
+
+impl From<ClockMark> for WireClockMark {
+    fn from(mark: ClockMark) -> Self {
+        Self {
+            stamp: U32::new(mark.stamp),
+            echo_stamp: U32::new(mark.echo.map_or(0, |it| it.stamp)),
+            echo_held_ms: U16::new(mark.echo.map_or(NO_ECHO_HELD, |it| it.held_ms)),
+        }
+    }
+}
+
+impl From<WireClockMark> for ClockMark {
+    fn from(mark: WireClockMark) -> Self {
+        let echo = ClockEcho {
+            stamp: mark.echo_stamp.get(),
+            held_ms: mark.echo_held_ms.get(),
+        };
+        Self {
+            stamp: mark.stamp.get(),
+            echo: (echo.held_ms != NO_ECHO_HELD).then_some(echo),
+        }
+    }
+}
+
 /// A chunk of a serialized catalog or catalog delta.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Chunk<'a> {
@@ -557,6 +594,8 @@
     /// Hash of the serialized bytes, which tells transfers of the same revision apart.
     pub(crate) transfer_id: u64,
     pub(crate) confirmed_age_ms: u32,
+    /// What bounds the time that the chunk was on its way.
+    pub(crate) mark: ClockMark,
     pub(crate) index: u16,
     pub(crate) count: u16,
     pub(crate) bytes: &'a [u8],
@@ -569,6 +608,7 @@
     revision: U64,
     transfer_id: U64,
     confirmed_age_ms: U32,
+    mark: WireClockMark,
     index: U16,
     count: U16,
 }
--- a/crates/passthrough/src/message/decode.rs
+++ b/crates/passthrough/src/message/decode.rs
@@ -191,6 +191,7 @@
     Ok(Body::Digest(Digest {
         revision: header.revision.get(),
         confirmed_age_ms: header.confirmed_age_ms.get(),
+        mark: header.mark.into(),
         request: DigestRequest::from_wire_byte(header.request)?,
         is_starting: header.is_starting != 0,
         wants_retired: header.wants_retired != 0,
@@ -215,6 +216,7 @@
         revision: header.revision.get(),
         transfer_id: header.transfer_id.get(),
         confirmed_age_ms: header.confirmed_age_ms.get(),
+        mark: header.mark.into(),
         index: header.index.get(),
         count: header.count.get(),
         bytes,
--- a/crates/passthrough/src/message/digest.rs
+++ b/crates/passthrough/src/message/digest.rs
@@ -8,9 +8,10 @@
     byteorder::network_endian::{U16, U32, U64},
 };
 
-use super::{MessageError, Preamble, RouteAddress};
+use super::{MessageError, Preamble, RouteAddress, WireClockMark};
 use crate::{
     ServiceKey, ZoneKey,
+    clock_echo::ClockMark,
     former_targets::{FORMER_TARGET_RETENTION_MS, FormerTarget},
 };
 
@@ -71,6 +72,8 @@
     pub(crate) revision: u64,
     /// Time since the store confirmed to any balancer that the sender's catalog is the newest.
     pub(crate) confirmed_age_ms: u32,
+    /// What bounds the time that the digest was on its way.
+    pub(crate) mark: ClockMark,
     pub(crate) request: DigestRequest,
     /// Whether the sender has just started and may lack retired endpoints, which only other
     /// balancers know.
@@ -99,6 +102,8 @@
     Answer,
     /// The changes of the catalog since the digest's revision.
     Changes,
+    /// The latest confirmation by the store, in a message that echoes this digest's stamp.
+    Echo,
 }
 
 impl DigestRequest {
@@ -107,6 +112,7 @@
             Self::Nothing => 0,
             Self::Answer => 1,
             Self::Changes => 2,
+            Self::Echo => 3,
         }
     }
 
@@ -115,6 +121,7 @@
             0 => Ok(Self::Nothing),
             1 => Ok(Self::Answer),
             2 => Ok(Self::Changes),
+            3 => Ok(Self::Echo),
             _ => Err(MessageError::InvalidField { field: "request" }),
         }
     }
@@ -230,6 +237,7 @@
     pub(super) zone: U64,
     pub(super) link_mbps: U32,
     pub(super) confirmed_age_ms: U32,
+    pub(super) mark: WireClockMark,
     pub(super) request: u8,
     pub(super) is_starting: u8,
     pub(super) wants_retired: u8,
--- a/crates/passthrough/src/message/write.rs
+++ b/crates/passthrough/src/message/write.rs
@@ -165,6 +165,7 @@
         zone: U64::new(digest.status.zone.get()),
         link_mbps: U32::new(digest.status.link_mbps),
         confirmed_age_ms: U32::new(digest.confirmed_age_ms),
+        mark: digest.mark.into(),
         request: digest.request.to_wire_byte(),
         is_starting: u8::from(digest.is_starting),
         wants_retired: u8::from(digest.wants_retired),
@@ -187,6 +188,7 @@
         revision: U64::new(chunk.revision),
         transfer_id: U64::new(chunk.transfer_id),
         confirmed_age_ms: U32::new(chunk.confirmed_age_ms),
+        mark: chunk.mark.into(),
         index: U16::new(chunk.index),
         count: U16::new(chunk.count),
     };
--- a/crates/passthrough/tests/support/mod.rs
+++ b/crates/passthrough/tests/support/mod.rs
@@ -111,6 +111,8 @@
     /// State of the generator that loses, repeats and delays messages between instances; zero
     /// delivers all messages in order.
     pub(crate) disorder: u64,
+    /// Time for which messages wait at the link of an instance, each way, in milliseconds.
+    pub(crate) link_waits: BTreeMap<Ipv4Addr, u64>,
     /// Whether every message between instances arrives twice.
     pub(crate) repeats_messages: bool,
 }
@@ -492,8 +494,8 @@
     fn enqueue_output(&mut self, ip: Ipv4Addr, sent: RecordingOutbox) {
         self.events
             .extend(sent.events.into_iter().map(|it| (ip, it)));
-        let at = self.now + DELAY_MS;
         for (destination, bytes) in sent.list {
+            let at = self.now + DELAY_MS + self.link_wait(destination);
             *self.sent_bytes.entry(ip).or_default() += bytes.len();
             let is_isolated = match destination {
                 Destination::Peer { from, to } => {
@@ -526,6 +528,14 @@
         }
     }
 
+    fn link_wait(&self, destination: Destination) -> u64 {
+        let Destination::Peer { from, to } = destination else {
+            return 0;
+        };
+        let wait = |it| self.link_waits.get(it).copied().unwrap_or(0);
+        wait(&from) + wait(&to)
+    }
+
     fn schedule(&mut self, at: u64, destination: Destination, bytes: Vec<u8>) {
         let idx = self.in_flight.partition_point(|it| it.0 <= at);
         self.in_flight.insert(idx, (at, destination, bytes));
