Bound the questions of a starting balancer and pace the answers

Cause: a balancer that starts asked every other one that it heard of for its whole list of retired endpoints, and was sent all of them at once: 25 MB at worst. Past 1,024 they were dropped without a count, and flows at them could be reset. Change: the first question brings the list only if it fits one message. Of longer lists two are asked for at a time, of balancers that run for longer and are near; they go at the pace of transfers. Dropped ones are counted, and prevent resets by a lookup for 60 s.

--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -12,6 +12,7 @@
 mod notices;
 mod openings;
 mod peers;
+mod retired_answers;
 mod retired_sync;
 mod routing;
 mod transfers;
@@ -37,6 +38,7 @@
 use lookups::Lookups;
 use openings::{PendingOpening, PendingOpenings};
 use peers::Peers;
+use retired_answers::RetiredAnswers;
 use retired_sync::RetiredSync;
 use transfers::TransferQueue;
 use uploads::UploadLimiter;
@@ -107,6 +109,7 @@
     /// Time until which openings are held because the catalog may be outdated after a stall.
     unverified_until: Option<Millis>,
     retired_sync: RetiredSync,
+    retired_answers: RetiredAnswers,
     former_target_sync: FormerTargetSync,
     stopping: bool,
     is_standby: bool,
@@ -159,6 +162,7 @@
             stalled_since_confirmation: Millis::new(0),
             unverified_until: None,
             retired_sync: RetiredSync::default(),
+            retired_answers: RetiredAnswers::default(),
             former_target_sync: FormerTargetSync::default(),
             stopping: false,
             is_standby: false,
@@ -186,12 +190,14 @@
     }
 
     /// Returns how often a limit on the number of tracked items was exceeded: known balancers,
-    /// queued transfers, former targets of routes and the size of a catalog.
+    /// queued transfers, retired endpoints and former targets of routes, and the size of a catalog.
     #[must_use]
     pub const fn limits_exceeded_count(&self) -> u64 {
         self.counters.limits_exceeded
             + self.peers.ignored_count()
             + self.transfers.dropped_count()
+            + self.retired_answers.dropped_count()
+            + self.view.ignored_retired_count()
             + self.view.former_targets().ignored_count()
     }
 
@@ -309,6 +315,7 @@
             self.update_reader_rank(now);
         }
         self.ask_for_retired_endpoints(now, out);
+        self.send_retired_answers(now, out);
         self.send_queued_transfers(now, out);
         self.update_store_reader(now, out);
     }
@@ -355,6 +362,7 @@
             regular = regular.min(self.takeover_at().unwrap_or(regular));
         }
         regular = regular.min(self.next_question_at().unwrap_or(regular));
+        regular = regular.min(self.next_retired_answer_at().unwrap_or(regular));
         let opening = self.openings.next_deadline().unwrap_or(regular);
         let lookup = self.lookups.next_retry_at().unwrap_or(regular);
         let transfer = self.transfers.next_send_at().unwrap_or(regular);
--- a/crates/passthrough/src/balancer/catalog_sync.rs
+++ b/crates/passthrough/src/balancer/catalog_sync.rs
@@ -68,10 +68,28 @@
     Confirmation,
     /// A request for a confirmation that can be dated.
     EchoRequest,
+    /// A starting balancer's first question to another one, without other balancers.
+    Introduction,
+    /// A request for the receiver's retired endpoints.
+    RetiredRequest,
     /// An answer to a starting balancer, which has been sent this many retired endpoints.
     RetiredTold(u16),
 }
 
+impl DigestPurpose {
+    /// Returns whether the digest lists neither other balancers nor former targets.
+    const fn is_short(self) -> bool {
+        matches!(
+            self,
+            Self::Pull
+                | Self::Confirmation
+                | Self::EchoRequest
+                | Self::Introduction
+                | Self::RetiredRequest
+        )
+    }
+}
+
 /// Origin of a catalog: the store or another balancer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum CatalogOrigin {
@@ -330,12 +348,8 @@
         out: &mut impl Outbox,
     ) {
         let members: Vec<Member> = match purpose {
-            DigestPurpose::Confirmation | DigestPurpose::Pull | DigestPurpose::EchoRequest => {
-                Vec::new()
-            }
-            DigestPurpose::Regular | DigestPurpose::Reply | DigestPurpose::RetiredTold(_) => {
-                self.peers.choose_members(now, self.config.address, peer)
-            }
+            purpose if purpose.is_short() => Vec::new(),
+            _ => self.peers.choose_members(now, self.config.address, peer),
         };
         let wants_whole = purpose == DigestPurpose::Pull && self.assembler.needs_whole_catalog;
         let revision = if wants_whole {
@@ -344,12 +358,8 @@
             self.view.catalog().revision
         };
         let former_targets: Vec<AgedFormerTarget> = match purpose {
-            DigestPurpose::Confirmation | DigestPurpose::Pull | DigestPurpose::EchoRequest => {
-                Vec::new()
-            }
-            DigestPurpose::Regular | DigestPurpose::Reply | DigestPurpose::RetiredTold(_) => {
-                self.choose_former_targets(now)
-            }
+            purpose if purpose.is_short() => Vec::new(),
+            _ => self.choose_former_targets(now),
         };
         let all_listed = former_targets.len() == self.view.former_targets().as_slice().len();
         let digest = Digest {
@@ -357,7 +367,8 @@
             confirmed_age_ms: self.confirmed_age_ms(now),
             mark: self.clock_mark(now, peer),
             request: match purpose {
-                DigestPurpose::Regular => DigestRequest::Answer,
+                DigestPurpose::Regular | DigestPurpose::Introduction => DigestRequest::Answer,
+                DigestPurpose::RetiredRequest => DigestRequest::Retired,
                 DigestPurpose::Pull => DigestRequest::Changes,
                 DigestPurpose::EchoRequest => DigestRequest::Echo,
                 DigestPurpose::Reply
@@ -377,7 +388,10 @@
         };
         write_digest(digest, &mut self.scratch);
         out.send_to_peer(peer, &self.scratch);
-        if purpose == DigestPurpose::Regular {
+        if matches!(
+            purpose,
+            DigestPurpose::Regular | DigestPurpose::Introduction
+        ) {
             self.record_question(now, peer);
         }
     }
--- a/crates/passthrough/src/balancer/peers.rs
+++ b/crates/passthrough/src/balancer/peers.rs
@@ -396,6 +396,12 @@
             .any(|it| it.address == own)
     }
 
+    /// Returns whether a balancer is known to be in an availability zone.
+    pub(crate) fn is_in_zone(&self, address: Ipv4Addr, zone: ZoneKey) -> bool {
+        let known = self.find_peer(address).map(|it| &self.known[it]);
+        known.is_ok_and(|it| it.last_heard_at.is_some() && it.status.zone == zone)
+    }
+
     /// Returns the known balancers of an availability zone.
     pub(crate) fn addresses_in_zone(&self, zone: ZoneKey) -> Vec<Ipv4Addr> {
         self.known
--- a/crates/passthrough/src/balancer/transfers.rs
+++ b/crates/passthrough/src/balancer/transfers.rs
@@ -85,9 +85,7 @@
         now: Millis,
         mut send: impl FnMut(Ipv4Addr, &EncodedTransfer, u16),
     ) {
-        let earned = now.since(self.credited_at).get() * self.bytes_per_ms;
-        self.credit_bytes = (self.credit_bytes + earned).min(self.burst_bytes());
-        self.credited_at = now;
+        self.earn_credit(now);
         while self.credit_bytes >= CHUNK_DATAGRAM_MAX_BYTES {
             let Some(first) = self.queue.front_mut() else {
                 return;
@@ -102,14 +100,29 @@
         }
     }
 
+    /// Takes the capacity for another message of `bytes` bytes, and returns whether there was enough.
+    pub(crate) fn take_credit(&mut self, now: Millis, bytes: u64) -> bool {
+        self.earn_credit(now);
+        let is_enough = self.credit_bytes >= bytes;
+        if is_enough {
+            self.credit_bytes -= bytes;
+        }
+        is_enough
+    }
+
+    /// Returns the time at which there is capacity for a message of `bytes` bytes.
+    pub(crate) fn next_credit_at(&self, bytes: u64) -> Millis {
+        let missing = bytes.saturating_sub(self.credit_bytes);
+        let wait = missing.div_ceil(self.bytes_per_ms).max(1);
+        self.credited_at.plus(Millis::new(wait))
+    }
+
     /// Returns the time at which further chunks may be sent, or `None` if all were sent.
     pub(crate) fn next_send_at(&self) -> Option<Millis> {
         if self.queue.is_empty() {
             return None;
         }
-        let missing = CHUNK_DATAGRAM_MAX_BYTES.saturating_sub(self.credit_bytes);
-        let wait = missing.div_ceil(self.bytes_per_ms).max(1);
-        Some(self.credited_at.plus(Millis::new(wait)))
+        Some(self.next_credit_at(CHUNK_DATAGRAM_MAX_BYTES))
     }
 
     /// Returns how many transfers were dropped because too many were queued.
@@ -117,6 +130,12 @@
         self.dropped
     }
 
+    fn earn_credit(&mut self, now: Millis) {
+        let earned = now.since(self.credited_at).get() * self.bytes_per_ms;
+        self.credit_bytes = (self.credit_bytes + earned).min(self.burst_bytes());
+        self.credited_at = now;
+    }
+
     fn burst_bytes(&self) -> u64 {
         (self.bytes_per_ms * BURST_MS).max(BURST_MIN_BYTES)
     }
--- a/crates/passthrough/src/catalog.rs
+++ b/crates/passthrough/src/catalog.rs
@@ -26,11 +26,11 @@
 /// entries.
 const LAPSED_RETENTION_MS: Millis = Millis::new(2_000);
 
-/// Maximum number of retired endpoints that a balancer keeps.
+/// Maximum number of retired endpoints up to which a balancer adds those that others tell it.
 ///
 /// The system is sized for 2,300 changes a day, or 2 in a minute, but all endpoints of a service
 /// may be replaced at once.
-const RETIRED_MAX: usize = 1_024;
+pub(crate) const RETIRED_MAX: usize = 1_024;
 
 /// Maximum number of endpoints among which a flow is placed.
 ///
@@ -363,6 +363,10 @@
     catalog: Catalog,
     /// Endpoints that the catalog no longer lists but that may still hold flows.
     retired: Vec<Endpoint>,
+    /// Latest removal of an endpoint that was ignored because too many were retired.
+    retired_overflow_at: Option<Millis>,
+    /// Number of retired endpoints that were ignored.
+    ignored_retired: u64,
     /// Services that routes led to before and whose endpoints may still hold flows.
     former_targets: FormerTargets,
     /// Number that increases whenever endpoints or targets of routes are added that may hold flows.
@@ -444,12 +448,18 @@
         for (endpoint, age) in list {
             let is_known = self.catalog.find_endpoint(endpoint.key).is_some()
                 || self.retired.iter().any(|it| it.key == endpoint.key);
-            if is_known || self.retired.len() >= RETIRED_MAX {
+            let retired_at = Some(Millis::new(now.get().saturating_sub(age.get())));
+            if is_known || *age > RETIRED_RETENTION_MS {
+                continue;
+            }
+            if self.retired.len() >= RETIRED_MAX {
+                self.ignored_retired += 1;
+                self.retired_overflow_at = self.retired_overflow_at.max(retired_at);
                 continue;
             }
             self.retired.push(Endpoint {
                 state: EndpointState::Retired,
-                retired_at: Some(Millis::new(now.get().saturating_sub(age.get()))),
+                retired_at,
                 ..*endpoint
             });
         }
@@ -522,6 +532,9 @@
     pub fn prune_retired_endpoints(&mut self, now: Millis) -> bool {
         let before = self.retired.len();
         self.retired.retain(|it| !is_expired(it, now));
+        self.retired_overflow_at = self
+            .retired_overflow_at
+            .filter(|at| now.since(*at) <= RETIRED_RETENTION_MS);
         let mut is_changed = self.retired.len() != before;
         for endpoint in &mut self.retired {
             let is_gone = endpoint
@@ -554,6 +567,16 @@
         self.generation
     }
 
+    /// Returns whether no retired endpoint that may still hold flows had to be ignored.
+    pub(crate) const fn knows_all_retired(&self) -> bool {
+        self.retired_overflow_at.is_none()
+    }
+
+    /// Returns how many retired endpoints were ignored because too many were known.
+    pub(crate) const fn ignored_retired_count(&self) -> u64 {
+        self.ignored_retired
+    }
+
     /// Returns the endpoints that the catalog no longer lists but that may still hold flows.
     #[must_use]
     pub fn retired_endpoints(&self) -> &[Endpoint] {
--- a/crates/passthrough/src/catalog_transfer.rs
+++ b/crates/passthrough/src/catalog_transfer.rs
@@ -18,8 +18,8 @@
 /// 210. Chunks of a larger transfer are not sent, and the catalog's receiver reads the store.
 const CHUNKS_MAX: u16 = 2_048;
 
-/// Maximum number of retired endpoints in one message; each endpoint takes about 40 bytes.
-const RETIRED_PER_MESSAGE: usize = 24;
+/// Maximum number of retired endpoints in one message; each endpoint takes at most 64 bytes.
+pub(crate) const RETIRED_PER_MESSAGE: usize = 22;
 
 /// Maximum number of transfers that a balancer receives at the same time.
 ///
@@ -30,23 +30,24 @@
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct RetiredList(pub(crate) Vec<(Endpoint, Millis)>);
 
-/// Encodes the retired endpoints into messages and calls `send` with each message.
-pub(crate) fn write_retired_messages(
+/// Encodes at most `RETIRED_PER_MESSAGE` retired endpoints into a message, and returns whether there are
+/// any.
+pub(crate) fn write_retired_message(
     now: Millis,
     retired: &[Endpoint],
     buffer: &mut Vec<u8>,
-    mut send: impl FnMut(&[u8]),
-) {
-    for part in retired.chunks(RETIRED_PER_MESSAGE) {
-        let aged = |it: &Endpoint| (*it, now.since(it.retired_at.unwrap_or(now)));
-        let list = RetiredList(part.iter().map(aged).collect());
-        let Ok(bytes) = postcard::to_stdvec(&list) else {
-            debug_assert!(false, "a list of endpoints can always be serialized");
-            return;
-        };
-        write_retired_list(&bytes, buffer);
-        send(buffer);
+) -> bool {
+    if retired.is_empty() {
+        return false;
     }
+    let aged = |it: &Endpoint| (*it, now.since(it.retired_at.unwrap_or(now)));
+    let list = RetiredList(retired.iter().map(aged).collect());
+    let Ok(bytes) = postcard::to_stdvec(&list) else {
+        debug_assert!(false, "a list of endpoints can always be serialized");
+        return false;
+    };
+    write_retired_list(&bytes, buffer);
+    true
 }
 
 /// What a transfer carries.
--- a/crates/passthrough/src/message/digest.rs
+++ b/crates/passthrough/src/message/digest.rs
@@ -78,7 +78,8 @@
     /// Whether the sender has just started and may lack retired endpoints, which only other
     /// balancers know.
     pub(crate) is_starting: bool,
-    /// Whether the sender asks for the receiver's retired endpoints.
+    /// Whether the sender has not been told all retired endpoints, and asks the receiver for its own if
+    /// they fit one message.
     pub(crate) wants_retired: bool,
     /// Number of retired endpoints that the sender has just sent to the receiver, which asked for
     /// them.
@@ -104,6 +105,8 @@
     Changes,
     /// The latest confirmation by the store, in a message that echoes this digest's stamp.
     Echo,
+    /// The receiver's retired endpoints.
+    Retired,
 }
 
 impl DigestRequest {
@@ -113,6 +116,7 @@
             Self::Answer => 1,
             Self::Changes => 2,
             Self::Echo => 3,
+            Self::Retired => 4,
         }
     }
 
@@ -122,6 +126,7 @@
             1 => Ok(Self::Answer),
             2 => Ok(Self::Changes),
             3 => Ok(Self::Echo),
+            4 => Ok(Self::Retired),
             _ => Err(MessageError::InvalidField { field: "request" }),
         }
     }
--- a/crates/passthrough/tests/starting_balancers.rs
+++ b/crates/passthrough/tests/starting_balancers.rs
@@ -2,6 +2,9 @@
 
 mod support;
 
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use passthrough::{Endpoint, EndpointKey, ServiceKey};
 use support::{SimNetwork, agent_ip, caller};
 
 const BALANCERS: u8 = 3;
@@ -90,3 +93,70 @@
         assert_eq!(network.reset_count(caller(1)), 1, "phase {phase_ms} ms");
     }
 }
+
+/// Checks that the bound on questions doesn't delay the reset of a lost flow after a loss of power of
+/// all machines, when nobody is left who could tell anything.
+#[test]
+fn lost_flow_is_reset_soon_after_a_common_start() {
+    for balancers in [3, 20, 60] {
+        let mut network = SimNetwork::new(balancers, 3);
+        let sequence = network.open_flow_with_sequence(2, caller(1)).unwrap();
+        network.advance_ms(1_000);
+        for number in 0..3 {
+            let endpoint = network.endpoints.get_mut(&agent_ip(number)).unwrap();
+            endpoint.restart();
+            network.start_agent(number, support::SERVICE);
+        }
+        for number in 0..balancers {
+            network.start_balancer(number);
+        }
+        network.advance_ms(20);
+        network.send_request(1, caller(1), sequence, 2);
+        network.advance_ms(250);
+        assert_eq!(network.reset_count(caller(1)), 1, "{balancers} balancers");
+    }
+}
+
+/// Guards against a balancer that resets flows by a lookup although it dropped retired endpoints of
+/// which it was told.
+#[test]
+fn dropped_retired_endpoints_prevent_resets() {
+    let mut network = SimNetwork::new(BALANCERS, 3);
+    let sequence = network.open_flow_with_sequence(2, caller(1)).unwrap();
+    network.update_catalog(&[0, 1, 2], |catalog| {
+        let first = catalog.endpoints[0];
+        catalog.endpoints.extend((0..1_100_u16).map(|number| {
+            let [high, low] = number.to_be_bytes();
+            Endpoint {
+                key: EndpointKey::from_name(&format!("other-{number}")),
+                service: ServiceKey::from_name("other"),
+                address: SocketAddrV4::new(Ipv4Addr::new(10, 9, high, low), 9_000),
+                ..first
+            }
+        }));
+    });
+    network.advance_ms(1_000);
+    network.update_catalog(&[0, 1, 2], |catalog| {
+        let service = ServiceKey::from_name(support::SERVICE);
+        catalog.endpoints.retain(|it| it.service == service);
+    });
+    network.advance_ms(3_500);
+    for number in 0..3 {
+        let endpoint = network.endpoints.get_mut(&agent_ip(number)).unwrap();
+        endpoint.restart();
+        network.start_agent(number, support::SERVICE);
+    }
+    network.start_balancer(1);
+    network.advance_ms(1_500);
+    for second in 0..90 {
+        network.send_request(1, caller(1), sequence, 2);
+        for _ in 0..10 {
+            network.advance_ms(100);
+            network.confirm_unchanged_catalog(1);
+        }
+        if second < 50 {
+            assert_eq!(network.reset_count(caller(1)), 0, "after {second} s");
+        }
+    }
+    assert!(network.reset_count(caller(1)) > 0, "the retention is over");
+}
