--- a/crates/passthrough/src/balancer/catalog_sync.rs
+++ b/crates/passthrough/src/balancer/catalog_sync.rs
@@ -418,8 +418,8 @@
         let is_news = self.adopt_confirmation(at);
         if digest.request == DigestRequest::Echo {
             self.send_digest(now, peer, DigestPurpose::Confirmation, out);
-        } else if digest.confirmed_age_ms != u32::MAX {
-            self.request_echo(now, peer, digest.mark, out);
+        } else {
+            self.request_echo(now, peer, &digest, out);
         }
         if is_news && now >= self.next_relay {
             self.next_relay = now.plus(RELAY_INTERVAL_MS);
--- a/crates/passthrough/src/balancer/confirmation.rs
+++ b/crates/passthrough/src/balancer/confirmation.rs
@@ -14,6 +14,7 @@
 use crate::{
     Outbox, PacketFormat,
     clock_echo::{ClockMark, StampClock},
+    message::Digest,
 };
 
 /// Minimum gain in age by which a confirmation is news for the balancers of the zone. The same answer
@@ -108,19 +109,24 @@
         at.since(latest) >= NEWS_MIN_MS
     }
 
-    /// Asks a balancer that has no recent stamp of this one for a message that can be dated.
+    /// Asks for a message that can be dated, if a digest can't and may bring a younger confirmation.
     pub(super) fn request_echo(
         &mut self,
         now: Millis,
         peer: Ipv4Addr,
-        mark: ClockMark,
+        digest: &Digest<'_>,
         out: &mut impl Outbox,
     ) {
-        let is_datable = self
-            .message_clock
-            .stamps()
-            .composed_after(now, mark.echo)
-            .is_some();
+        let own = self.view.catalog().revision.get();
+        let claimed = now.since(Millis::new(u64::from(digest.confirmed_age_ms)));
+        let is_news = self
+            .confirmed_at
+            .is_none_or(|it| claimed.since(it) >= NEWS_MIN_MS);
+        if digest.revision != own || digest.confirmed_age_ms == u32::MAX || !is_news {
+            return;
+        }
+        let stamps = self.message_clock.stamps();
+        let is_datable = stamps.composed_after(now, digest.mark.echo).is_some();
         if is_datable || now < self.message_clock.next_echo_request {
             return;
         }
