--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -3,6 +3,7 @@
 
 mod agents;
 mod catalog_sync;
+mod confirmation;
 mod counters;
 mod duties;
 mod early_packets;
@@ -12,6 +13,7 @@
 mod notices;
 mod openings;
 mod peers;
+mod retired_answers;
 mod retired_sync;
 mod routing;
 mod transfers;
@@ -31,6 +33,7 @@
     message::{Body, Candidate, Candidates, Forward, PacketClass, write_forwarded_packet},
 };
 use agents::Agents;
+use confirmation::MessageClock;
 use duties::Takeover;
 use early_packets::EarlyPackets;
 use flows::FlowCache;
@@ -38,6 +41,7 @@
 use lookups::Lookups;
 use openings::{PendingOpening, PendingOpenings};
 use peers::Peers;
+use retired_answers::RetiredAnswers;
 use retired_sync::RetiredSync;
 use transfers::TransferQueue;
 use uploads::UploadLimiter;
@@ -95,10 +99,11 @@
     peers: Peers,
     assembler: TransferAssembler,
     transfers: TransferQueue,
+    message_clock: MessageClock,
     next_pull: Millis,
     next_relay: Millis,
-    /// Time of the store's latest confirmation, to this or another balancer, that the current
-    /// catalog is the newest.
+    /// Time at or before the store's latest confirmation, to this or another balancer, that the
+    /// current catalog is the newest.
     confirmed_at: Option<Millis>,
     started: Millis,
     /// Time of the latest stall of the process.
@@ -109,6 +114,7 @@
     /// Time until which openings are held because the catalog may be outdated after a stall.
     unverified_until: Option<Millis>,
     retired_sync: RetiredSync,
+    retired_answers: RetiredAnswers,
     former_target_sync: FormerTargetSync,
     zones_out_of_use: ZonesOutOfUse,
     stopping: bool,
@@ -141,6 +147,7 @@
         let seeds = config.seeds.clone();
         let uploads = UploadLimiter::new(config.link_mbps);
         let transfers = TransferQueue::new(now, config.link_mbps);
+        let message_clock = MessageClock::new(config.address, now);
         let mut balancer = Self {
             config,
             view: CatalogView::default(),
@@ -153,6 +160,7 @@
             peers: Peers::default(),
             assembler: TransferAssembler::default(),
             transfers,
+            message_clock,
             next_pull: now,
             next_relay: now,
             confirmed_at: None,
@@ -161,6 +169,7 @@
             stalled_since_confirmation: Millis::new(0),
             unverified_until: None,
             retired_sync: RetiredSync::default(),
+            retired_answers: RetiredAnswers::default(),
             former_target_sync: FormerTargetSync::default(),
             zones_out_of_use: ZonesOutOfUse::default(),
             stopping: false,
@@ -189,12 +198,14 @@
     }
 
     /// Returns how often a limit on the number of tracked items was exceeded: known balancers,
-    /// queued transfers, former targets of routes and the size of a catalog.
+    /// queued transfers, retired endpoints and former targets of routes, and the size of a catalog.
     #[must_use]
     pub const fn limits_exceeded_count(&self) -> u64 {
         self.counters.limits_exceeded
             + self.peers.ignored_count()
             + self.transfers.dropped_count()
+            + self.retired_answers.dropped_count()
+            + self.view.ignored_retired_count()
             + self.view.former_targets().ignored_count()
     }
 
@@ -269,7 +280,9 @@
                 return self.on_load_report(now, sender, report, out);
             }
             Ok(Message(Body::Digest(digest))) => return self.on_digest(now, sender, digest, out),
-            Ok(Message(Body::Chunk(chunk))) => return self.on_catalog_chunk(now, chunk, out),
+            Ok(Message(Body::Chunk(chunk))) => {
+                return self.on_catalog_chunk(now, sender, chunk, out);
+            }
             Ok(Message(Body::FlowNotHeld(it))) => {
                 return self.on_chain_exhausted(now, sender, it, out);
             }
@@ -310,6 +323,7 @@
             self.update_reader_rank(now);
         }
         self.ask_for_retired_endpoints(now, out);
+        self.send_retired_answers(now, out);
         self.send_queued_transfers(now, out);
         self.update_store_reader(now, out);
     }
@@ -357,6 +371,7 @@
             regular = regular.min(self.takeover_at().unwrap_or(regular));
         }
         regular = regular.min(self.next_question_at().unwrap_or(regular));
+        regular = regular.min(self.next_retired_answer_at().unwrap_or(regular));
         let opening = self.openings.next_deadline().unwrap_or(regular);
         let lookup = self.lookups.next_retry_at().unwrap_or(regular);
         let transfer = self.transfers.next_send_at().unwrap_or(regular);
--- a/crates/passthrough/src/message/digest.rs
+++ b/crates/passthrough/src/message/digest.rs
@@ -8,9 +8,10 @@
     byteorder::network_endian::{U16, U32, U64},
 };
 
-use super::{MessageError, Preamble, RouteAddress};
+use super::{MessageError, Preamble, RouteAddress, WireClockMark};
 use crate::{
     ServiceKey, ZoneKey,
+    clock_echo::ClockMark,
     former_targets::{FORMER_TARGET_RETENTION_MS, FormerTarget},
 };
 
@@ -71,11 +72,14 @@
     pub(crate) revision: u64,
     /// Time since the store confirmed to any balancer that the sender's catalog is the newest.
     pub(crate) confirmed_age_ms: u32,
+    /// What bounds the time that the digest was on its way.
+    pub(crate) mark: ClockMark,
     pub(crate) request: DigestRequest,
     /// Whether the sender has just started and may lack retired endpoints, which only other
     /// balancers know.
     pub(crate) is_starting: bool,
-    /// Whether the sender asks for the receiver's retired endpoints.
+    /// Whether the sender has not been told all retired endpoints, and asks the receiver for its own if
+    /// they fit one message.
     pub(crate) wants_retired: bool,
     /// Number of retired endpoints that the sender has just sent to the receiver, which asked for
     /// them.
@@ -99,6 +103,10 @@
     Answer,
     /// The changes of the catalog since the digest's revision.
     Changes,
+    /// The latest confirmation by the store, in a message that echoes this digest's stamp.
+    Echo,
+    /// The receiver's retired endpoints.
+    Retired,
 }
 
 impl DigestRequest {
@@ -107,6 +115,8 @@
             Self::Nothing => 0,
             Self::Answer => 1,
             Self::Changes => 2,
+            Self::Echo => 3,
+            Self::Retired => 4,
         }
     }
 
@@ -115,6 +125,8 @@
             0 => Ok(Self::Nothing),
             1 => Ok(Self::Answer),
             2 => Ok(Self::Changes),
+            3 => Ok(Self::Echo),
+            4 => Ok(Self::Retired),
             _ => Err(MessageError::InvalidField { field: "request" }),
         }
     }
@@ -230,6 +242,7 @@
     pub(super) zone: U64,
     pub(super) link_mbps: U32,
     pub(super) confirmed_age_ms: U32,
+    pub(super) mark: WireClockMark,
     pub(super) request: u8,
     pub(super) is_starting: u8,
     pub(super) wants_retired: u8,
