Repeat a process's first read of the store that isn't answered

The first read is repeated now after 150 ms on another connection, four at a time at most; a store that is merely slow still answers the first one. A shorter time limit was ruled out, since a slow store would never meet it.

--- a/crates/passthrough-node/src/catalog_source.rs
+++ b/crates/passthrough-node/src/catalog_source.rs
@@ -4,15 +4,22 @@
 
 use passthrough::Catalog;
 use serde::Serialize;
-use tokio::sync::{mpsc, watch};
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinSet,
+};
 use units::{Millis, Revision};
 
-use crate::{ChangeSeen, EventLog, ReadSchedule, clock, event_log::LineKind};
+use crate::{
+    ChangeSeen, EventLog, ReadSchedule, clock,
+    event_log::LineKind,
+    read_schedule::{FIRST_READ_REPEAT_DELAY, FIRST_READS_MAX},
+};
 
 /// A source of catalogs that can be read and watched, such as the platform's store.
 pub trait CatalogSource: Send + 'static {
     /// The error of a failed call to the source.
-    type Error: Display + Send;
+    type Error: Display + Send + 'static;
     /// An invalid item of the source that was skipped, with the reason.
     type SkippedItem: Display + Send;
 
@@ -44,6 +51,10 @@
 
     /// Returns the number of calls made to the source so far.
     fn call_count(&self) -> u64;
+
+    /// Creates another reader of the same source, which has read nothing.
+    #[must_use]
+    fn new_reader(&self) -> Self;
 }
 
 /// The result of a successful read of the catalog source.
@@ -83,6 +94,7 @@
 ) {
     let mut schedule = ReadSchedule::default();
     let mut skipped_items = 0;
+    let mut abandoned_calls = 0;
     loop {
         if !*reading_enabled.borrow() {
             if reading_enabled.wait_for(|it| *it).await.is_err() {
@@ -91,7 +103,11 @@
             schedule.resume();
         }
         let called_at = clock::now();
-        let result = source.next_catalog(schedule.wait()).await;
+        let result = if schedule.has_read() {
+            source.next_catalog(schedule.wait()).await
+        } else {
+            read_first_catalog(&mut source, &mut abandoned_calls).await
+        };
         for skipped in source.take_skipped_items() {
             skipped_items += 1;
             let cause = skipped.to_string();
@@ -114,7 +130,7 @@
                 } else {
                     ChangeSeen::No
                 };
-                let calls = source.call_count();
+                let calls = source.call_count() + abandoned_calls;
                 let update = SourceUpdate {
                     catalog,
                     calls,
@@ -146,6 +162,47 @@
     }
 }
 
+/// Reads the first catalog, and reads it once more on another connection each time that the source
+/// leaves the earlier calls unanswered for a while.
+///
+/// A source that was away when the process started may never answer the calls that reached it before
+/// it was back, and no caller is served until one is answered. A source that is merely slow still
+/// answers the first one. `source` becomes the reader that was answered, and `abandoned_calls` grows
+/// by the calls of the others.
+///
+/// # Errors
+///
+/// Returns the error of the last call if all calls failed.
+pub async fn read_first_catalog<S: CatalogSource>(
+    source: &mut S,
+    abandoned_calls: &mut u64,
+) -> Result<Option<Catalog>, S::Error> {
+    let mut reads = JoinSet::new();
+    let mut started = 0;
+    loop {
+        if started < FIRST_READS_MAX {
+            started += 1;
+            let mut reader = source.new_reader();
+            reads.spawn(async move {
+                let result = reader.next_catalog(Millis::new(0)).await;
+                (reader, result)
+            });
+        }
+        let pause = tokio::time::sleep(FIRST_READ_REPEAT_DELAY);
+        tokio::select! {
+            Some(Ok((reader, result))) = reads.join_next() => {
+                if result.is_ok() || reads.is_empty() {
+                    *abandoned_calls += source.call_count() + reads.len() as u64;
+                    *source = reader;
+                    return result;
+                }
+                *abandoned_calls += reader.call_count();
+            }
+            () = pause => {}
+        }
+    }
+}
+
 /// Answers requests to confirm that a catalog revision is the newest.
 ///
 /// No confirmation is sent if the call to the source fails or the revision is outdated.
--- a/crates/passthrough-node/src/lib.rs
+++ b/crates/passthrough-node/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use agent::run_agent_process as run_agent;
 pub use balancer::run_balancer_process as run_balancer;
-pub use catalog_source::CatalogSource;
+pub use catalog_source::{CatalogSource, read_first_catalog};
 pub use error::NodeError;
 pub use event_log::{EventLog, LineKind};
 pub use read_schedule::{ChangeSeen, ReadSchedule};
--- a/crates/passthrough-node/src/read_schedule.rs
+++ b/crates/passthrough-node/src/read_schedule.rs
@@ -25,6 +25,14 @@
 /// served.
 const INITIAL_RETRY_DELAY_MAX: Duration = Duration::from_millis(150);
 
+/// Time without an answer after which the first read is repeated on another connection.
+///
+/// A source answers within milliseconds, so that most starts need one call.
+pub(crate) const FIRST_READ_REPEAT_DELAY: Duration = Duration::from_millis(150);
+
+/// Maximum number of first reads under way at the same time.
+pub(crate) const FIRST_READS_MAX: u32 = 4;
+
 /// The schedule of the calls that read the catalog source.
 ///
 /// It answers a balancer that takes over reading from lost store readers: what changed meanwhile must
@@ -79,6 +87,12 @@
         delay.min(delay_max)
     }
 
+    /// Returns whether the source has ever answered.
+    #[must_use]
+    pub const fn has_read(&self) -> bool {
+        self.has_read
+    }
+
     /// Returns how many calls failed since the last answer.
     #[must_use]
     pub const fn failed_calls(&self) -> u32 {
