Name zones out of use in the log of the balancers that read the store

The catalog holds the hash of a zone's name, which tells an operator nothing. The readers know the name and write it beside the hash (zone_requested).

--- a/crates/passthrough-node/src/catalog_source.rs
+++ b/crates/passthrough-node/src/catalog_source.rs
@@ -42,6 +42,9 @@
     /// Removes and returns the invalid items that were skipped since the last call, each once.
     fn take_skipped_items(&mut self) -> Vec<Self::SkippedItem>;
 
+    /// Removes and returns what the operator requested since the last call, as text for the log.
+    fn take_operator_requests(&mut self) -> Vec<String>;
+
     /// Returns the number of calls made to the source so far.
     fn call_count(&self) -> u64;
 }
@@ -71,6 +74,7 @@
     StoreLost { cause: &'a str, after_ms: u64 },
     StoreRegained { failed_calls: u32 },
     ItemSkipped { cause: &'a str },
+    ZoneRequested { request: &'a str },
     ConfirmationFailed { cause: &'a str },
 }
 
@@ -100,6 +104,12 @@
                 &SourceEvent::ItemSkipped { cause: &cause },
             );
         }
+        for request in source.take_operator_requests() {
+            log.write_line(
+                LineKind::StateChange,
+                &SourceEvent::ZoneRequested { request: &request },
+            );
+        }
         let failed_calls = schedule.failed_calls();
         let delay = match result {
             Ok(catalog) => {
