Order lists by the era of the store

The store may come back from an older copy: revisions go back and are given out again. Balancers tell each other the latest era and neither confirm nor reset by a list of an older one.

--- a/crates/passthrough-node/src/balancer.rs
+++ b/crates/passthrough-node/src/balancer.rs
@@ -10,7 +10,7 @@
     signal::unix::{SignalKind, signal},
     sync::{mpsc, watch},
 };
-use units::{Millis, Revision};
+use units::{Millis, Revision, StoreEra};
 
 use crate::{
     EventLog, LineKind, NodeError, SettingsFile, StallDetector,
@@ -121,10 +121,12 @@
     let mut process: Process<F> = Process::start_process(settings_file.current_settings())?;
     let log = process.sockets.log.clone();
     let (reading_enabled_tx, reading_enabled) = watch::channel(true);
+    let (newest_era_tx, newest_era) = watch::channel(StoreEra::default());
     let (updates_tx, mut updates) = mpsc::channel::<SourceUpdate>(4);
     tokio::spawn(catalog_source::read_while_enabled(
         source,
         reading_enabled,
+        newest_era,
         updates_tx,
         log.clone(),
     ));
@@ -182,6 +184,8 @@
             // asks again later.
             let _busy = confirmation_requests_tx.try_send(revision);
         }
+        let era = process.balancer.newest_era();
+        newest_era_tx.send_if_modified(|it| std::mem::replace(it, era) != era);
         let reads_store = process.balancer.should_read_store();
         reading_enabled_tx.send_if_modified(|it| std::mem::replace(it, reads_store) != reads_store);
     }
@@ -284,8 +288,10 @@
     fn on_source_update(&mut self, update: SourceUpdate) {
         self.store_calls = update.calls;
         self.skipped_items = update.skipped_items;
-        self.balancer
-            .on_store_read(clock::now(), update.catalog, &mut self.sockets);
+        if self.balancer.observe_era(update.era) {
+            self.balancer
+                .on_store_read(clock::now(), update.catalog, &mut self.sockets);
+        }
     }
 
     fn on_source_confirmation(&mut self, it: &Confirmation) {
@@ -399,9 +405,13 @@
             "settings_version",
             balancer.catalog_view().catalog().settings_version.get(),
         );
+        let revision = balancer.catalog_view().catalog().revision;
+        text.add_gauge("catalog_revision", revision.number());
+        text.add_gauge("store_era", u64::from(revision.era().get()));
+        text.add_gauge("newest_store_era", u64::from(balancer.newest_era().get()));
         text.add_gauge(
-            "catalog_revision",
-            balancer.catalog_view().catalog().revision.get(),
+            "entries_held_back",
+            balancer.catalog_view().held_back_count() as u64,
         );
         text.add_gauge(
             "endpoints",
--- a/crates/passthrough-node/src/catalog_source.rs
+++ b/crates/passthrough-node/src/catalog_source.rs
@@ -5,7 +5,7 @@
 use passthrough::Catalog;
 use serde::Serialize;
 use tokio::sync::{mpsc, watch};
-use units::{Millis, Revision};
+use units::{Millis, Revision, StoreEra};
 
 use crate::{ChangeSeen, EventLog, ReadSchedule, clock, event_log::LineKind};
 
@@ -39,6 +39,13 @@
         revision: Revision,
     ) -> impl Future<Output = Result<bool, Self::Error>> + Send;
 
+    /// Tells the source of an era that another process has seen, so that it refuses data of older
+    /// ones.
+    fn expect_era(&mut self, era: StoreEra);
+
+    /// Returns the era of the latest catalog or confirmation.
+    fn era(&self) -> StoreEra;
+
     /// Removes and returns the invalid items that were skipped since the last call, each once.
     fn take_skipped_items(&mut self) -> Vec<Self::SkippedItem>;
 
@@ -51,6 +58,8 @@
 pub(crate) struct SourceUpdate {
     /// The changed catalog, or `None` if the source confirmed the previous one.
     pub(crate) catalog: Option<Catalog>,
+    /// The source's era at the read.
+    pub(crate) era: StoreEra,
     /// Number of calls made to the source so far.
     pub(crate) calls: u64,
     /// Number of invalid items that were skipped so far.
@@ -78,6 +87,7 @@
 pub(crate) async fn read_while_enabled<S: CatalogSource>(
     mut source: S,
     mut reading_enabled: watch::Receiver<bool>,
+    newest_era: watch::Receiver<StoreEra>,
     updates: mpsc::Sender<SourceUpdate>,
     log: EventLog,
 ) {
@@ -90,6 +100,7 @@
             }
             schedule.resume();
         }
+        source.expect_era(*newest_era.borrow());
         let called_at = clock::now();
         let result = source.next_catalog(schedule.wait()).await;
         for skipped in source.take_skipped_items() {
@@ -117,6 +128,7 @@
                 let calls = source.call_count();
                 let update = SourceUpdate {
                     catalog,
+                    era: source.era(),
                     calls,
                     skipped_items,
                 };
--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -3,6 +3,7 @@
 
 mod counters;
 mod deliveries;
+mod drain_guard;
 mod health;
 mod held_flow;
 mod held_flows;
@@ -11,7 +12,7 @@
 
 use std::{marker::PhantomData, net::Ipv4Addr};
 
-use units::{Millis, Slots};
+use units::{Millis, Revision, Slots};
 
 pub use counters::AgentCounters;
 
@@ -27,6 +28,7 @@
     },
 };
 use deliveries::{Delivery, PendingDeliveries};
+use drain_guard::DrainGuard;
 use health::EndpointHealth;
 use held_flow::Phase;
 use held_flows::HeldFlows;
@@ -61,6 +63,7 @@
     state: EndpointState,
     /// Catalog revision that `state` comes from; state notices of older revisions are ignored.
     revision: u64,
+    drain_guard: DrainGuard,
     /// Whether the agent's process is shutting down.
     stopping: bool,
     /// Time of the latest state notice from each balancer, sorted by the balancer's address.
@@ -87,6 +90,7 @@
             slots: Slots::new(0),
             state: EndpointState::Ready,
             revision: 0,
+            drain_guard: DrainGuard::default(),
             stopping: false,
             balancers: Vec::new(),
             report_turn: 0,
@@ -550,7 +554,8 @@
         out: &mut impl Outbox,
     ) {
         self.record_balancer_notice(now, sender);
-        if notice.service == self.config.service && notice.revision >= self.revision {
+        let is_news = notice.service == self.config.service && notice.revision >= self.revision;
+        if is_news && !self.drain_guard.refuses(now, self.state, &notice) {
             let changed = self.state != notice.state;
             self.revision = notice.revision;
             self.state = notice.state;
@@ -561,7 +566,7 @@
                 out.report_event(Event::EndpointStateChanged {
                     state: notice.state,
                     slots: notice.slots,
-                    revision: notice.revision,
+                    revision: Revision::new(notice.revision).number(),
                 });
             }
         }
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -13,6 +13,7 @@
 mod peers;
 mod retired_sync;
 mod routing;
+mod store_eras;
 mod transfers;
 mod uploads;
 
@@ -36,6 +37,7 @@
 use openings::{PendingOpening, PendingOpenings};
 use peers::Peers;
 use retired_sync::RetiredSync;
+use store_eras::EraTracker;
 use transfers::TransferQueue;
 use uploads::UploadLimiter;
 
@@ -105,6 +107,7 @@
     unverified_until: Option<Millis>,
     retired_sync: RetiredSync,
     former_target_sync: FormerTargetSync,
+    eras: EraTracker,
     stopping: bool,
     is_standby: bool,
     /// Time at which the store became reachable again after an outage.
@@ -155,6 +158,7 @@
             unverified_until: None,
             retired_sync: RetiredSync::default(),
             former_target_sync: FormerTargetSync::default(),
+            eras: EraTracker::default(),
             stopping: false,
             is_standby: false,
             store_recovered_at: None,
@@ -289,7 +293,10 @@
                 .remove_expired_flows(now, self.view.catalog().idle_timeout_ms);
             self.lookups.remove_expired_lookups(now);
             self.view.remove_expired_former_targets(now);
-            if self.view.prune_retired_endpoints(now) {
+            let is_released = self
+                .confirmed_at
+                .is_some_and(|it| self.view.release_held_entries(now, it));
+            if self.view.prune_retired_endpoints(now) || is_released {
                 self.agents.update_endpoints(now, &self.view);
             }
             self.send_state_notices(now, out);
--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -7,6 +7,7 @@
 use crate::{
     CatalogView, Endpoint, EndpointState, Event, Outbox, ServiceKey, ZoneKey,
     message::{AcceptLimits, LoadReport, UTILIZATION_CLOSED, UTILIZATION_FULL, Utilization},
+    store_era::is_registered_after,
 };
 
 /// Time for which a notice remains unanswered until the agent counts as lost. By then, two more
@@ -331,7 +332,7 @@
             let is_gone =
                 it.endpoint.state == EndpointState::Retired && it.is_unanswered(now, LOST_AFTER_MS);
             is_gone
-                || it.registered_at > settings_changed_at
+                || is_registered_after(it.registered_at, settings_changed_at)
                 || it.lists_every_route
                 || services.contains(&it.endpoint.service)
         };
--- a/crates/passthrough/src/balancer/catalog_sync.rs
+++ b/crates/passthrough/src/balancer/catalog_sync.rs
@@ -106,7 +106,7 @@
         revision: Revision,
         out: &mut impl Outbox,
     ) {
-        if revision != self.view.catalog().revision {
+        if revision != self.view.catalog().revision || self.is_era_left() {
             return;
         }
         self.confirmed_at = Some(now);
@@ -135,6 +135,9 @@
         let base = self.view.catalog().revision;
         let replaced =
             catalog.is_some_and(|it| self.apply_catalog(now, it, CatalogOrigin::Store, out));
+        if self.is_era_left() {
+            return replaced;
+        }
         self.confirmed_at = Some(now);
         let targets = self.forwarding_targets(now, CatalogOrigin::Store);
         // When all balancers start, each reads the store, and needs no copy from every other one.
@@ -196,7 +199,7 @@
     fn encode_transfer(&mut self, base: Revision) -> Option<EncodedTransfer> {
         let revision = self.view.catalog().revision;
         let content = self.view.delta_since(base).map_or_else(
-            || TransferContent::Whole(self.view.catalog().clone()),
+            || TransferContent::Whole(self.view.listed().clone()),
             TransferContent::Delta,
         );
         match &content {
@@ -244,7 +247,11 @@
         source: CatalogOrigin,
         out: &mut impl Outbox,
     ) -> bool {
-        let revision = catalog.revision;
+        let (revision, base) = (catalog.revision, self.view.catalog().revision);
+        if self.is_of_left_era(revision) {
+            return false;
+        }
+        let is_new_era = self.detect_new_era(now, revision);
         let store = match self.store_recovered_at {
             Some(at) if now.since(at) <= ENTRY_RENEWAL_MS => StoreState::RecoveredAt(at),
             _ => StoreState::Available,
@@ -253,8 +260,10 @@
             let in_force = self.view.catalog().revision;
             if revision < in_force {
                 out.report_event(Event::CatalogIgnored {
-                    revision: revision.get(),
-                    in_force: in_force.get(),
+                    revision: revision.number(),
+                    in_force: in_force.number(),
+                    era: revision.era().get(),
+                    era_in_force: in_force.era().get(),
                 });
             }
             return false;
@@ -262,9 +271,12 @@
         if self.has_settings() {
             self.former_target_sync.settings_since.get_or_insert(now);
         }
+        if is_new_era {
+            self.report_new_era(base, out);
+        }
         let catalog = self.view.catalog();
         out.report_event(Event::CatalogInForce {
-            revision: catalog.revision.get(),
+            revision: catalog.revision.number(),
             settings_version: catalog.settings_version.get(),
             routes: catalog.routes.len(),
             endpoints: catalog.endpoints.len(),
@@ -332,6 +344,8 @@
         let all_listed = former_targets.len() == self.view.former_targets().as_slice().len();
         let digest = Digest {
             revision: revision.get(),
+            newest_era: self.newest_era(),
+            settings_version: self.view.catalog().settings_version.get(),
             confirmed_age_ms: self.confirmed_age_ms(now),
             request: match purpose {
                 DigestPurpose::Regular => DigestRequest::Answer,
@@ -366,6 +380,7 @@
         out: &mut impl Outbox,
     ) {
         self.peers.record_status(now, peer, now, digest.status, out);
+        self.observe_era(digest.newest_era);
         for member in digest.members {
             if member.address() != self.config.address {
                 self.peers.record_member(now, *member, out);
@@ -386,6 +401,9 @@
             self.push_changes(now, Revision::new(digest.revision), &[peer], out);
         } else if digest.revision > own {
             self.pull_changes(now, peer, out);
+        } else if self.lacks_settings_of(&digest) {
+            self.assembler.needs_whole_catalog = true;
+            self.pull_changes(now, peer, out);
         } else if wants_answer && !is_answered && digest.revision < own {
             self.send_digest(now, peer, DigestPurpose::Confirmation, out);
         }
@@ -410,7 +428,7 @@
     ) {
         let revision = Revision::new(chunk.revision);
         let base = self.view.catalog().revision;
-        if revision <= base {
+        if revision <= base && !self.assembler.needs_whole_catalog {
             return;
         }
         let Some(content) = self.assembler.add_chunk(now, &chunk) else {
@@ -424,7 +442,11 @@
             return;
         }
         self.assembler.needs_whole_catalog = false;
-        self.assembler.drop_outdated(revision);
+        let in_force = self.view.catalog().revision;
+        self.assembler.drop_outdated(in_force);
+        if in_force == base {
+            return;
+        }
         self.confirmed_at = None;
         let _is_news = self.adopt_confirmation(now, revision, chunk.confirmed_age_ms);
         let targets = self.forwarding_targets(now, CatalogOrigin::Peer);
@@ -445,7 +467,7 @@
             }
             TransferContent::Delta(delta) => {
                 let applies = delta.applies_to(self.view.catalog().revision);
-                let catalog = delta.apply(self.view.catalog());
+                let catalog = delta.apply(self.view.listed());
                 if applies && catalog.is_none() {
                     self.counters.deltas_diverged += 1;
                     self.assembler.needs_whole_catalog = true;
@@ -464,7 +486,7 @@
         revision: Revision,
         age_ms: u32,
     ) -> bool {
-        if revision != self.view.catalog().revision || age_ms == u32::MAX {
+        if revision != self.view.catalog().revision || age_ms == u32::MAX || self.is_era_left() {
             return false;
         }
         let age = u64::from(age_ms);
@@ -488,6 +510,7 @@
             .is_some_and(|it| at.since(it).since(own_stalls) > STORE_OUTAGE_MIN_MS);
         if was_unavailable {
             self.store_recovered_at = Some(at);
+            self.view.extend_held_entries(at);
         }
     }
 
--- a/crates/passthrough/src/balancer/former_targets.rs
+++ b/crates/passthrough/src/balancer/former_targets.rs
@@ -75,7 +75,7 @@
     /// Returns whether the endpoints that a lookup of the flow asks include every endpoint that may
     /// hold it.
     pub(super) fn knows_all_holders(&self, now: Millis, flow: Flow) -> bool {
-        if !self.knows_retired_endpoints(now) {
+        if !self.knows_retired_endpoints(now) || self.is_era_left() {
             return false;
         }
         let services = self.view.services_of_flow(flow);
@@ -95,18 +95,10 @@
             && (has_seen_all || sync.was_told || self.routes_are_known_outside(now, &[]))
     }
 
-    /// Returns whether no endpoint of another service than `services` can hold a flow of a route that
-    /// isn't known to have led to its service.
-    fn routes_are_known_outside(&self, now: Millis, services: &[ServiceKey]) -> bool {
-        let settings_changed_at = self.view.catalog().settings_changed_at;
-        self.agents
-            .routes_are_known_outside(now, services, settings_changed_at)
-    }
-
     fn on_former_targets_added(&mut self, now: Millis, out: &mut impl Outbox) {
         out.report_event(Event::FormerTargetsChanged {
             count: self.view.former_targets().as_slice().len(),
-            catalog_revision: self.view.catalog().revision.get(),
+            catalog_revision: self.view.catalog().revision.number(),
         });
         self.lookups
             .schedule_outdated_retries(now, self.view.endpoint_generation());
--- a/crates/passthrough/src/balancer/retired_sync.rs
+++ b/crates/passthrough/src/balancer/retired_sync.rs
@@ -212,9 +212,10 @@
         if !digest.wants_retired || digest.request != DigestRequest::Answer {
             return false;
         }
-        let retired = self.view.retired_endpoints();
+        let mut retired = self.view.retired_endpoints().to_vec();
+        retired.extend(self.view.held_back_endpoints());
         let count = u16::try_from(retired.len()).unwrap_or(u16::MAX);
-        write_retired_messages(now, retired, &mut self.scratch, |list| {
+        write_retired_messages(now, &retired, &mut self.scratch, |list| {
             out.send_to_peer(peer, list);
         });
         self.send_digest(now, peer, DigestPurpose::RetiredTold(count), out);
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -108,7 +108,7 @@
             agent: first.agent_address(),
             candidates: candidates.len(),
             attempt: opening.offer_count(),
-            catalog_revision: self.view.catalog().revision.get(),
+            catalog_revision: self.view.catalog().revision.number(),
         });
         self.counters.openings += 1;
         opening.record_offer(now, first.agent_address());
@@ -180,7 +180,7 @@
                 flow,
                 asked: u8::try_from(asked).unwrap_or(u8::MAX),
                 services: u8::try_from(groups.len()).unwrap_or(u8::MAX),
-                catalog_revision: self.view.catalog().revision.get(),
+                catalog_revision: self.view.catalog().revision.number(),
             });
         }
     }
--- a/crates/passthrough/src/catalog.rs
+++ b/crates/passthrough/src/catalog.rs
@@ -15,6 +15,7 @@
     catalog_delta::{CatalogDelta, ChangeLog},
     former_targets::{FormerTarget, FormerTargets},
     rendezvous,
+    store_era::{self, HeldEntries},
 };
 
 /// Time for which an endpoint may hold flows after it was removed from the catalog.
@@ -370,6 +371,9 @@
     /// Listed and retired endpoints, sorted by service and position on the service's hash ring.
     ring: Vec<RingEntry>,
     changes: ChangeLog,
+    /// Entries that are held back after the store came back from an older copy, with the list as the
+    /// store has it. Without them, `catalog` is that list.
+    held: Option<HeldEntries>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -380,17 +384,54 @@
 }
 
 impl CatalogView {
-    /// Applies a catalog if it is newer than the current one, and returns whether it was.
+    /// Applies a catalog if its list or its settings are newer than the current ones, and returns
+    /// whether they were.
+    ///
+    /// The list is ordered by its revision and the settings by their version, so that older settings
+    /// of a store that came back from a copy are not taken. Entries of such a store that are known
+    /// to be outdated are held back.
     ///
     /// Endpoints that the new catalog no longer lists are kept as retired. If the store has just
     /// recovered from an outage, these endpoints keep their state for some time, since entries of
     /// running endpoints may have lapsed.
     pub fn replace_catalog(&mut self, now: Millis, catalog: Catalog, store: StoreState) -> bool {
-        if catalog.revision <= self.catalog.revision
-            || catalog.settings_version < self.catalog.settings_version
-        {
+        let in_force = self.catalog.revision;
+        let Some(listed) = store_era::merge_lists(self.listed(), catalog) else {
             return false;
+        };
+        self.changes.record_replacement(
+            self.held
+                .as_ref()
+                .map_or(&self.catalog, HeldEntries::listed),
+            &listed,
+        );
+        if in_force != Revision::default() && listed.revision.era() > in_force.era() {
+            let held = HeldEntries::new(now, listed);
+            self.held = Some(held.with_former(&self.catalog, &self.retired));
+        } else if let Some(held) = &mut self.held {
+            held.replace_list(listed);
+        } else {
+            self.put_in_force(now, listed, store);
+            return true;
+        }
+        self.apply_held_entries(now, store);
+        true
+    }
+
+    /// Puts the list with its held entries into force; without any, the list itself.
+    fn apply_held_entries(&mut self, now: Millis, store: StoreState) {
+        let Some(held) = self.held.take() else {
+            return;
+        };
+        if held.is_empty() {
+            return self.put_in_force(now, held.into_listed(), store);
         }
+        let catalog = held.list_in_force();
+        self.held = Some(held);
+        self.put_in_force(now, catalog, store);
+    }
+
+    fn put_in_force(&mut self, now: Millis, catalog: Catalog, store: StoreState) {
         let is_known = |it: &Endpoint| {
             self.catalog.find_endpoint(it.key).is_some()
                 || self.retired.iter().any(|old| old.key == it.key)
@@ -421,15 +462,50 @@
         }
         self.retired
             .retain(|it| catalog.find_endpoint(it.key).is_none());
-        self.changes.record_replacement(&self.catalog, &catalog);
         self.catalog = catalog;
         self.rebuild_ring(now);
+    }
+
+    /// Returns the list as the store has it, without entries that are held back.
+    pub(crate) fn listed(&self) -> &Catalog {
+        self.held
+            .as_ref()
+            .map_or(&self.catalog, HeldEntries::listed)
+    }
+
+    /// Returns the number of endpoints and zones whose entries are held back after the store came
+    /// back from an older copy.
+    #[must_use]
+    pub fn held_back_count(&self) -> usize {
+        self.held.as_ref().map_or(0, HeldEntries::len)
+    }
+
+    /// Returns the endpoints that other balancers should not use although they are listed.
+    pub(crate) fn held_back_endpoints(&self) -> Vec<Endpoint> {
+        let held = self.held.iter().flat_map(HeldEntries::endpoints);
+        held.collect()
+    }
+
+    /// Keeps entries held back for longer, since the store was away again.
+    pub(crate) fn extend_held_entries(&mut self, recovered_at: Millis) {
+        if let Some(held) = &mut self.held {
+            held.restart(recovered_at);
+        }
+    }
+
+    /// Believes the store's list if it was confirmed after all writes of before were due again, and
+    /// returns whether entries had been held back.
+    pub(crate) fn release_held_entries(&mut self, now: Millis, confirmed_at: Millis) -> bool {
+        let Some(held) = self.held.take_if(|it| it.is_over(confirmed_at)) else {
+            return false;
+        };
+        self.put_in_force(now, held.into_listed(), StoreState::Available);
         true
     }
 
     /// Returns the changes since a revision, or `None` if they are no longer known.
     pub(crate) fn delta_since(&self, base: Revision) -> Option<CatalogDelta> {
-        self.changes.delta_since(base, &self.catalog)
+        self.changes.delta_since(base, self.listed())
     }
 
     /// Adds retired endpoints that another balancer reported, with the time since their removal.
@@ -441,6 +517,7 @@
         list: &[(Endpoint, Millis)],
     ) -> bool {
         let before = self.retired.len();
+        let is_held = self.hold_told_endpoints(now, list);
         for (endpoint, age) in list {
             let is_known = self.catalog.find_endpoint(endpoint.key).is_some()
                 || self.retired.iter().any(|it| it.key == endpoint.key);
@@ -453,7 +530,7 @@
                 ..*endpoint
             });
         }
-        let is_new = self.retired.len() != before;
+        let is_new = self.retired.len() != before || is_held;
         if is_new {
             self.generation += 1;
             self.rebuild_ring(now);
@@ -461,6 +538,29 @@
         is_new
     }
 
+    /// Holds back listed endpoints that another balancer, which has a list of before the store's
+    /// return from a copy, tells as draining, and returns whether any is new.
+    fn hold_told_endpoints(&mut self, now: Millis, list: &[(Endpoint, Millis)]) -> bool {
+        let is_told = |it: &&(Endpoint, Millis)| {
+            let listed = self.catalog.find_endpoint(it.0.key);
+            it.0.state == EndpointState::Draining
+                && listed.is_some_and(|it| it.state == EndpointState::Ready)
+        };
+        let told: Vec<Endpoint> = list.iter().filter(is_told).map(|it| it.0).collect();
+        if told.is_empty() {
+            return false;
+        }
+        let held = self
+            .held
+            .get_or_insert_with(|| HeldEntries::new(now, self.catalog.clone()));
+        let mut is_new = false;
+        for endpoint in &told {
+            is_new |= held.hold_endpoint(endpoint, false);
+        }
+        self.apply_held_entries(now, StoreState::Available);
+        is_new
+    }
+
     /// Adds services that routes led to before, as other processes reported them, and returns whether
     /// any of them was unknown.
     pub(crate) fn add_former_targets(
--- a/crates/passthrough/src/catalog_delta.rs
+++ b/crates/passthrough/src/catalog_delta.rs
@@ -46,7 +46,8 @@
 impl CatalogDelta {
     /// Returns whether the delta may be applied to a catalog of `revision`.
     pub(crate) fn applies_to(&self, revision: Revision) -> bool {
-        self.base <= revision && revision < self.revision
+        let is_same_era = revision.era() == self.revision.era();
+        is_same_era && self.base <= revision && revision < self.revision
     }
 
     /// Returns the catalog that results from applying the delta to `catalog`.
@@ -113,8 +114,12 @@
 
 impl ChangeLog {
     /// Records the changes between two catalogs of which `new` replaces `old`.
+    ///
+    /// The log begins anew with each era of the store, and with settings that come without a new
+    /// revision: no delta leads there.
     pub(crate) fn record_replacement(&mut self, old: &Catalog, new: &Catalog) {
-        if old.revision == Revision::default() {
+        let is_new_era = old.revision.era() != new.revision.era();
+        if old.revision == Revision::default() || is_new_era || old.revision == new.revision {
             return self.clear(new.revision);
         }
         let revision = new.revision;
@@ -146,7 +151,7 @@
     /// Returns the delta that leads from `base` to `catalog`, the latest recorded catalog, or
     /// `None` if the log doesn't reach back to `base`.
     pub(crate) fn delta_since(&self, base: Revision, catalog: &Catalog) -> Option<CatalogDelta> {
-        if base < self.floor {
+        if base < self.floor || base.era() != catalog.revision.era() {
             return None;
         }
         let mut delta = CatalogDelta {
--- a/crates/passthrough/src/event.rs
+++ b/crates/passthrough/src/event.rs
@@ -144,7 +144,21 @@
     /// services are known now.
     FormerTargetsChanged { count: usize, catalog_revision: u64 },
     /// A catalog older than the current one was ignored.
-    CatalogIgnored { revision: u64, in_force: u64 },
+    CatalogIgnored {
+        revision: u64,
+        in_force: u64,
+        era: u16,
+        era_in_force: u16,
+    },
+    /// The first list of a later era of the store came into force: the store came back from an older
+    /// copy of its data. `held_back` entries are not believed until they are written again.
+    StoreEraRose {
+        from: u16,
+        to: u16,
+        former_revision: u64,
+        revision: u64,
+        held_back: usize,
+    },
     /// This balancer entered or left standby, in which it leaves callers to balancers with faster
     /// links.
     Standby {
--- a/crates/passthrough/src/lib.rs
+++ b/crates/passthrough/src/lib.rs
@@ -21,6 +21,7 @@
 mod outbox;
 mod rendezvous;
 mod segment;
+mod store_era;
 
 pub use agent::{Agent, AgentConfig, AgentCounters};
 pub use balancer::{Balancer, BalancerConfig, BalancerCounters};
--- a/crates/passthrough/src/message/decode.rs
+++ b/crates/passthrough/src/message/decode.rs
@@ -1,6 +1,6 @@
 //! Decoding of messages between balancers and agents.
 
-use units::Millis;
+use units::{Millis, StoreEra};
 use zerocopy::{FromBytes, Immutable, KnownLayout, Ref, Unaligned};
 
 use super::{
@@ -190,6 +190,8 @@
     let (former_targets, _) = decode_list::<AgedFormerTarget>(rest, former_target_count)?;
     Ok(Body::Digest(Digest {
         revision: header.revision.get(),
+        newest_era: StoreEra::new(header.newest_era.get()),
+        settings_version: header.settings_version.get(),
         confirmed_age_ms: header.confirmed_age_ms.get(),
         request: DigestRequest::from_wire_byte(header.request)?,
         is_starting: header.is_starting != 0,
--- a/crates/passthrough/src/message/digest.rs
+++ b/crates/passthrough/src/message/digest.rs
@@ -2,7 +2,7 @@
 
 use std::net::Ipv4Addr;
 
-use units::Millis;
+use units::{Millis, StoreEra};
 use zerocopy::{
     FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned,
     byteorder::network_endian::{U16, U32, U64},
@@ -69,6 +69,10 @@
 pub(crate) struct Digest<'a> {
     /// Revision of the sender's current catalog.
     pub(crate) revision: u64,
+    /// The latest era of the store that the sender has seen or was told of.
+    pub(crate) newest_era: StoreEra,
+    /// Version of the operator's settings in the sender's current catalog.
+    pub(crate) settings_version: u64,
     /// Time since the store confirmed to any balancer that the sender's catalog is the newest.
     pub(crate) confirmed_age_ms: u32,
     pub(crate) request: DigestRequest,
@@ -227,6 +231,8 @@
 pub(super) struct DigestHeader {
     pub(super) preamble: Preamble,
     pub(super) revision: U64,
+    pub(super) newest_era: U16,
+    pub(super) settings_version: U64,
     pub(super) zone: U64,
     pub(super) link_mbps: U32,
     pub(super) confirmed_age_ms: U32,
--- a/crates/passthrough/src/message/write.rs
+++ b/crates/passthrough/src/message/write.rs
@@ -162,6 +162,8 @@
     let header = DigestHeader {
         preamble: Preamble::new(kind::DIGEST),
         revision: U64::new(digest.revision),
+        newest_era: U16::new(digest.newest_era.get()),
+        settings_version: U64::new(digest.settings_version),
         zone: U64::new(digest.status.zone.get()),
         link_mbps: U32::new(digest.status.link_mbps),
         confirmed_age_ms: U32::new(digest.confirmed_age_ms),
