--- a/crates/passthrough/tests/support/mod.rs
+++ b/crates/passthrough/tests/support/mod.rs
@@ -15,7 +15,7 @@
     Agent, AgentConfig, Balancer, BalancerConfig, Catalog, Endpoint, EndpointKey, EndpointState,
     Event, Outbox, PacketFormat, RequestProfile, Route, RouteTarget, ServiceKey, ZoneKey,
 };
-use units::{Millis, Revision, SettingsVersion, Slots};
+use units::{Millis, Revision, SettingsVersion, Slots, StoreEra};
 
 pub(crate) use endpoint::UpstreamEndpoint;
 pub(crate) use format::{Flags, TestFormat, encode_packet};
@@ -247,6 +247,27 @@
         }
     }
 
+    /// Brings the store back from an older copy of its list, in its next era. Revisions after the
+    /// copy's are given out again.
+    pub(crate) fn restore_store(&mut self, copy: &Catalog) {
+        let era = StoreEra::new(self.catalog.revision.era().get() + 1);
+        let in_era = |it: Revision| Revision::in_era(era, it.number()).expect("a low number");
+        self.catalog = copy.clone();
+        self.catalog.revision = in_era(copy.revision);
+        self.catalog.settings_changed_at = in_era(copy.settings_changed_at);
+        for endpoint in &mut self.catalog.endpoints {
+            endpoint.registered_at = in_era(endpoint.registered_at);
+        }
+    }
+
+    /// Tells a balancer the era of a response of the store; returns whether the response counts.
+    pub(crate) fn observe_era(&mut self, number: u8, era: u16) -> bool {
+        let balancer = self.balancers.get_mut(&balancer_ip(number));
+        balancer
+            .expect("the balancer runs")
+            .observe_era(StoreEra::new(era))
+    }
+
     pub(crate) fn balancer(&self, number: u8) -> &Balancer<TestFormat> {
         &self.balancers[&balancer_ip(number)]
     }
