--- a/crates/passthrough/tests/store_eras.rs
+++ b/crates/passthrough/tests/store_eras.rs
@@ -125,6 +125,8 @@
         network.update_catalog(&[0], |_| {});
         network.start_balancer(2);
         network.advance_ms(100);
+        let mut told = in_force(&network, 2).clone();
+        assert_eq!(endpoint_mut(&mut told, 1).state, EndpointState::Draining);
         for (balancer, first_caller) in [(2, 1), (0, 20), (1, 40)] {
             let openings = openings_at(&mut network, balancer, 1, first_caller);
             assert_eq!(openings, 0, "balancer {balancer}");
@@ -145,6 +147,19 @@
     }
 }
 
+#[test]
+fn entry_of_a_later_process_is_believed() {
+    let mut network = SimNetwork::new(1, 3);
+    let copy = network.catalog.clone();
+    network.update_catalog(&[0], |it| {
+        endpoint_mut(it, 1).state = EndpointState::Draining
+    });
+    network.advance_ms(200);
+    network.restore_store(&copy);
+    network.update_catalog(&[0], |it| endpoint_mut(it, 1).born_ms += 1);
+    assert_eq!(in_force(&network, 0), &network.catalog);
+}
+
 /// Guards against an agent that is told by a balancer without a former list that its draining
 /// endpoint is ready.
 #[test]
@@ -233,7 +248,7 @@
     let copy = network.catalog.clone();
     network.add_endpoint(2, support::SERVICE);
     network.update_catalog(&[0], |_| {});
-    network.advance_ms(1_100);
+    confirm_for(&mut network, 3_000);
     network.restore_store(&copy);
     network.deliver_catalog(0);
     network.advance_ms(50);
