--- a/crates/passthrough/src/balancer/catalog_sync.rs
+++ b/crates/passthrough/src/balancer/catalog_sync.rs
@@ -273,6 +273,8 @@
         }
         if is_new_era {
             self.report_new_era(base, out);
+            let targets = self.forwarding_targets(now, source);
+            self.tell_held_entries(now, &targets, out);
         }
         let catalog = self.view.catalog();
         out.report_event(Event::CatalogInForce {
@@ -398,7 +400,11 @@
         }
         let wants_answer = digest.request == DigestRequest::Answer;
         if digest.request == DigestRequest::Changes && digest.revision < own {
-            self.push_changes(now, Revision::new(digest.revision), &[peer], out);
+            let base = Revision::new(digest.revision);
+            self.push_changes(now, base, &[peer], out);
+            if base.era() < self.view.catalog().revision.era() {
+                self.tell_held_entries(now, &[peer], out);
+            }
         } else if digest.revision > own {
             self.pull_changes(now, peer, out);
         } else if self.lacks_settings_of(&digest) {
--- a/crates/passthrough/src/balancer/retired_sync.rs
+++ b/crates/passthrough/src/balancer/retired_sync.rs
@@ -212,16 +212,28 @@
         if !digest.wants_retired || digest.request != DigestRequest::Answer {
             return false;
         }
-        let mut retired = self.view.retired_endpoints().to_vec();
-        retired.extend(self.view.held_back_endpoints());
-        let count = u16::try_from(retired.len()).unwrap_or(u16::MAX);
-        write_retired_messages(now, &retired, &mut self.scratch, |list| {
-            out.send_to_peer(peer, list);
-        });
+        let count = self.send_retired_endpoints(now, peer, out);
         self.send_digest(now, peer, DigestPurpose::RetiredTold(count), out);
         true
     }
 
+    /// Tells another balancer the endpoints that left the list and the entries that are held back,
+    /// and returns the number of endpoints.
+    pub(super) fn send_retired_endpoints(
+        &mut self,
+        now: Millis,
+        peer: Ipv4Addr,
+        out: &mut impl Outbox,
+    ) -> u16 {
+        let mut endpoints = self.view.retired_endpoints().to_vec();
+        endpoints.extend(self.view.held_back_endpoints());
+        let zones = self.view.held_back_zones();
+        write_retired_messages(now, &endpoints, zones, &mut self.scratch, |list| {
+            out.send_to_peer(peer, list);
+        });
+        u16::try_from(endpoints.len()).unwrap_or(u16::MAX)
+    }
+
     pub(super) fn on_retired_list(
         &mut self,
         now: Millis,
@@ -229,13 +241,14 @@
         list: &[u8],
         out: &mut impl Outbox,
     ) {
-        let Ok(RetiredList(list)) = postcard::from_bytes(list) else {
+        let Ok(list) = postcard::from_bytes::<RetiredList>(list) else {
             return self.drop_packet(DropReason::Malformed, out);
         };
         if let Some(question) = self.retired_sync.question_mut(peer) {
-            question.received += list.len();
+            question.received += list.endpoints.len();
         }
-        if self.view.add_retired_endpoints(now, &list) {
+        let is_held = self.view.hold_told_entries(now, &list);
+        if self.view.add_retired_endpoints(now, &list.endpoints) || is_held {
             self.agents.update_endpoints(now, &self.view);
             self.lookups
                 .schedule_outdated_retries(now, self.view.endpoint_generation());
--- a/crates/passthrough/src/balancer/store_eras.rs
+++ b/crates/passthrough/src/balancer/store_eras.rs
@@ -3,6 +3,8 @@
 //! Balancers tell each other the latest era that any of them has seen. A balancer whose list is of
 //! an older era neither confirms it nor resets flows by it, and takes no further list of that era.
 
+use std::net::Ipv4Addr;
+
 use units::{Millis, Revision, StoreEra};
 
 use super::Balancer;
@@ -71,6 +73,22 @@
         });
     }
 
+    /// Tells other balancers the entries that are held back. Answers balancers that were cut off or
+    /// not running when the lost writes were made.
+    pub(super) fn tell_held_entries(
+        &mut self,
+        now: Millis,
+        targets: &[Ipv4Addr],
+        out: &mut impl Outbox,
+    ) {
+        if self.view.held_back_count() == 0 {
+            return;
+        }
+        for target in targets {
+            self.send_retired_endpoints(now, *target, out);
+        }
+    }
+
     /// Returns whether another balancer has later settings for a list that is no newer, so that its
     /// whole list is needed: this balancer started from a copy with older settings.
     pub(super) fn lacks_settings_of(&self, digest: &Digest<'_>) -> bool {
--- a/crates/passthrough/src/catalog.rs
+++ b/crates/passthrough/src/catalog.rs
@@ -13,6 +13,7 @@
 use crate::{
     Flow,
     catalog_delta::{CatalogDelta, ChangeLog},
+    catalog_transfer::RetiredList,
     former_targets::{FormerTarget, FormerTargets},
     rendezvous,
     store_era::{self, HeldEntries},
@@ -486,6 +487,11 @@
         held.collect()
     }
 
+    /// Returns the zones that stay evacuated although they aren't listed.
+    pub(crate) fn held_back_zones(&self) -> &[ZoneKey] {
+        self.held.as_ref().map_or(&[], HeldEntries::zones)
+    }
+
     /// Keeps entries held back for longer, since the store was away again.
     pub(crate) fn extend_held_entries(&mut self, recovered_at: Millis) {
         if let Some(held) = &mut self.held {
@@ -517,7 +523,6 @@
         list: &[(Endpoint, Millis)],
     ) -> bool {
         let before = self.retired.len();
-        let is_held = self.hold_told_endpoints(now, list);
         for (endpoint, age) in list {
             let is_known = self.catalog.find_endpoint(endpoint.key).is_some()
                 || self.retired.iter().any(|it| it.key == endpoint.key);
@@ -530,7 +535,7 @@
                 ..*endpoint
             });
         }
-        let is_new = self.retired.len() != before || is_held;
+        let is_new = self.retired.len() != before;
         if is_new {
             self.generation += 1;
             self.rebuild_ring(now);
@@ -538,25 +543,28 @@
         is_new
     }
 
-    /// Holds back listed endpoints that another balancer, which has a list of before the store's
-    /// return from a copy, tells as draining, and returns whether any is new.
-    fn hold_told_endpoints(&mut self, now: Millis, list: &[(Endpoint, Millis)]) -> bool {
-        let is_told = |it: &&(Endpoint, Millis)| {
-            let listed = self.catalog.find_endpoint(it.0.key);
-            it.0.state == EndpointState::Draining
-                && listed.is_some_and(|it| it.state == EndpointState::Ready)
+    /// Holds back entries that another balancer, which had a list before the store came back from a
+    /// copy, tells to be outdated, and returns whether any is new.
+    pub(crate) fn hold_told_entries(&mut self, now: Millis, told: &RetiredList) -> bool {
+        let is_ready = |it: &&Endpoint| {
+            let listed = self.catalog.find_endpoint(it.key);
+            listed.is_some_and(|it| it.state == EndpointState::Ready)
         };
-        let told: Vec<Endpoint> = list.iter().filter(is_told).map(|it| it.0).collect();
-        if told.is_empty() {
+        let endpoints = told.endpoints.iter().map(|it| &it.0).filter(is_ready);
+        let draining = endpoints.filter(|it| it.state == EndpointState::Draining);
+        let draining: Vec<Endpoint> = draining.copied().collect();
+        if draining.is_empty() && told.held_zones.is_empty() {
             return false;
         }
         let held = self
             .held
             .get_or_insert_with(|| HeldEntries::new(now, self.catalog.clone()));
-        let mut is_new = false;
-        for endpoint in &told {
-            is_new |= held.hold_endpoint(endpoint, false);
+        let before = held.len();
+        for endpoint in &draining {
+            held.hold_endpoint(endpoint, false);
         }
+        held.hold_zones(&told.held_zones);
+        let is_new = held.len() != before;
         self.apply_held_entries(now, StoreState::Available);
         is_new
     }
--- a/crates/passthrough/src/catalog_transfer.rs
+++ b/crates/passthrough/src/catalog_transfer.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    Catalog, Endpoint,
+    Catalog, Endpoint, ZoneKey,
     catalog_delta::CatalogDelta,
     message::{Chunk, write_retired_list},
 };
@@ -27,18 +27,32 @@
 
 /// Recently retired endpoints with the time since their removal.
 #[derive(Debug, Default, Serialize, Deserialize)]
-pub(crate) struct RetiredList(pub(crate) Vec<(Endpoint, Millis)>);
+pub(crate) struct RetiredList {
+    /// Endpoints with the time since they left the list. One that drains is listed, but is held back
+    /// after the store came back from an older copy.
+    pub(crate) endpoints: Vec<(Endpoint, Millis)>,
+    /// Zones that stay evacuated after the store came back from an older copy.
+    pub(crate) held_zones: Vec<ZoneKey>,
+}
 
-/// Encodes the retired endpoints into messages and calls `send` with each message.
+/// Encodes the retired endpoints and the zones that are held back into messages and calls `send` with each message.
 pub(crate) fn write_retired_messages(
     now: Millis,
     retired: &[Endpoint],
+    held_zones: &[ZoneKey],
     buffer: &mut Vec<u8>,
     mut send: impl FnMut(&[u8]),
 ) {
-    for part in retired.chunks(RETIRED_PER_MESSAGE) {
-        let aged = |it: &Endpoint| (*it, now.since(it.retired_at.unwrap_or(now)));
-        let list = RetiredList(part.iter().map(aged).collect());
+    let aged = |it: &Endpoint| (*it, now.since(it.retired_at.unwrap_or(now)));
+    let endpoints = retired.chunks(RETIRED_PER_MESSAGE).map(|it| (it, &[][..]));
+    let zones = held_zones
+        .chunks(RETIRED_PER_MESSAGE)
+        .map(|it| (&[][..], it));
+    for (endpoints, zones) in endpoints.chain(zones) {
+        let list = RetiredList {
+            endpoints: endpoints.iter().map(aged).collect(),
+            held_zones: zones.to_vec(),
+        };
         let Ok(bytes) = postcard::to_stdvec(&list) else {
             debug_assert!(false, "a list of endpoints can always be serialized");
             return;
--- a/crates/passthrough/src/store_era.rs
+++ b/crates/passthrough/src/store_era.rs
@@ -101,33 +101,41 @@
         for former in retired {
             self.hold_endpoint(former, former.state == EndpointState::Retired);
         }
-        let is_lost = |it: &&ZoneKey| !self.listed.is_evacuated(**it);
-        let zones = in_force.evacuated_zones.iter().filter(is_lost);
-        self.zones = zones.copied().collect();
+        self.hold_zones(&in_force.evacuated_zones);
         self
     }
 
-    /// Holds back the entry of an endpoint that drains or has left, and returns whether its entry
-    /// says otherwise. The entry of a process that started later is believed.
-    pub(crate) fn hold_endpoint(&mut self, former: &Endpoint, has_left: bool) -> bool {
+    /// Keeps the evacuation of zones that the list lacks.
+    pub(crate) fn hold_zones(&mut self, evacuated: &[ZoneKey]) {
+        for zone in evacuated
+            .iter()
+            .filter(|it| !self.listed.is_evacuated(**it))
+        {
+            if let Err(idx) = self.zones.binary_search(zone) {
+                self.zones.insert(idx, *zone);
+            }
+        }
+    }
+
+    /// Holds back the entry of an endpoint that drains or has left. The entry of a process that
+    /// started later is believed.
+    pub(crate) fn hold_endpoint(&mut self, former: &Endpoint, has_left: bool) {
         if former.state == EndpointState::Ready {
-            return false;
+            return;
         }
         let listed = self.listed.find_endpoint(former.key);
         let Some(first_entry) = listed.filter(|it| {
             it.born_ms == former.born_ms && (has_left || it.state == EndpointState::Ready)
         }) else {
-            return false;
+            return;
         };
         let held = HeldEndpoint {
             first_entry: *first_entry,
             has_left,
         };
-        let Err(idx) = self.find_endpoint(former.key) else {
-            return false;
-        };
-        self.endpoints.insert(idx, held);
-        true
+        if let Err(idx) = self.find_endpoint(former.key) {
+            self.endpoints.insert(idx, held);
+        }
     }
 
     /// Replaces the list by a later one of the same era, and believes what was written meanwhile.
@@ -158,6 +166,10 @@
         self.endpoints.len() + self.zones.len()
     }
 
+    pub(crate) fn zones(&self) -> &[ZoneKey] {
+        &self.zones
+    }
+
     pub(crate) const fn listed(&self) -> &Catalog {
         &self.listed
     }
--- a/crates/passthrough/tests/store_eras.rs
+++ b/crates/passthrough/tests/store_eras.rs
@@ -214,12 +214,22 @@
     let zone = ZoneKey::from_name("b");
     for is_rewritten in [false, true] {
         let mut network = SimNetwork::new(2, 3);
+        network.start_balancer(3);
         let copy = network.catalog.clone();
+        network.isolated.insert(balancer_ip(3));
         let evacuate = |it: &mut Catalog| it.evacuated_zones = vec![zone];
         network.update_catalog(&[0], evacuate);
         network.advance_ms(100);
         network.restore_store(&copy);
         network.update_catalog(&[0], |_| {});
+        // One balancer starts in between, and one was cut off in the lost seconds.
+        network.start_balancer(2);
+        network.isolated.clear();
+        network.advance_ms(100);
+        assert!(in_force(&network, 2).is_evacuated(zone));
+        network.advance_ms(900);
+        assert!(in_force(&network, 3).is_evacuated(zone));
+        assert_eq!(in_force(&network, 3).revision, network.catalog.revision);
         confirm_for(&mut network, REWRITE_TIME_MS / 2);
         // The time in which the operator may write again doesn't pass while the store is away.
         network.advance_ms(2 * REWRITE_TIME_MS);
