--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod ownership;
 pub mod simulation;
 pub mod spread;
+pub mod store_eras;
