--- a/crates/passthrough/tests/store_eras.rs
+++ b/crates/passthrough/tests/store_eras.rs
@@ -152,7 +152,7 @@
     let mut network = SimNetwork::new(1, 3);
     let copy = network.catalog.clone();
     network.update_catalog(&[0], |it| {
-        endpoint_mut(it, 1).state = EndpointState::Draining
+        endpoint_mut(it, 1).state = EndpointState::Draining;
     });
     network.advance_ms(200);
     network.restore_store(&copy);
@@ -167,7 +167,7 @@
     let mut network = SimNetwork::new(1, 2);
     let copy = network.catalog.clone();
     network.update_catalog(&[0], |it| {
-        endpoint_mut(it, 1).state = EndpointState::Draining
+        endpoint_mut(it, 1).state = EndpointState::Draining;
     });
     network.advance_ms(200);
     network.restore_store(&copy);
@@ -329,7 +329,7 @@
     network.disorder = seed;
     let mut copy = network.catalog.clone();
     let mut drained = [None; BALANCERS as usize];
-    let mut seen = [(Revision::default(), SettingsVersion::default()); BALANCERS as usize];
+    let mut latest = [(Revision::default(), SettingsVersion::default()); BALANCERS as usize];
     let mut version = 1;
     for step in 0..90_u64 {
         let reader = u8::try_from((seed + step) % u64::from(BALANCERS)).unwrap();
@@ -360,7 +360,7 @@
             }
             17 | 23 => {
                 network.start_balancer_without_store(reader);
-                seen[usize::from(reader)] = Default::default();
+                latest[usize::from(reader)] = Default::default();
                 drained[usize::from(reader)] = None;
             }
             _ => {}
@@ -370,7 +370,7 @@
             for number in 0..BALANCERS {
                 let catalog = in_force(&network, number);
                 let now = (catalog.revision, catalog.settings_version);
-                let last = &mut seen[usize::from(number)];
+                let last = &mut latest[usize::from(number)];
                 assert!(
                     now.0 >= last.0 && now.1 >= last.1,
                     "{seed}: {now:?} {last:?}"
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -10,8 +10,13 @@
 use rustix::process::Signal;
 
 use crate::{
-    endpoint::Endpoint, network::Network, process::Process, proxy::ConnectionFault,
-    report::RunReport, router::PacketFault, store::Mode,
+    endpoint::Endpoint,
+    network::Network,
+    process::Process,
+    proxy::ConnectionFault,
+    report::RunReport,
+    router::PacketFault,
+    store::{Mode, REWRITE_TIME},
 };
 
 /// Action that ends a fault of the test network.
@@ -26,6 +31,7 @@
     RegisterEndpoint(usize),
     EndGrayFailure(usize),
     ClearPacketFault,
+    ReturnFromCopy,
 }
 
 /// Injects random faults for `fault_time`, then ends all faults that still last.
@@ -40,6 +46,7 @@
     // existed thus still produce the same other faults.
     let mut partial_fault_rng = StdRng::seed_from_u64(rng.clone().random());
     let mut series_rng = StdRng::seed_from_u64(partial_fault_rng.clone().random());
+    let mut era_rng = StdRng::seed_from_u64(series_rng.clone().random());
     let mut recoveries: Vec<(Instant, Recovery)> = Vec::new();
     while Instant::now() < end {
         if rng.random_range(0..20) == 0 {
@@ -63,6 +70,12 @@
         if series_rng.random_range(0..4) == 0 {
             recoveries.extend(inject_series(network, &mut series_rng, report).await);
         }
+        if era_rng.random_range(0..12) == 0 && network.store.take_copy() {
+            let copy_age = Duration::from_millis(era_rng.random_range(300..4_000));
+            let until = Instant::now() + copy_age;
+            report.extend_fault_time(until);
+            recoveries.push((until, Recovery::ReturnFromCopy));
+        }
         report.faults.fetch_add(1, Ordering::Relaxed);
         let pause = Duration::from_millis(rng.random_range(50..900));
         tokio::time::sleep(pause).await;
@@ -288,6 +301,12 @@
                 network.proxies[idx].set_fault(ConnectionFault::None);
                 Ok(())
             }
+            Recovery::ReturnFromCopy => {
+                network.store.return_from_copy().await;
+                report.store_returns.fetch_add(1, Ordering::Relaxed);
+                report.extend_fault_time(Instant::now() + REWRITE_TIME);
+                Ok(())
+            }
             Recovery::RestoreStore => {
                 network.store.set_mode(Mode::Up);
                 Ok(())
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,6 +7,7 @@
 
 mod caller;
 mod endpoint;
+mod eras;
 mod faults;
 mod flags;
 mod network;
@@ -86,6 +87,7 @@
     report.begin_fault_free_phase();
     tokio::time::sleep(FAULT_FREE_TIME).await;
     report.end_fault_free_phase();
+    eras::check_balancers(&network, &report).await;
     // Requests that began in the fault-free phase may run until their deadline.
     tokio::time::sleep(caller::DEADLINE).await;
     network.stop_processes(&report).await;
--- a/crates/soak/src/network.rs
+++ b/crates/soak/src/network.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::{Ipv4Addr, SocketAddrV4, UdpSocket},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket},
     path::{Path, PathBuf},
     sync::{Arc, Mutex},
     time::Duration,
@@ -171,6 +171,12 @@
         });
     }
 
+    /// Returns the addresses at which the balancers tell their readiness and metrics.
+    pub(crate) fn status_addresses(&self) -> Vec<SocketAddr> {
+        let address = |it| SocketAddr::from((balancer_ip(self.subnet, it), READY_PORT));
+        (0..BALANCERS).map(address).collect()
+    }
+
     /// Publishes the operator's settings in the store, under the current settings version.
     pub(crate) fn publish_settings(&self) {
         let route_entry = |(name, address, _): &(&str, SocketAddrV4, u8)| {
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -20,6 +20,8 @@
     pub(crate) resets: AtomicU64,
     pub(crate) log_lines: AtomicU64,
     pub(crate) faults: AtomicU64,
+    /// Number of times that the store came back from an older copy.
+    pub(crate) store_returns: AtomicU64,
     fault_free_served: AtomicU64,
     fault_free_failed: AtomicU64,
     is_fault_free_phase: AtomicBool,
@@ -84,9 +86,10 @@
         let load = |it: &AtomicU64| it.load(Ordering::Relaxed);
         let violations = lock(&self.violations);
         let mut text = format!(
-            "{{\"soak\":{{\"seed\":{seed},\"faults\":{},\"served\":{},\"failed\":{},\"resets\":{},\
+            "{{\"soak\":{{\"seed\":{seed},\"faults\":{},\"store_returns\":{},\"served\":{},\"failed\":{},\"resets\":{},\
              \"calm_served\":{},\"calm_failed\":{},\"log_lines\":{},\"broken\":{}}}}}",
             load(&self.faults),
+            load(&self.store_returns),
             load(&self.served),
             load(&self.failed),
             load(&self.resets),
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -11,13 +11,19 @@
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
 use tokio::{net::TcpListener, sync::Notify};
 
+/// Time for which the store is away before it comes back from a copy.
+const ABSENCE_TIME: Duration = Duration::from_millis(300);
+
+/// Time after the store's return from a copy until what it lost has been written again.
+pub(crate) const REWRITE_TIME: Duration = Duration::from_millis(1_500);
+
 /// How the simulated store handles requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Mode {
@@ -51,8 +57,20 @@
     }
 }
 
+/// An older copy of the store's data.
+#[derive(Debug, Clone)]
+struct DataCopy {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+}
+
 #[derive(Debug)]
 struct State {
+    /// Number of times that the store came back from a copy.
+    era: u16,
+    copy: Option<DataCopy>,
+    /// What was written last under each key, `None` for a removal.
+    written: BTreeMap<String, Option<String>>,
     revision: u64,
     items: BTreeMap<String, Item>,
     /// History of changes; a deletion has no item.
@@ -62,6 +80,24 @@
     mode: Mode,
 }
 
+impl State {
+    fn record_change(&mut self, key: &str, value: Option<String>) {
+        self.written.insert(key.to_owned(), value.clone());
+        self.revision += 1;
+        let revision = self.revision;
+        let old = self.items.remove(key);
+        let item = value.map(|value| Item {
+            created: old.map_or(revision, |it| it.created),
+            revision,
+            value,
+        });
+        if let Some(item) = item.clone() {
+            self.items.insert(key.to_owned(), item);
+        }
+        self.history.push((revision, key.to_owned(), item));
+    }
+}
+
 /// Handle of the simulated store; clones refer to the same store.
 #[derive(Debug, Clone)]
 pub(crate) struct Store {
@@ -72,6 +108,9 @@
 impl Store {
     pub(crate) fn new() -> Self {
         let state = State {
+            era: 0,
+            copy: None,
+            written: BTreeMap::new(),
             revision: 1,
             items: BTreeMap::new(),
             history: Vec::new(),
@@ -127,24 +166,66 @@
         self.changed.notify_waiters();
     }
 
-    fn record_change(&self, key: &str, value: Option<String>) {
+    /// Returns the era of the store's data.
+    pub(crate) fn era(&self) -> u64 {
+        u64::from(self.lock_state().era)
+    }
+
+    /// Takes a copy of the data, from which the store may come back later. Returns whether there was
+    /// none yet.
+    pub(crate) fn take_copy(&self) -> bool {
         let mut state = self.lock_state();
-        state.revision += 1;
-        let revision = state.revision;
-        let old = state.items.remove(key);
-        let item = value.map(|value| Item {
-            created: old.map_or(revision, |it| it.created),
-            revision,
-            value,
+        let is_new = state.copy.is_none();
+        if is_new {
+            state.copy = Some(DataCopy {
+                revision: state.revision,
+                items: state.items.clone(),
+            });
+        }
+        is_new
+    }
+
+    /// Plays a drill: the store is away for a moment and comes back from the copy, in a new era.
+    /// Revisions after the copy's are given out again, and what was written since is written again
+    /// within `REWRITE_TIME`.
+    pub(crate) async fn return_from_copy(&self) {
+        self.set_mode(Mode::Busy);
+        tokio::time::sleep(ABSENCE_TIME).await;
+        let mut state = self.lock_state();
+        if let Some(copy) = state.copy.take() {
+            state.era += 1;
+            state.revision = copy.revision;
+            state.items = copy.items;
+            state.history.retain(|it| it.0 <= copy.revision);
+            state.compacted_revision = state.compacted_revision.min(copy.revision);
+        }
+        drop(state);
+        self.set_mode(Mode::Up);
+        let store = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(REWRITE_TIME).await;
+            store.write_lost_items();
         });
-        if let Some(item) = item.clone() {
-            state.items.insert(key.to_owned(), item);
+    }
+
+    /// Writes what the writers wrote last and the store has lost.
+    fn write_lost_items(&self) {
+        let mut state = self.lock_state();
+        let written = state.written.clone();
+        for (key, value) in written {
+            if state.items.get(&key).map(|it| &it.value) != value.as_ref() {
+                state.record_change(&key, value);
+            }
         }
-        state.history.push((revision, key.to_owned(), item));
         drop(state);
         self.changed.notify_waiters();
     }
 
+    fn record_change(&self, key: &str, value: Option<String>) {
+        self.lock_state().record_change(key, value);
+        self.changed.notify_waiters();
+    }
+
     async fn handle_request(
         &self,
         request: Request<Incoming>,
@@ -152,7 +233,9 @@
         let mode = self.lock_state().mode;
         match mode {
             Mode::Up => {}
-            Mode::Busy => return Ok(json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({}))),
+            Mode::Busy => {
+                return Ok(self.respond(StatusCode::SERVICE_UNAVAILABLE, &json!({})));
+            }
             Mode::Slow => tokio::time::sleep(Duration::from_millis(300)).await,
             Mode::Silent => tokio::time::sleep(Duration::from_mins(1)).await,
         }
@@ -161,9 +244,10 @@
             return Ok(self.respond_to_watch(&query).await);
         }
         let state = self.lock_state();
+        let era = state.era;
         let items: Vec<Value> = state.items.iter().map(|it| it.1.to_json(it.0)).collect();
         let body = json!({"items": items, "has_more": false, "as_of": state.revision});
-        Ok(json_response(StatusCode::OK, &body))
+        Ok(json_response(StatusCode::OK, era, &body))
     }
 
     async fn respond_to_watch(&self, query: &str) -> Response<Full<Bytes>> {
@@ -174,8 +258,8 @@
             let changed = self.changed.notified();
             {
                 let state = self.lock_state();
-                if after < state.compacted_revision {
-                    return json_response(StatusCode::GONE, &json!({}));
+                if after < state.compacted_revision || after > state.revision {
+                    return json_response(StatusCode::GONE, state.era, &json!({}));
                 }
                 let events: Vec<Value> = state
                     .history
@@ -188,7 +272,7 @@
                     .collect();
                 if !events.is_empty() || tokio::time::Instant::now() >= end {
                     let body = json!({"events": events, "as_of": state.revision});
-                    return json_response(StatusCode::OK, &body);
+                    return json_response(StatusCode::OK, state.era, &body);
                 }
             }
             // A change in the store or the end of the wait resumes the loop, which checks for
@@ -197,6 +281,10 @@
         }
     }
 
+    fn respond(&self, status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
+        json_response(status, self.lock_state().era, body)
+    }
+
     fn lock_state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -209,8 +297,11 @@
     value.and_then(|it| it.parse().ok()).unwrap_or(0)
 }
 
-fn json_response(status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
+fn json_response(status: StatusCode, era: u16, body: &Value) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
     *response.status_mut() = status;
     response
+        .headers_mut()
+        .insert("store-era", HeaderValue::from(era));
+    response
 }
--- a/crates/spec/src/store_eras.rs
+++ b/crates/spec/src/store_eras.rs
@@ -95,8 +95,8 @@
     /// Whether the endpoint is kept draining against the list.
     holds_drain: bool,
     has_seen_drain: bool,
-    has_reverted: bool,
-    has_refused_store: bool,
+    /// A step that violated an invariant.
+    fault: Option<Violation>,
 }
 
 impl Balancer {
@@ -125,7 +125,9 @@
             Mutation::TakeOlderSettings if is_newer => list.items.version,
             _ => version.max(list.items.version),
         };
-        self.has_reverted |= self.version < version;
+        if self.version < version {
+            self.fault = Some(Violation::SettingsReverted);
+        }
         self.has_seen_drain |= self.drains();
     }
 }
@@ -269,7 +271,9 @@
         }
         balancer.take_list(list, mutation);
         let held = balancer.listed;
-        balancer.has_refused_store = (held.era, held.number) != (store.era, store.number);
+        if (held.era, held.number) != (store.era, store.number) {
+            balancer.fault = Some(Violation::NotConverged);
+        }
     }
 
     fn violation(&self) -> Option<Violation> {
@@ -283,8 +287,8 @@
                 })
         };
         for balancer in &self.balancers {
-            if balancer.has_reverted {
-                return Some(Violation::SettingsReverted);
+            if balancer.fault.is_some() {
+                return balancer.fault;
             }
             if balancer.has_seen_drain && !balancer.drains() {
                 return Some(Violation::Reopened);
@@ -294,7 +298,7 @@
             }
             let knows_all = balancer.listed == self.store && self.is_rewritten();
             let in_force = (balancer.version, balancer.drains());
-            if balancer.has_refused_store || knows_all && in_force != self.written {
+            if knows_all && in_force != self.written {
                 return Some(Violation::NotConverged);
             }
         }
