Merge the eras of the store

The lists of entries that are held back go the way of the lists of retired endpoints, which are paced and bounded; the proof of a flow's end starts anew with each era; a message that can't be dated, or of an era that was left, confirms nothing.

--- a/crates/passthrough-node/src/catalog_source.rs
+++ b/crates/passthrough-node/src/catalog_source.rs
@@ -8,7 +8,7 @@
     sync::{mpsc, watch},
     task::JoinSet,
 };
-use units::{Millis, Revision};
+use units::{Millis, Revision, StoreEra};
 
 use crate::{
     ChangeSeen, EventLog, ReadSchedule, clock,
@@ -46,6 +46,13 @@
         revision: Revision,
     ) -> impl Future<Output = Result<bool, Self::Error>> + Send;
 
+    /// Tells the source of an era that another process has seen, so that it refuses data of older
+    /// ones.
+    fn expect_era(&mut self, era: StoreEra);
+
+    /// Returns the era of the latest catalog or confirmation.
+    fn era(&self) -> StoreEra;
+
     /// Removes and returns the invalid items that were skipped since the last call, each once.
     fn take_skipped_items(&mut self) -> Vec<Self::SkippedItem>;
 
@@ -67,6 +74,8 @@
     pub(crate) answered_at: Millis,
     /// The changed catalog, or `None` if the source confirmed the previous one.
     pub(crate) catalog: Option<Catalog>,
+    /// The source's era at the read.
+    pub(crate) era: StoreEra,
     /// Number of calls made to the source so far.
     pub(crate) calls: u64,
     /// Number of invalid items that were skipped so far.
@@ -95,6 +104,7 @@
 pub(crate) async fn read_while_enabled<S: CatalogSource>(
     mut source: S,
     mut reading_enabled: watch::Receiver<bool>,
+    newest_era: watch::Receiver<StoreEra>,
     updates: mpsc::Sender<SourceUpdate>,
     log: EventLog,
 ) {
@@ -108,6 +118,7 @@
             }
             schedule.resume();
         }
+        source.expect_era(*newest_era.borrow());
         let called_at = clock::now();
         let wait = schedule.wait();
         let result = if schedule.has_read() {
@@ -154,6 +165,7 @@
                 let update = SourceUpdate {
                     answered_at,
                     catalog,
+                    era: source.era(),
                     calls,
                     skipped_items,
                 };
--- a/crates/passthrough-node/tests/first_read.rs
+++ b/crates/passthrough-node/tests/first_read.rs
@@ -10,7 +10,7 @@
 
 use passthrough::Catalog;
 use passthrough_node::{CatalogSource, read_first_catalog};
-use units::{Millis, Revision};
+use units::{Millis, Revision, StoreEra};
 
 /// Maximum number of calls with which a process that starts burdens the source at the same time.
 const READS_MAX: usize = 4;
@@ -53,6 +53,16 @@
         Vec::new()
     }
 
+    fn expect_era(&mut self, _era: StoreEra) {}
+
+    fn era(&self) -> StoreEra {
+        StoreEra::default()
+    }
+
+    fn take_operator_requests(&mut self) -> Vec<String> {
+        Vec::new()
+    }
+
     fn call_count(&self) -> u64 {
         0
     }
--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -4,6 +4,7 @@
 mod cold_start;
 mod counters;
 mod deliveries;
+mod drain_guard;
 mod health;
 mod held_flow;
 mod held_flows;
@@ -12,7 +13,7 @@
 
 use std::{marker::PhantomData, net::Ipv4Addr};
 
-use units::{Millis, PerSecond, Slots};
+use units::{Millis, PerSecond, Revision, Slots};
 
 pub use counters::AgentCounters;
 
@@ -29,6 +30,7 @@
 };
 use cold_start::{ColdStartPacer, StatedStart, Warmth};
 use deliveries::{Delivery, PendingDeliveries};
+use drain_guard::DrainGuard;
 use health::EndpointHealth;
 use held_flow::Phase;
 use held_flows::HeldFlows;
@@ -66,6 +68,7 @@
     is_evacuated: bool,
     /// Catalog revision that `state` comes from; state notices of older revisions are ignored.
     revision: u64,
+    drain_guard: DrainGuard,
     /// Whether the agent's process is shutting down.
     stopping: bool,
     /// Time of the latest state notice from each balancer, sorted by the balancer's address.
@@ -94,6 +97,7 @@
             state: EndpointState::Ready,
             is_evacuated: false,
             revision: 0,
+            drain_guard: DrainGuard::default(),
             stopping: false,
             balancers: Vec::new(),
             report_turn: 0,
@@ -588,7 +592,8 @@
         out: &mut impl Outbox,
     ) {
         self.record_balancer_notice(now, sender);
-        if notice.service == self.config.service && notice.revision >= self.revision {
+        let is_news = notice.service == self.config.service && notice.revision >= self.revision;
+        if is_news && !self.drain_guard.refuses(now, self.state, &notice) {
             let changed = self.state != notice.state || self.is_evacuated != notice.is_evacuated;
             if self.is_evacuated && !notice.is_evacuated {
                 self.cold_start.suspect_start(now);
@@ -610,7 +615,7 @@
                     state: notice.state,
                     slots: notice.slots,
                     is_evacuated: notice.is_evacuated,
-                    revision: notice.revision,
+                    revision: Revision::new(notice.revision).number(),
                 });
             }
             self.report_warmth(now, out);
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -16,6 +16,7 @@
 mod retired_answers;
 mod retired_sync;
 mod routing;
+mod store_eras;
 mod transfers;
 mod uploads;
 mod zones;
@@ -43,6 +44,7 @@
 use peers::Peers;
 use retired_answers::RetiredAnswers;
 use retired_sync::RetiredSync;
+use store_eras::EraTracker;
 use transfers::TransferQueue;
 use uploads::UploadLimiter;
 use zones::ZonesOutOfUse;
@@ -117,6 +119,7 @@
     retired_answers: RetiredAnswers,
     former_target_sync: FormerTargetSync,
     zones_out_of_use: ZonesOutOfUse,
+    eras: EraTracker,
     stopping: bool,
     is_standby: bool,
     /// Time at which the store became reachable again after an outage.
@@ -172,6 +175,7 @@
             retired_answers: RetiredAnswers::default(),
             former_target_sync: FormerTargetSync::default(),
             zones_out_of_use: ZonesOutOfUse::default(),
+            eras: EraTracker::default(),
             stopping: false,
             is_standby: false,
             store_recovered_at: None,
@@ -310,7 +314,10 @@
                 .remove_expired_flows(now, self.view.catalog().idle_timeout_ms);
             self.lookups.remove_expired_lookups(now);
             self.view.remove_expired_former_targets(now);
-            if self.view.prune_retired_endpoints(now) {
+            let is_released = self
+                .confirmed_at
+                .is_some_and(|it| self.view.release_held_entries(now, it));
+            if self.view.prune_retired_endpoints(now) || is_released {
                 self.agents.update_endpoints(now, &self.view);
             }
             self.send_state_notices(now, out);
--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -7,6 +7,7 @@
 use crate::{
     Catalog, CatalogView, Endpoint, EndpointState, Event, Outbox, ServiceKey, ZoneKey,
     message::{AcceptLimits, LoadReport, UTILIZATION_CLOSED, UTILIZATION_FULL, Utilization},
+    store_era::is_registered_after,
 };
 
 /// Time for which a notice remains unanswered until the agent counts as lost. By then, two more
@@ -376,7 +377,7 @@
             let is_gone =
                 it.endpoint.state == EndpointState::Retired && it.is_unanswered(now, LOST_AFTER_MS);
             is_gone
-                || it.registered_at > routes_known_since
+                || is_registered_after(it.registered_at, routes_known_since)
                 || it.lists_every_route
                 || services.contains(&it.endpoint.service)
         };
--- a/crates/passthrough/src/balancer/catalog_sync.rs
+++ b/crates/passthrough/src/balancer/catalog_sync.rs
@@ -127,7 +127,7 @@
         revision: Revision,
         out: &mut impl Outbox,
     ) {
-        if revision != self.view.catalog().revision {
+        if revision != self.view.catalog().revision || self.is_era_left() {
             return;
         }
         self.record_confirmation(asked_at);
@@ -168,6 +168,9 @@
         let base = self.view.catalog().revision;
         let replaced =
             catalog.is_some_and(|it| self.apply_catalog(now, it, CatalogOrigin::Store, out));
+        if self.is_era_left() {
+            return replaced;
+        }
         let is_awaited = self.is_confirmation_awaited(answered_at);
         self.record_confirmation(answered_at);
         let targets = self.forwarding_targets(now, CatalogOrigin::Store);
@@ -230,7 +233,7 @@
     fn encode_transfer(&mut self, base: Revision) -> Option<EncodedTransfer> {
         let revision = self.view.catalog().revision;
         let content = self.view.delta_since(base).map_or_else(
-            || TransferContent::Whole(self.view.catalog().clone()),
+            || TransferContent::Whole(self.view.listed().clone()),
             TransferContent::Delta,
         );
         match &content {
@@ -280,7 +283,11 @@
         source: CatalogOrigin,
         out: &mut impl Outbox,
     ) -> bool {
-        let revision = catalog.revision;
+        let (revision, base) = (catalog.revision, self.view.catalog().revision);
+        if self.is_of_left_era(revision) {
+            return false;
+        }
+        let is_new_era = self.detect_new_era(now, revision);
         let store = match self.store_recovered_at {
             Some(at) if now.since(at) <= ENTRY_RENEWAL_MS => StoreState::RecoveredAt(at),
             _ => StoreState::Available,
@@ -289,8 +296,10 @@
             let in_force = self.view.catalog().revision;
             if revision < in_force {
                 out.report_event(Event::CatalogIgnored {
-                    revision: revision.get(),
-                    in_force: in_force.get(),
+                    revision: revision.number(),
+                    in_force: in_force.number(),
+                    era: revision.era().get(),
+                    era_in_force: in_force.era().get(),
                 });
             }
             return false;
@@ -298,9 +307,14 @@
         if self.has_settings() {
             self.record_settings(now);
         }
+        if is_new_era {
+            self.report_new_era(base, out);
+            let targets = self.forwarding_targets(now, source);
+            self.tell_held_entries(now, &targets, out);
+        }
         let catalog = self.view.catalog();
         out.report_event(Event::CatalogInForce {
-            revision: catalog.revision.get(),
+            revision: catalog.revision.number(),
             settings_version: catalog.settings_version.get(),
             routes: catalog.routes.len(),
             endpoints: catalog.endpoints.len(),
@@ -368,6 +382,8 @@
         let all_listed = former_targets.len() == self.view.former_targets().as_slice().len();
         let digest = Digest {
             revision: revision.get(),
+            newest_era: self.newest_era(),
+            settings_version: self.view.catalog().settings_version.get(),
             confirmed_age_ms: self.confirmed_age_ms(now),
             mark: self.clock_mark(now, peer),
             request: match purpose {
@@ -409,6 +425,7 @@
     ) {
         self.peers.record_status(now, peer, now, digest.status, out);
         self.peers.record_stamp(now, peer, digest.mark.stamp);
+        self.observe_era(digest.newest_era);
         for member in digest.members {
             if member.address() != self.config.address {
                 self.peers.record_member(now, *member, out);
@@ -432,9 +449,16 @@
         }
         let wants_answer = digest.request == DigestRequest::Answer;
         if digest.request == DigestRequest::Changes && digest.revision < own {
-            self.push_changes(now, Revision::new(digest.revision), &[peer], out);
+            let base = Revision::new(digest.revision);
+            self.push_changes(now, base, &[peer], out);
+            if base.era() < self.view.catalog().revision.era() {
+                self.tell_held_entries(now, &[peer], out);
+            }
         } else if digest.revision > own {
             self.pull_changes(now, peer, out);
+        } else if self.lacks_settings_of(&digest) {
+            self.assembler.needs_whole_catalog = true;
+            self.pull_changes(now, peer, out);
         } else if wants_answer && !is_answered && digest.revision < own {
             self.send_digest(now, peer, DigestPurpose::Confirmation, out);
         }
@@ -461,7 +485,7 @@
         self.peers.record_stamp(now, peer, chunk.mark.stamp);
         let revision = Revision::new(chunk.revision);
         let base = self.view.catalog().revision;
-        if revision <= base {
+        if revision <= base && !self.assembler.needs_whole_catalog {
             return;
         }
         let Some(content) = self.assembler.add_chunk(now, &chunk) else {
@@ -476,7 +500,12 @@
             return;
         }
         self.assembler.needs_whole_catalog = false;
-        self.assembler.drop_outdated(revision);
+        let in_force = self.view.catalog().revision;
+        self.assembler.drop_outdated(in_force);
+        if in_force == base {
+            self.stalled_since_confirmation = own_stalls;
+            return;
+        }
         // The store's answer with this revision is younger than its confirmation of an earlier one, so
         // the latest confirmation's age holds for a chunk that can't be dated, too.
         match self.date_confirmation(now, revision, chunk.confirmed_age_ms, chunk.mark) {
@@ -501,7 +530,7 @@
             }
             TransferContent::Delta(delta) => {
                 let applies = delta.applies_to(self.view.catalog().revision);
-                let catalog = delta.apply(self.view.catalog());
+                let catalog = delta.apply(self.view.listed());
                 if applies && catalog.is_none() {
                     self.counters.deltas_diverged += 1;
                     self.assembler.needs_whole_catalog = true;
@@ -520,6 +549,7 @@
             .is_some_and(|it| at.since(it).since(own_stalls) > STORE_OUTAGE_MIN_MS);
         if was_unavailable {
             self.store_recovered_at = Some(at);
+            self.view.extend_held_entries(at);
         }
     }
 
--- a/crates/passthrough/src/balancer/confirmation.rs
+++ b/crates/passthrough/src/balancer/confirmation.rs
@@ -82,7 +82,7 @@
         age_ms: u32,
         mark: ClockMark,
     ) -> Option<Millis> {
-        if revision != self.view.catalog().revision || age_ms == u32::MAX {
+        if revision != self.view.catalog().revision || age_ms == u32::MAX || self.is_era_left() {
             return None;
         }
         let age = Millis::new(u64::from(age_ms));
--- a/crates/passthrough/src/balancer/retired_sync.rs
+++ b/crates/passthrough/src/balancer/retired_sync.rs
@@ -17,7 +17,7 @@
 
 use super::{Balancer, catalog_sync::DigestPurpose};
 use crate::{
-    DropReason, EndpointKey, Outbox, PacketFormat, ZoneKey,
+    DropReason, Endpoint, EndpointKey, Outbox, PacketFormat, ZoneKey,
     catalog_transfer::{RETIRED_PER_MESSAGE, RetiredList, write_retired_message},
     message::{Digest, DigestRequest},
 };
@@ -399,27 +399,57 @@
             .record_digest(peer, digest, self.config.zone);
         self.ask_for_retired_endpoints(now, out);
         if digest.request == DigestRequest::Retired {
-            self.retired_answers
-                .push_answer(peer, self.view.retired_endpoints());
-            self.send_retired_answers(now, out);
+            self.tell_retired_endpoints(now, peer, out);
             return true;
         }
         if !digest.wants_retired || digest.request != DigestRequest::Answer {
             return false;
         }
-        let retired = self.view.retired_endpoints();
-        if retired.len() > RETIRED_PER_MESSAGE {
+        let endpoints = self.endpoints_to_tell();
+        if endpoints.len() > RETIRED_PER_MESSAGE {
             self.send_digest(now, peer, DigestPurpose::Reply, out);
             return true;
         }
-        let count = u16::try_from(retired.len()).unwrap_or(u16::MAX);
-        if write_retired_message(now, retired, &mut self.scratch) {
+        let count = u16::try_from(endpoints.len()).unwrap_or(u16::MAX);
+        self.send_held_zones(now, peer, out);
+        if write_retired_message(now, &endpoints, &[], &mut self.scratch) {
             out.send_to_peer(peer, &self.scratch);
         }
         self.send_digest(now, peer, DigestPurpose::RetiredTold(count), out);
         true
     }
 
+    /// Returns the endpoints that left the list, and those whose entries are held back.
+    fn endpoints_to_tell(&self) -> Vec<Endpoint> {
+        let mut endpoints = self.view.retired_endpoints().to_vec();
+        endpoints.extend(self.view.held_back_endpoints());
+        endpoints
+    }
+
+    /// Queues the list of endpoints that left the list, with the entries that are held back, for
+    /// another balancer.
+    pub(super) fn tell_retired_endpoints(
+        &mut self,
+        now: Millis,
+        peer: Ipv4Addr,
+        out: &mut impl Outbox,
+    ) {
+        self.send_held_zones(now, peer, out);
+        let endpoints = self.endpoints_to_tell();
+        self.retired_answers.push_answer(peer, &endpoints);
+        self.send_retired_answers(now, out);
+    }
+
+    /// Tells another balancer the zones that stay evacuated after the store came back from an older
+    /// copy.
+    fn send_held_zones(&mut self, now: Millis, peer: Ipv4Addr, out: &mut impl Outbox) {
+        for zones in self.view.held_back_zones().chunks(RETIRED_PER_MESSAGE) {
+            if write_retired_message(now, &[], zones, &mut self.scratch) {
+                out.send_to_peer(peer, &self.scratch);
+            }
+        }
+    }
+
     /// Sends the parts of lists for which the link has capacity.
     pub(super) fn send_retired_answers(&mut self, now: Millis, out: &mut impl Outbox) {
         while let Some(part) = self.retired_answers.next_part() {
@@ -427,7 +457,7 @@
                 return;
             }
             let peer = part.peer;
-            if write_retired_message(now, part.endpoints, &mut self.scratch) {
+            if write_retired_message(now, part.endpoints, &[], &mut self.scratch) {
                 out.send_to_peer(peer, &self.scratch);
             }
             if let Some(count) = self.retired_answers.advance() {
@@ -449,12 +479,13 @@
         list: &[u8],
         out: &mut impl Outbox,
     ) {
-        let Ok(RetiredList(list)) = postcard::from_bytes(list) else {
+        let Ok(list) = postcard::from_bytes::<RetiredList>(list) else {
             return self.drop_packet(DropReason::Malformed, out);
         };
-        let keys = list.iter().map(|it| it.0.key);
+        let keys = list.endpoints.iter().map(|it| it.0.key);
         self.retired_sync.record_list(now, peer, keys);
-        if self.view.add_retired_endpoints(now, &list) {
+        let is_held = self.view.hold_told_entries(now, &list);
+        if self.view.add_retired_endpoints(now, &list.endpoints) || is_held {
             self.agents.update_endpoints(now, &self.view);
             self.lookups
                 .schedule_outdated_retries(now, self.view.endpoint_generation());
--- a/crates/passthrough/src/catalog.rs
+++ b/crates/passthrough/src/catalog.rs
@@ -13,9 +13,11 @@
 use crate::{
     Flow,
     catalog_delta::{CatalogDelta, ChangeLog},
+    catalog_transfer::RetiredList,
     former_targets::{FormerTarget, FormerTargets},
     rendezvous,
     settings_history::SettingsHistory,
+    store_era::{self, HeldEntries},
 };
 
 /// Time for which an endpoint may hold flows after it was removed from the catalog.
@@ -376,6 +378,9 @@
     /// Listed and retired endpoints, sorted by service and position on the service's hash ring.
     ring: Vec<RingEntry>,
     changes: ChangeLog,
+    /// Entries that are held back after the store came back from an older copy, with the list as the
+    /// store has it. Without them, `catalog` is that list.
+    held: Option<HeldEntries>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -386,17 +391,54 @@
 }
 
 impl CatalogView {
-    /// Applies a catalog if it is newer than the current one, and returns whether it was.
+    /// Applies a catalog if its list or its settings are newer than the current ones, and returns
+    /// whether they were.
+    ///
+    /// The list is ordered by its revision and the settings by their version, so that older settings
+    /// of a store that came back from a copy are not taken. Entries of such a store that are known
+    /// to be outdated are held back.
     ///
     /// Endpoints that the new catalog no longer lists are kept as retired. If the store has just
     /// recovered from an outage, these endpoints keep their state for some time, since entries of
     /// running endpoints may have lapsed.
     pub fn replace_catalog(&mut self, now: Millis, catalog: Catalog, store: StoreState) -> bool {
-        if catalog.revision <= self.catalog.revision
-            || catalog.settings_version < self.catalog.settings_version
-        {
+        let in_force = self.catalog.revision;
+        let Some(listed) = store_era::merge_lists(self.listed(), catalog) else {
             return false;
+        };
+        self.changes.record_replacement(
+            self.held
+                .as_ref()
+                .map_or(&self.catalog, HeldEntries::listed),
+            &listed,
+        );
+        if in_force != Revision::default() && listed.revision.era() > in_force.era() {
+            let held = HeldEntries::new(now, listed);
+            self.held = Some(held.with_former(&self.catalog, &self.retired));
+        } else if let Some(held) = &mut self.held {
+            held.replace_list(listed);
+        } else {
+            self.put_in_force(now, listed, store);
+            return true;
+        }
+        self.apply_held_entries(now, store);
+        true
+    }
+
+    /// Puts the list with its held entries into force; without any, the list itself.
+    fn apply_held_entries(&mut self, now: Millis, store: StoreState) {
+        let Some(held) = self.held.take() else {
+            return;
+        };
+        if held.is_empty() {
+            return self.put_in_force(now, held.into_listed(), store);
         }
+        let catalog = held.list_in_force();
+        self.held = Some(held);
+        self.put_in_force(now, catalog, store);
+    }
+
+    fn put_in_force(&mut self, now: Millis, catalog: Catalog, store: StoreState) {
         let is_known = |it: &Endpoint| {
             self.catalog.find_endpoint(it.key).is_some()
                 || self.retired.iter().any(|old| old.key == it.key)
@@ -429,15 +471,55 @@
         }
         self.retired
             .retain(|it| catalog.find_endpoint(it.key).is_none());
-        self.changes.record_replacement(&self.catalog, &catalog);
         self.catalog = catalog;
         self.rebuild_ring(now);
+    }
+
+    /// Returns the list as the store has it, without entries that are held back.
+    pub(crate) fn listed(&self) -> &Catalog {
+        self.held
+            .as_ref()
+            .map_or(&self.catalog, HeldEntries::listed)
+    }
+
+    /// Returns the number of endpoints and zones whose entries are held back after the store came
+    /// back from an older copy.
+    #[must_use]
+    pub fn held_back_count(&self) -> usize {
+        self.held.as_ref().map_or(0, HeldEntries::len)
+    }
+
+    /// Returns the endpoints that other balancers should not use although they are listed.
+    pub(crate) fn held_back_endpoints(&self) -> Vec<Endpoint> {
+        let held = self.held.iter().flat_map(HeldEntries::endpoints);
+        held.collect()
+    }
+
+    /// Returns the zones that stay evacuated although they aren't listed.
+    pub(crate) fn held_back_zones(&self) -> &[ZoneKey] {
+        self.held.as_ref().map_or(&[], HeldEntries::zones)
+    }
+
+    /// Keeps entries held back for longer, since the store was away again.
+    pub(crate) fn extend_held_entries(&mut self, recovered_at: Millis) {
+        if let Some(held) = &mut self.held {
+            held.restart(recovered_at);
+        }
+    }
+
+    /// Believes the store's list if it was confirmed after all writes of before were due again, and
+    /// returns whether entries had been held back.
+    pub(crate) fn release_held_entries(&mut self, now: Millis, confirmed_at: Millis) -> bool {
+        let Some(held) = self.held.take_if(|it| it.is_over(confirmed_at)) else {
+            return false;
+        };
+        self.put_in_force(now, held.into_listed(), StoreState::Available);
         true
     }
 
     /// Returns the changes since a revision, or `None` if they are no longer known.
     pub(crate) fn delta_since(&self, base: Revision) -> Option<CatalogDelta> {
-        self.changes.delta_since(base, &self.catalog)
+        self.changes.delta_since(base, self.listed())
     }
 
     /// Adds retired endpoints that another balancer reported, with the time since their removal.
@@ -475,6 +557,32 @@
         is_new
     }
 
+    /// Holds back entries that another balancer, which had a list before the store came back from a
+    /// copy, tells to be outdated, and returns whether any is new.
+    pub(crate) fn hold_told_entries(&mut self, now: Millis, told: &RetiredList) -> bool {
+        let is_ready = |it: &&Endpoint| {
+            let listed = self.catalog.find_endpoint(it.key);
+            listed.is_some_and(|it| it.state == EndpointState::Ready)
+        };
+        let endpoints = told.endpoints.iter().map(|it| &it.0).filter(is_ready);
+        let draining = endpoints.filter(|it| it.state == EndpointState::Draining);
+        let draining: Vec<Endpoint> = draining.copied().collect();
+        if draining.is_empty() && told.held_zones.is_empty() {
+            return false;
+        }
+        let held = self
+            .held
+            .get_or_insert_with(|| HeldEntries::new(now, self.catalog.clone()));
+        let before = held.len();
+        for endpoint in &draining {
+            held.hold_endpoint(endpoint, false);
+        }
+        held.hold_zones(&told.held_zones);
+        let is_new = held.len() != before;
+        self.apply_held_entries(now, StoreState::Available);
+        is_new
+    }
+
     /// Adds services that routes led to before, as other processes reported them, and returns whether
     /// any of them was unknown.
     pub(crate) fn add_former_targets(
--- a/crates/passthrough/src/catalog_transfer.rs
+++ b/crates/passthrough/src/catalog_transfer.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    Catalog, Endpoint,
+    Catalog, Endpoint, ZoneKey,
     catalog_delta::CatalogDelta,
     clock_echo::ClockMark,
     message::{Chunk, write_retired_list},
@@ -28,20 +28,30 @@
 
 /// Recently retired endpoints with the time since their removal.
 #[derive(Debug, Default, Serialize, Deserialize)]
-pub(crate) struct RetiredList(pub(crate) Vec<(Endpoint, Millis)>);
+pub(crate) struct RetiredList {
+    /// Endpoints with the time since they left the list. One that drains is listed, but is held back
+    /// after the store came back from an older copy.
+    pub(crate) endpoints: Vec<(Endpoint, Millis)>,
+    /// Zones that stay evacuated after the store came back from an older copy.
+    pub(crate) held_zones: Vec<ZoneKey>,
+}
 
-/// Encodes at most `RETIRED_PER_MESSAGE` retired endpoints into a message, and returns whether there are
-/// any.
+/// Encodes at most `RETIRED_PER_MESSAGE` retired endpoints and as many zones that are held back into a
+/// message, and returns whether there are any.
 pub(crate) fn write_retired_message(
     now: Millis,
     retired: &[Endpoint],
+    held_zones: &[ZoneKey],
     buffer: &mut Vec<u8>,
 ) -> bool {
-    if retired.is_empty() {
+    if retired.is_empty() && held_zones.is_empty() {
         return false;
     }
     let aged = |it: &Endpoint| (*it, now.since(it.retired_at.unwrap_or(now)));
-    let list = RetiredList(retired.iter().map(aged).collect());
+    let list = RetiredList {
+        endpoints: retired.iter().map(aged).collect(),
+        held_zones: held_zones.to_vec(),
+    };
     let Ok(bytes) = postcard::to_stdvec(&list) else {
         debug_assert!(false, "a list of endpoints can always be serialized");
         return false;
--- a/crates/passthrough/src/lib.rs
+++ b/crates/passthrough/src/lib.rs
@@ -23,6 +23,7 @@
 mod rendezvous;
 mod segment;
 mod settings_history;
+mod store_era;
 
 pub use agent::{Agent, AgentConfig, AgentCounters};
 pub use balancer::{Balancer, BalancerConfig, BalancerCounters};
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -16,7 +16,7 @@
     proxy::ConnectionFault,
     report::RunReport,
     router::PacketFault,
-    store::Mode,
+    store::{Mode, REWRITE_TIME},
 };
 
 /// Action that ends a fault of the test network.
@@ -32,6 +32,7 @@
     EndGrayFailure(usize),
     ClearPacketFault,
     TakeZoneBack(&'static str),
+    ReturnFromCopy,
 }
 
 /// Injects random faults for `fault_time`, then ends all faults that still last.
@@ -47,6 +48,7 @@
     let mut partial_fault_rng = StdRng::seed_from_u64(rng.clone().random());
     let mut series_rng = StdRng::seed_from_u64(partial_fault_rng.clone().random());
     let mut zone_rng = StdRng::seed_from_u64(series_rng.clone().random());
+    let mut era_rng = StdRng::seed_from_u64(zone_rng.clone().random());
     let mut recoveries: Vec<(Instant, Recovery)> = Vec::new();
     while Instant::now() < end {
         if rng.random_range(0..20) == 0 {
@@ -80,6 +82,12 @@
             report.extend_fault_time(until);
             recoveries.push((until, Recovery::TakeZoneBack(zone)));
         }
+        if era_rng.random_range(0..12) == 0 && network.store.take_copy() {
+            let copy_age = Duration::from_millis(era_rng.random_range(300..4_000));
+            let until = Instant::now() + copy_age;
+            report.extend_fault_time(until);
+            recoveries.push((until, Recovery::ReturnFromCopy));
+        }
         report.faults.fetch_add(1, Ordering::Relaxed);
         let pause = Duration::from_millis(rng.random_range(50..900));
         tokio::time::sleep(pause).await;
@@ -315,6 +323,12 @@
                 network.proxies[idx].set_fault(ConnectionFault::None);
                 Ok(())
             }
+            Recovery::ReturnFromCopy => {
+                network.store.return_from_copy().await;
+                report.store_returns.fetch_add(1, Ordering::Relaxed);
+                report.extend_fault_time(Instant::now() + REWRITE_TIME);
+                Ok(())
+            }
             Recovery::RestoreStore => {
                 network.store.set_mode(Mode::Up);
                 Ok(())
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod ownership;
 pub mod simulation;
 pub mod spread;
+pub mod store_eras;
