Divide an opening's candidates among the availability zones by load

Cause: the list of eight candidates began with the balancer's own zone. With thirteen endpoints there it never left the zone, so at a crest openings queued in one zone, and long flows stayed in it, while another zone had free slots.

Change: a crate beside passthrough, placement, plans the list from the reported loads. The own zone comes first while it has room; a few endpoints of other zones end the list, for crests that the reports don't show yet. A crowded own zone shares the list with others, and the share of openings that start elsewhere grows with the zone's excess over the mean, in running requests or in long flows, so that balancers with the same reports don't all turn at once. Agents decide as before.

Ruled out: an order by reported load alone. A report is up to a second old, thirty times as long as a request runs, and all balancers would pick the same endpoint.

--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -2,6 +2,7 @@
 
 use std::{cmp::Reverse, net::Ipv4Addr, ops::Range};
 
+use placement::{EndpointLoad, ZoneLoads};
 use units::{Millis, Revision};
 
 use crate::{
@@ -314,6 +315,28 @@
         }
     }
 
+    /// Returns the reported loads of the endpoints in `subset` by availability zone.
+    pub(crate) fn zone_loads(&self, now: Millis, subset: &[Endpoint]) -> ZoneLoads {
+        let mut loads = ZoneLoads::default();
+        for endpoint in subset {
+            let Some(state) = self.find_agent(endpoint.agent_address()) else {
+                continue;
+            };
+            if state.utilization == UTILIZATION_CLOSED
+                || now.since(state.utilization_at) > UTILIZATION_TTL_MS
+            {
+                continue;
+            }
+            let AverageUtilization { utilization, idle } = state.average;
+            let load = EndpointLoad {
+                working: utilization.saturating_sub(idle),
+                idle,
+            };
+            loads.record_endpoint(endpoint.zone.get(), load);
+        }
+        loads
+    }
+
     /// Returns whether the endpoints of all services but `services` can only hold flows of routes that
     /// are known to lead or to have led to their service.
     ///
--- a/crates/passthrough/src/balancer/counters.rs
+++ b/crates/passthrough/src/balancer/counters.rs
@@ -17,6 +17,10 @@
     pub openings_repeated: u64,
     /// Opening packets abandoned because the caller has given up.
     pub openings_expired: u64,
+    /// Openings whose candidates were half of other zones, because the own zone was crowded.
+    pub openings_shared: u64,
+    /// Openings offered to another zone first, because the own zone was more loaded than others.
+    pub openings_spilled: u64,
     /// Lookups of the endpoint that holds a flow.
     pub lookups: u64,
     /// Lookups in which all asked agents replied that their endpoints don't hold the flow.
@@ -51,12 +55,14 @@
 
     /// Returns the balancer's metric names with their counter values.
     #[must_use]
-    pub const fn named_values(&self) -> [(&'static str, u64); 12] {
+    pub const fn named_values(&self) -> [(&'static str, u64); 14] {
         [
             ("caller_packets", self.packets),
             ("openings", self.openings),
             ("openings_repeated", self.openings_repeated),
             ("openings_expired", self.openings_expired),
+            ("openings_shared", self.openings_shared),
+            ("openings_spilled", self.openings_spilled),
             ("lookups", self.lookups),
             ("lookups_failed", self.lookups_failed),
             ("resets_sent", self.resets),
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -3,6 +3,7 @@
 
 use std::net::Ipv4Addr;
 
+use placement::{CandidatePlan, PlanKind};
 use units::Millis;
 
 use super::{Balancer, HOLD_STEP_MS, openings::PendingOpening};
@@ -11,9 +12,9 @@
     ServiceKey,
     catalog::{LOOKUP_SUBSET_MAX, PLACEMENT_SUBSET_MAX},
     message::{
-        AcceptLimits, Candidate, Candidates, FlowHeld, FlowNotHeld, Forward, Instances,
-        LookupRequest, PacketClass, Returned, lookup_agents_per_request, write_forwarded_packet,
-        write_lookup_request,
+        AcceptLimits, CANDIDATES_MAX, Candidate, Candidates, FlowHeld, FlowNotHeld, Forward,
+        Instances, LookupRequest, PacketClass, Returned, lookup_agents_per_request,
+        write_forwarded_packet, write_lookup_request,
     },
 };
 
@@ -59,15 +60,26 @@
         self.subset.retain(|it| it.state == EndpointState::Ready);
         let (zone, agents) = (self.config.zone, &self.agents);
         let is_late = opening.offer_count() > 0;
-        self.subset.sort_by_key(|it| {
-            (
-                opening.was_offered_to(it.agent_address()),
-                agents.is_last_resort(now, it.agent_address()),
-                // An agent that received the opening packet and lost it has not replied since.
-                is_late && !agents.replied_since(it.agent_address(), opening.received_at),
-                it.zone != zone,
-            )
-        });
+        let loads = agents.zone_loads(now, &self.subset);
+        let draw = u16::try_from(flow.hash() % 1_000).unwrap_or(0);
+        let plan = CandidatePlan::new(&loads, zone.get(), CANDIDATES_MAX, draw);
+        plan.sort_endpoints(
+            &mut self.subset,
+            |it| it.zone.get(),
+            |it| {
+                (
+                    opening.was_offered_to(it.agent_address()),
+                    agents.is_last_resort(now, it.agent_address()),
+                    // An agent that received the opening packet and lost it has not replied since.
+                    is_late && !agents.replied_since(it.agent_address(), opening.received_at),
+                )
+            },
+        );
+        match plan.kind() {
+            PlanKind::OwnZone => {}
+            PlanKind::Shared => self.counters.openings_shared += 1,
+            PlanKind::Spilled => self.counters.openings_spilled += 1,
+        }
         // An endpoint that restarted under a new id shares its agent with the endpoint's old entry.
         let mut candidates = Candidates::default();
         for endpoint in &self.subset {
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,10 @@
+//! Decisions on where new flows are placed.
+//!
+//! This crate performs no I/O, reads no clock and knows no packets: loads are passed in, and
+//! decisions come out. `passthrough` reads the loads from messages and carries out the decisions.
+
+mod candidates;
+mod zone_loads;
+
+pub use candidates::{CandidatePlan, PlanKind};
+pub use zone_loads::{EndpointLoad, ZoneLoads};
