--- a/crates/passthrough/src/balancer/counters.rs
+++ b/crates/passthrough/src/balancer/counters.rs
@@ -19,6 +19,10 @@
     pub openings_expired: u64,
     /// Openings placed in other zones because the balancer's own zone is out of use.
     pub openings_out_of_zone: u64,
+    /// Openings whose candidates were half of other zones, because the own zone was crowded.
+    pub openings_shared: u64,
+    /// Openings offered to another zone first, because the own zone was more loaded than others.
+    pub openings_spilled: u64,
     /// Lookups of the endpoint that holds a flow.
     pub lookups: u64,
     /// Lookups in which all asked agents replied that their endpoints don't hold the flow.
@@ -53,13 +57,15 @@
 
     /// Returns the balancer's metric names with their counter values.
     #[must_use]
-    pub const fn named_values(&self) -> [(&'static str, u64); 13] {
+    pub const fn named_values(&self) -> [(&'static str, u64); 15] {
         [
             ("caller_packets", self.packets),
             ("openings", self.openings),
             ("openings_repeated", self.openings_repeated),
             ("openings_expired", self.openings_expired),
             ("openings_out_of_zone", self.openings_out_of_zone),
+            ("openings_shared", self.openings_shared),
+            ("openings_spilled", self.openings_spilled),
             ("lookups", self.lookups),
             ("lookups_failed", self.lookups_failed),
             ("resets_sent", self.resets),
