--- a/crates/passthrough/tests/cold_starts.rs
+++ b/crates/passthrough/tests/cold_starts.rs
@@ -72,79 +72,40 @@
 
 #[test]
 fn cold_endpoint_gets_no_more_than_its_rate_in_any_second() {
-    struct Case {
-        name: &'static str,
-        act: fn(&mut SimNetwork, u64),
-        limit: u32,
-    }
     let cases = [
-        Case {
-            name: "nothing else happens",
-            act: |_, _| {},
-            limit: RATE,
-        },
-        Case {
-            name: "the agent restarts",
-            act: |network, elapsed| {
-                if elapsed == 700 {
-                    network.start_agent(0, SERVICE);
-                }
-            },
-            limit: RATE + RATE / 2 + 5,
-        },
-        Case {
-            name: "a balancer restarts",
-            act: |network, elapsed| {
-                if elapsed == 700 {
-                    network.start_balancer_without_store(1);
-                }
-            },
-            limit: RATE,
-        },
-        Case {
-            name: "messages arrive twice",
-            act: |network, _| network.repeats_messages = true,
-            limit: RATE,
-        },
-        Case {
-            name: "a late balancer repeats older news",
-            act: |network, elapsed| {
-                if elapsed == 0 {
-                    network.isolated.insert(balancer_ip(1));
-                    restart_cold(network, 0, 2, 2_900);
-                    network.advance_ms(10);
-                    network.isolated.clear();
-                    network.isolated.insert(balancer_ip(0));
-                }
-            },
-            limit: RATE,
-        },
-        Case {
-            name: "the endpoint becomes cold again",
-            act: |network, elapsed| {
-                if elapsed == 1_500 {
-                    restart_cold(network, 0, 2, 2_990);
-                }
-            },
-            limit: RATE,
-        },
+        ("nothing else happens", RATE),
+        ("the agent restarts", RATE + RATE / 2 + 5),
+        ("a balancer restarts", RATE),
+        ("messages arrive twice", RATE),
+        ("a late balancer repeats older news", RATE),
+        ("the endpoint becomes cold again", RATE),
     ];
-    for case in cases {
+    for (name, limit) in cases {
         let mut network = SimNetwork::new(2, 2);
         state_rate(&mut network, RATE);
         restart_cold(&mut network, 0, 2, 2_950);
         network.advance_ms(1_100);
         restart_cold(&mut network, 0, 3, 2_950);
         network.advance_ms(10);
-        let times = rush(&mut network, 0, 2_900, 0, case.act);
+        let times = rush(&mut network, 0, 2_900, 0, |network, elapsed| {
+            match (name, elapsed) {
+                ("the agent restarts", 700) => network.start_agent(0, SERVICE),
+                ("a balancer restarts", 700) => network.start_balancer_without_store(1),
+                ("messages arrive twice", _) => network.repeats_messages = true,
+                ("a late balancer repeats older news", 0) => {
+                    network.isolated.insert(balancer_ip(1));
+                    restart_cold(network, 0, 4, 2_900);
+                    network.advance_ms(10);
+                    network.isolated.clear();
+                    network.isolated.insert(balancer_ip(0));
+                }
+                ("the endpoint becomes cold again", 1_500) => restart_cold(network, 0, 3, 2_990),
+                _ => {}
+            }
+        });
         let busiest = busiest_second(&times);
-        assert!(busiest <= case.limit as usize, "{}: {busiest}", case.name);
-        assert!(
-            times.len() > RATE as usize / 2,
-            "{}: {}",
-            case.name,
-            times.len()
-        );
+        assert!(busiest <= limit as usize, "{name}: {busiest}");
+        assert!(times.len() > RATE as usize / 2, "{name}: {}", times.len());
     }
 }
 
@@ -161,26 +122,18 @@
     let times = rush(&mut network, 0, 1_500, 1_000, |_, _| {});
     assert!(busiest_second(&times) > RATE as usize * 2);
     assert_eq!(network.agent(0).counters().paced, paced);
-    let reported: Vec<Event> = network
-        .events
-        .iter()
-        .filter(|it| it.0 == agent_ip(0))
-        .map(|it| it.1)
-        .filter(|it| matches!(it, Event::EndpointCold { .. } | Event::EndpointWarm { .. }))
-        .collect();
-    assert!(
-        matches!(
-            reported[..],
-            [
-                Event::EndpointCold {
-                    left_ms: 1_500,
-                    rate: RATE,
-                    is_learned: false,
-                },
-                Event::EndpointWarm { .. }
-            ]
-        ),
-        "{reported:?}"
+    let reported = network.events.iter().filter_map(|it| match it.1 {
+        Event::EndpointCold {
+            left_ms,
+            rate,
+            is_learned,
+        } => Some((left_ms, rate, is_learned)),
+        Event::EndpointWarm { .. } => Some((0, 0, false)),
+        _ => None,
+    });
+    assert_eq!(
+        reported.collect::<Vec<_>>(),
+        [(1_500, RATE, false), (0, 0, false)]
     );
 }
 
--- a/crates/passthrough/tests/evacuation.rs
+++ b/crates/passthrough/tests/evacuation.rs
@@ -133,54 +133,45 @@
 
 #[test]
 fn unopened_flow_is_reset_only_if_all_that_would_take_it_is_out_of_use() {
-    struct Case {
-        name: &'static str,
-        evacuated: &'static [&'static str],
-        draining: &'static [&'static str],
-        uptime_ms: u64,
-        resets: usize,
-        openings: usize,
-    }
-    let case = |name, evacuated, draining, uptime_ms, resets, openings| Case {
-        name,
-        evacuated,
-        draining,
-        uptime_ms,
-        resets,
-        openings,
-    };
-    let cases = [
-        case("all zones", &["a", "b", "c"][..], &[][..], 4_000, 1, 0),
-        case("the rest drains", &["a", "b"], &["c"], 4_000, 1, 0),
-        case("a zone is left", &["a", "b"], &[], 4_000, 0, 1),
-        case("all drain", &[], &["a", "b", "c"], 4_000, 0, 0),
-        case("just started", &["a", "b", "c"], &[], 100, 0, 0),
+    // Zones out of use and draining ones, the balancer's uptime, and the expected resets and openings.
+    type Case = (
+        &'static [&'static str],
+        &'static [&'static str],
+        u64,
+        usize,
+        usize,
+    );
+    let cases: [Case; 5] = [
+        (&["a", "b", "c"], &[], 4_000, 1, 0),
+        (&["a", "b"], &["c"], 4_000, 1, 0),
+        (&["a", "b"], &[], 4_000, 0, 1),
+        (&[], &["a", "b", "c"], 4_000, 0, 0),
+        (&["a", "b", "c"], &[], 100, 0, 0),
     ];
-    for case in cases {
+    for (idx, (evacuated, draining, uptime_ms, resets, openings)) in cases.iter().enumerate() {
         let mut network = network_of_three_zones(1, 6);
         network.update_catalog(&[0], |catalog| {
-            catalog.evacuated_zones = case.evacuated.iter().map(|it| zone(it)).collect();
+            catalog.evacuated_zones = evacuated.iter().map(|it| zone(it)).collect();
             for endpoint in &mut catalog.endpoints {
                 let name = zone_of(endpoint.agent_address().octets()[3]);
-                if case.draining.contains(&name) {
+                if draining.contains(&name) {
                     endpoint.state = EndpointState::Draining;
                 }
             }
         });
         network.start_balancer(0);
-        for _ in 0..case.uptime_ms / 100 {
+        for _ in 0..uptime_ms / 100 {
             network.advance_ms(100);
             network.confirm_unchanged_catalog(0);
         }
         let opened = open_flows(&mut network, 0, 1..2);
-        assert_eq!(network.reset_count(caller(1)), case.resets, "{}", case.name);
-        assert_eq!(opened.iter().sum::<usize>(), case.openings, "{}", case.name);
-        let is_reset = |it: &&(std::net::Ipv4Addr, Event)| {
-            let reason = ResetReason::ZonesOutOfUse;
-            matches!(it.1, Event::ResetSent { reason: it, .. } if it == reason)
-        };
+        assert_eq!(network.reset_count(caller(1)), *resets, "case {idx}");
+        assert_eq!(opened.iter().sum::<usize>(), *openings, "case {idx}");
+        let reason = ResetReason::ZonesOutOfUse;
+        let is_reset =
+            |it: &&(_, Event)| matches!(it.1, Event::ResetSent { reason: it, .. } if it == reason);
         let events = network.events.iter().filter(is_reset).count();
-        assert_eq!(events, case.resets, "{}", case.name);
+        assert_eq!(events, *resets, "case {idx}");
     }
 }
 
@@ -205,16 +196,19 @@
 
 #[test]
 fn zones_out_of_use_reach_all_balancers() {
+    let check = |network: &SimNetwork, numbers: std::ops::Range<u8>, is_out| {
+        for number in numbers {
+            let catalog = network.balancer(number).catalog_view().catalog();
+            assert_eq!(catalog.is_evacuated(zone("b")), is_out, "balancer {number}");
+        }
+    };
     let mut network = network_of_three_zones(5, 6);
     let whole_copies = network.balancer(2).counters().catalogs_sent;
     network.freeze_balancer(4);
     network.isolated.insert(balancer_ip(3));
     evacuate(&mut network, &[2], &["b"]);
     network.advance_ms(20);
-    for number in [0, 1] {
-        let catalog = network.balancer(number).catalog_view().catalog();
-        assert!(catalog.is_evacuated(zone("b")), "balancer {number}");
-    }
+    check(&network, 0..3, true);
     let counters = network.balancer(2).counters();
     assert_eq!(counters.catalogs_sent, whole_copies);
     assert!(counters.deltas_sent > 0);
@@ -223,43 +217,22 @@
     network.isolated.clear();
     network.start_balancer_without_store(4);
     network.advance_ms(1_200);
-    for number in [3, 4] {
-        let catalog = network.balancer(number).catalog_view().catalog();
-        assert!(catalog.is_evacuated(zone("b")), "balancer {number}");
-    }
+    check(&network, 3..5, true);
     // All balancers restart while the store is away for all but one.
     for number in 0..5 {
         network.start_balancer_without_store(number);
     }
     network.deliver_catalog(1);
     network.advance_ms(1_200);
-    for number in 0..5 {
-        let catalog = network.balancer(number).catalog_view().catalog();
-        assert!(catalog.is_evacuated(zone("b")), "balancer {number}");
-    }
+    check(&network, 0..5, true);
     evacuate(&mut network, &[4], &[]);
     network.advance_ms(20);
-    for number in 0..5 {
-        let catalog = network.balancer(number).catalog_view().catalog();
-        assert!(!catalog.is_evacuated(zone("b")), "balancer {number}");
-    }
+    check(&network, 0..5, false);
 }
 
 #[test]
 fn zones_out_of_use_are_reported() {
     let mut network = network_of_three_zones(1, 6);
-    let reports = |network: &SimNetwork| -> Vec<Event> {
-        let is_zone = |it: &Event| {
-            matches!(
-                it,
-                Event::ZoneOutOfUse { .. }
-                    | Event::ZoneBackInUse { .. }
-                    | Event::ZoneUnknown { .. }
-            )
-        };
-        let events = network.events.iter().map(|it| it.1);
-        events.filter(is_zone).collect()
-    };
     evacuate(&mut network, &[0], &["b"]);
     network.advance_ms(700);
     evacuate(&mut network, &[0], &["b", "moon"]);
@@ -267,32 +240,33 @@
     let (count, longest) = network.balancer(0).zones_out_of_use(now);
     assert_eq!((count, longest.get()), (2, 700));
     evacuate(&mut network, &[0], &["moon"]);
-    let (b, moon) = (zone("b"), zone("moon"));
     let first = network.catalog.revision.get() - 2;
-    assert_eq!(
-        reports(&network),
-        [
-            Event::ZoneOutOfUse {
-                zone: b,
-                endpoints: 2,
-                endpoints_elsewhere: 4,
-                revision: first,
-            },
-            Event::ZoneOutOfUse {
-                zone: moon,
-                endpoints: 0,
-                endpoints_elsewhere: 6,
-                revision: first + 1,
-            },
-            Event::ZoneUnknown {
-                zone: moon,
-                revision: first + 1,
-            },
-            Event::ZoneBackInUse {
-                zone: b,
-                after_ms: 700,
-                revision: first + 2,
-            },
-        ]
-    );
+    let reports = network.events.iter().filter_map(|it| match it.1 {
+        Event::ZoneOutOfUse {
+            zone,
+            endpoints,
+            endpoints_elsewhere,
+            revision,
+        } => Some((
+            "out",
+            zone,
+            revision - first,
+            endpoints,
+            endpoints_elsewhere,
+        )),
+        Event::ZoneBackInUse {
+            zone,
+            after_ms: 700,
+            revision,
+        } => Some(("back", zone, revision - first, 0, 0)),
+        Event::ZoneUnknown { zone, revision } => Some(("unknown", zone, revision - first, 0, 0)),
+        _ => None,
+    });
+    let expected = [
+        ("out", zone("b"), 0, 2, 4),
+        ("out", zone("moon"), 1, 0, 6),
+        ("unknown", zone("moon"), 1, 0, 0),
+        ("back", zone("b"), 2, 0, 0),
+    ];
+    assert_eq!(reports.collect::<Vec<_>>(), expected);
 }
