Believe a balancer's retired endpoints only if its list is as new

Others were still in the former era, listed the endpoint and so told no retired one; the starting balancer counted that as a full answer and reset a flow that the endpoint held. An answer now counts only with a list that is no older than the asking balancer's; others are asked again.

--- a/crates/passthrough/src/balancer/retired_sync.rs
+++ b/crates/passthrough/src/balancer/retired_sync.rs
@@ -6,7 +6,7 @@
 
 use std::net::Ipv4Addr;
 
-use units::Millis;
+use units::{Millis, Revision};
 
 use super::{Balancer, catalog_sync::DigestPurpose};
 use crate::{
@@ -114,7 +114,10 @@
     }
 
     /// Records a digest of another balancer.
-    fn record_digest(&mut self, peer: Ipv4Addr, digest: &Digest<'_>) {
+    ///
+    /// A balancer with an older list than `revision`, the own one's, doesn't know yet which endpoints
+    /// have left since, or are missing in a later era of the store.
+    fn record_digest(&mut self, peer: Ipv4Addr, digest: &Digest<'_>, revision: Revision) {
         let Some(question) = self.question_mut(peer) else {
             return;
         };
@@ -124,9 +127,10 @@
         }
         question.answer = Answer::Established;
         let received = question.received;
-        self.is_told |= digest
-            .retired_told
-            .is_some_and(|it| usize::from(it) <= received);
+        self.is_told |= digest.revision >= revision.get()
+            && digest
+                .retired_told
+                .is_some_and(|it| usize::from(it) <= received);
     }
 
     /// Returns whether nobody is left who could tell a retired endpoint.
@@ -207,7 +211,8 @@
         digest: &Digest<'_>,
         out: &mut impl Outbox,
     ) -> bool {
-        self.retired_sync.record_digest(peer, digest);
+        let revision = self.view.catalog().revision;
+        self.retired_sync.record_digest(peer, digest, revision);
         self.ask_for_retired_endpoints(now, out);
         if !digest.wants_retired || digest.request != DigestRequest::Answer {
             return false;
--- a/crates/passthrough/tests/store_eras.rs
+++ b/crates/passthrough/tests/store_eras.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::net::SocketAddrV4;
+
 use passthrough::{Catalog, Endpoint, EndpointState, Event, ZoneKey};
 use support::{SimNetwork, agent_ip, balancer_ip, caller, route_to_service};
 use units::{Millis, Revision, SettingsVersion};
@@ -419,6 +421,33 @@
     }
 }
 
+/// Guards against a reset of a flow whose holder the copy lacks, by a balancer that read the new list
+/// before those that know the holder: they have no endpoint to tell of yet. Found by soak seed 324.
+#[test]
+fn holder_that_the_copy_lacks_is_found() {
+    let mut network = SimNetwork::new(1, 3);
+    confirm_for(&mut network, 3_000);
+    let flows: Vec<_> = (1..10)
+        .map(|it| {
+            (
+                caller(it),
+                network.open_flow_with_sequence(0, caller(it)).unwrap(),
+            )
+        })
+        .collect();
+    let held = |it: &&(SocketAddrV4, u32)| network.holder_address(it.0) == Some(agent_ip(2));
+    let (held, sequence) = *flows.iter().find(held).expect("one of three holds some");
+    let mut copy = network.catalog.clone();
+    remove_endpoint(&mut copy, 2);
+    network.restore_store(&copy);
+    network.start_balancer(1);
+    network.advance_ms(100);
+    network.send_request(1, held, sequence, 2);
+    network.advance_ms(1_000);
+    assert_eq!(network.reset_count(held), 0);
+    assert_eq!(network.answer_count(held), 2);
+}
+
 /// Guards against a proof from revisions of two histories: an endpoint that registers again after
 /// the loss may hold flows by lost settings.
 #[test]
