--- a/crates/passthrough/src/balancer/retired_sync.rs
+++ b/crates/passthrough/src/balancer/retired_sync.rs
@@ -12,7 +12,7 @@
 
 use std::net::Ipv4Addr;
 
-use units::Millis;
+use units::{Millis, Revision};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::{Balancer, catalog_sync::DigestPurpose};
@@ -192,12 +192,25 @@
     }
 
     /// Records a digest of another balancer.
-    fn record_digest(&mut self, peer: Ipv4Addr, digest: &Digest<'_>, zone: ZoneKey) {
+    ///
+    /// A balancer that runs for longer but has an older list than `revision`, the own one's, doesn't
+    /// know yet which endpoints have left since, or are missing in a later era of the store.
+    fn record_digest(
+        &mut self,
+        peer: Ipv4Addr,
+        digest: &Digest<'_>,
+        zone: ZoneKey,
+        revision: Revision,
+    ) {
         let Some(question) = self.question_mut(peer) else {
             return;
         };
         question.is_near = digest.status.zone == zone;
-        question.announced = digest.retired_told.or(question.announced);
+        let is_recent = digest.is_starting || digest.revision >= revision.get();
+        question.announced = digest
+            .retired_told
+            .filter(|_| is_recent)
+            .or(question.announced);
         question.answer = if !digest.is_starting {
             Answer::Established
         } else if digest.wants_retired
@@ -395,8 +408,9 @@
         digest: &Digest<'_>,
         out: &mut impl Outbox,
     ) -> bool {
+        let revision = self.view.catalog().revision;
         self.retired_sync
-            .record_digest(peer, digest, self.config.zone);
+            .record_digest(peer, digest, self.config.zone, revision);
         self.ask_for_retired_endpoints(now, out);
         if digest.request == DigestRequest::Retired {
             self.tell_retired_endpoints(now, peer, out);
