Let openings wait at the agent before an endpoint that would reject requests

Cause: an opening that met only full endpoints had to be taken by the least full one, whose queue may be about to reject requests. What waits in that queue is lost with the endpoint, and goes in order of arrival.

Change: an agent delivers openings while its endpoint runs or has queued fewer than its slots and six more requests. Others go on along the list, and wait at the least full agent: by priority, then what can be in time before what can't, then by turns of the routes, then by goal, the oldest first after 400 ms. The agent tells the balancer (OpeningHeld), which offers the opening nowhere else meanwhile and sends copies to the agent. After 150 ms, or at once if the endpoint drains, is silent or the agent stops, the opening goes back and is offered elsewhere. State is checked again before each delivery.

Ruled out, measured: waiting behind one request beyond the slots, or one more a slot. Slots stay idle during handshakes (docs/decisions/passthrough.md).

No existing test changed.

--- a/crates/passthrough-node/src/agent.rs
+++ b/crates/passthrough-node/src/agent.rs
@@ -275,5 +275,8 @@
     text.add_gauge("settings_refused", settings_refused);
     text.add_gauge("flows_held", agent.held_flow_count() as u64);
     text.add_gauge("requests_running", u64::from(agent.running_request_count()));
+    text.add_gauge("openings_waiting", agent.waiting_opening_count() as u64);
+    let (bounds, counts, sum) = agent.counters().held_wait_histogram();
+    text.add_histogram("opening_held_ms", bounds, counts, sum);
     text.into_text()
 }
--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -6,11 +6,13 @@
 mod health;
 mod held_flow;
 mod held_flows;
+mod held_openings;
 mod outlier;
 mod usage;
 
 use std::{marker::PhantomData, net::Ipv4Addr};
 
+use placement::WaitingRoom;
 use units::{Millis, Slots};
 
 pub use counters::AgentCounters;
@@ -30,6 +32,7 @@
 use health::EndpointHealth;
 use held_flow::Phase;
 use held_flows::HeldFlows;
+use held_openings::HeldOpening;
 use outlier::{OutlierDetector, RequestOutcome};
 
 /// Interval between two sweeps that remove unused flows and silent balancers.
@@ -54,6 +57,11 @@
     config: AgentConfig,
     flows: HeldFlows,
     deliveries: PendingDeliveries,
+    held_openings: WaitingRoom<HeldOpening>,
+    /// Time of the latest packet from the endpoint.
+    endpoint_heard_at: Millis,
+    /// Time at which the openings that wait are looked at again, if there are any.
+    next_release: Millis,
     health: EndpointHealth,
     outliers: OutlierDetector,
     /// Concurrency slots of the endpoint, zero until a balancer has stated their number.
@@ -82,6 +90,9 @@
             config,
             flows: HeldFlows::default(),
             deliveries: PendingDeliveries::default(),
+            held_openings: WaitingRoom::default(),
+            endpoint_heard_at: Millis::new(0),
+            next_release: Millis::new(0),
             health: EndpointHealth::default(),
             outliers: OutlierDetector::default(),
             slots: Slots::new(0),
@@ -122,9 +133,16 @@
         self.flows.working_flow_count()
     }
 
-    /// Stops accepting new flows; running requests continue.
+    /// Returns the number of openings that wait at the agent for a slot.
+    #[must_use]
+    pub const fn waiting_opening_count(&self) -> usize {
+        self.held_openings.len()
+    }
+
+    /// Stops accepting new flows; running requests continue, and openings that wait go elsewhere.
     pub const fn begin_shutdown(&mut self) {
         self.stopping = true;
+        self.next_release = Millis::new(0);
     }
 
     /// Drops the packets that the agent would forward to other agents, after its process stood still.
@@ -133,6 +151,7 @@
     /// dropped, too.
     pub fn on_stall(&mut self) {
         self.deliveries.clear();
+        self.counters.held_dropped += self.held_openings.take_all().len() as u64;
     }
 
     /// Returns whether the endpoint runs any request or is about to receive one.
@@ -170,12 +189,15 @@
         let Ok(segment) = F::decode_segment(packet) else {
             return self.drop_packet(DropReason::Malformed, out);
         };
+        self.endpoint_heard_at = now;
         if segment.returned {
-            return self.on_returned_packet(now, &segment, packet, out);
+            self.on_returned_packet(now, &segment, packet, out);
+            return self.release_held_openings(now, out);
         }
         out.send_to_caller(*segment.destination.ip(), packet);
         self.counters.answers += 1;
         self.on_endpoint_answer(now, &segment, out);
+        self.release_held_openings(now, out);
     }
 
     /// Handles the result of a probe that [`Outbox::probe_endpoint`] started; `refused` tells that
@@ -209,6 +231,7 @@
         if self.health.take_due_probe(now) {
             out.probe_endpoint();
         }
+        self.release_held_openings(now, out);
         if now >= self.next_sweep {
             self.flows.remove_unused_flows(now);
             self.balancers
@@ -223,7 +246,8 @@
         let sweep = self.next_sweep;
         let deliveries = self.deliveries.next_deadline().unwrap_or(sweep);
         let probe = self.health.next_probe_at().unwrap_or(sweep);
-        sweep.min(deliveries).min(probe)
+        let release = self.next_release_at().unwrap_or(sweep);
+        sweep.min(deliveries).min(probe).min(release)
     }
 
     /// Handles a caller's packet that a balancer or another agent forwarded.
@@ -292,16 +316,22 @@
     ) {
         if let Some(candidate) = forward.current_candidate() {
             self.slots = Slots::new(u16::from(candidate.slots));
+            self.flows.set_slots(self.slots);
         }
         if self.flows.is_accepted(flow) {
             self.flows.set_origin_balancer(flow, forward.origin);
             return Self::deliver_to_endpoint(packet, 0, out);
         }
+        if self.refresh_held_opening(flow, &forward) {
+            return;
+        }
         let utilization = self.utilization_for_openings(now);
         let is_within_limits = utilization <= forward.limits.utilization
             && self.idle_utilization() <= forward.limits.idle;
-        if utilization != UTILIZATION_CLOSED && (is_within_limits || forward.must_accept) {
-            return self.offer_to_endpoint(now, flow, forward, packet, out);
+        let is_accepted =
+            forward.must_accept || (is_within_limits && self.has_slot_for_opening(now));
+        if utilization != UTILIZATION_CLOSED && is_accepted {
+            return self.deliver_or_hold(now, flow, forward, packet, out);
         }
         out.report_event(Event::OpeningPassed {
             flow,
@@ -498,7 +528,7 @@
         if next.agent_address() == self.config.address && forward.must_accept {
             if let Ok(segment) = F::decode_segment(packet) {
                 let flow = segment.caller_flow();
-                self.offer_to_endpoint(now, flow, forward, packet, out);
+                self.deliver_or_hold(now, flow, forward, packet, out);
             }
             return;
         }
@@ -555,6 +585,7 @@
             self.revision = notice.revision;
             self.state = notice.state;
             self.slots = Slots::new(notice.slots);
+            self.flows.set_slots(self.slots);
             self.flows
                 .set_idle_timeout(Millis::new(u64::from(notice.idle_timeout_ms)));
             if changed {
@@ -593,6 +624,7 @@
         };
         write_load_report(report, &mut self.scratch);
         out.send_to_peer(sender, &self.scratch);
+        self.release_held_openings(now, out);
     }
 
     fn record_balancer_notice(&mut self, now: Millis, balancer: Ipv4Addr) {
@@ -634,6 +666,7 @@
         let load = self
             .flows
             .working_flow_count()
+            .saturating_add(u32::try_from(self.held_openings.len()).unwrap_or(u32::MAX))
             .saturating_mul(u32::from(UTILIZATION_FULL));
         let utilization = load.saturating_add(self.flows.idle_load_thousandths()) / slots;
         u16::try_from(utilization).unwrap_or(UTILIZATION_CLOSED - 1)
--- a/crates/passthrough/src/agent/counters.rs
+++ b/crates/passthrough/src/agent/counters.rs
@@ -1,5 +1,11 @@
 //! Counters of an agent.
 
+use units::Millis;
+
+/// Upper bounds of the buckets of the histogram of the waits of openings at the agent, in
+/// milliseconds.
+const HELD_WAIT_BUCKETS_MS: [u64; 6] = [5, 10, 20, 50, 100, 150];
+
 /// Counters of an agent since its start.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct AgentCounters {
@@ -24,14 +30,43 @@
     pub other_service: u64,
     /// Resets sent to callers.
     pub resets: u64,
+    /// Openings that waited at the agent for a slot.
+    pub held: u64,
+    /// Openings delivered although no slot was free, because no further one could wait.
+    pub not_held: u64,
+    /// Openings that waited and went back to their balancers.
+    pub handed_on: u64,
+    /// Openings that waited and were dropped after a stall.
+    pub held_dropped: u64,
+    /// Histogram of the waits of delivered openings; the last bucket has no upper bound.
+    held_waits: [u64; HELD_WAIT_BUCKETS_MS.len() + 1],
+    held_wait_ms_sum: u64,
     /// Datagrams dropped because they were malformed or had no known delivery.
     pub dropped: u64,
 }
 
 impl AgentCounters {
+    /// Records how long an opening waited at the agent before it was delivered.
+    pub(crate) fn record_opening_wait(&mut self, wait: Millis) {
+        let bucket = HELD_WAIT_BUCKETS_MS.partition_point(|it| *it < wait.get());
+        self.held_waits[bucket] += 1;
+        self.held_wait_ms_sum += wait.get();
+    }
+
+    /// Returns the histogram of the time for which delivered openings waited at the agent: the upper
+    /// bounds of the buckets, the buckets' counts, and the sum of all times, in milliseconds.
+    #[must_use]
+    pub const fn held_wait_histogram(&self) -> (&'static [u64], &[u64], u64) {
+        (
+            &HELD_WAIT_BUCKETS_MS,
+            &self.held_waits,
+            self.held_wait_ms_sum,
+        )
+    }
+
     /// Returns the agent's metric names with their counter values.
     #[must_use]
-    pub const fn named_values(&self) -> [(&'static str, u64); 11] {
+    pub const fn named_values(&self) -> [(&'static str, u64); 15] {
         [
             ("openings_offered", self.offered),
             ("openings_unanswered", self.unanswered),
@@ -43,6 +78,10 @@
             ("packets_sent_back", self.sent_back),
             ("packets_other_service", self.other_service),
             ("resets_sent", self.resets),
+            ("openings_held", self.held),
+            ("openings_not_held", self.not_held),
+            ("openings_handed_on", self.handed_on),
+            ("openings_held_dropped", self.held_dropped),
             ("datagrams_dropped", self.dropped),
         ]
     }
--- a/crates/passthrough/src/agent/held_flow.rs
+++ b/crates/passthrough/src/agent/held_flow.rs
@@ -16,6 +16,8 @@
     /// The caller has sent a request and is waiting for the answer.
     Running {
         since: Millis,
+        /// Whether the endpoint had a slot for the request when it came.
+        found_slot: bool,
     },
 }
 
--- a/crates/passthrough/src/agent/held_flows.rs
+++ b/crates/passthrough/src/agent/held_flows.rs
@@ -5,7 +5,8 @@
     net::{Ipv4Addr, SocketAddrV4},
 };
 
-use units::Millis;
+use placement::MeanWork;
+use units::{Millis, Slots};
 
 use super::{
     held_flow::{HeldFlow, LoadClass, Phase, RequestState},
@@ -20,6 +21,9 @@
 /// request's packet is lost or queued in a busy balancer.
 const EXPECTED_REQUEST_TTL_MS: Millis = Millis::new(250);
 
+/// Time from an opening's delivery until its caller's request arrives, if neither is delayed.
+const ROUND_TRIP_MS: Millis = Millis::new(20);
+
 /// Time after which an unanswered request no longer counts towards the endpoint's load.
 const RUNNING_REQUEST_TTL_MS: Millis = Millis::new(6_000);
 
@@ -63,6 +67,9 @@
     /// Invariant: `idle_flows` equals the number of flows whose load class is `LoadClass::Idle`.
     idle_flows: u32,
     usage: IdleFlowUsage,
+    slots: Slots,
+    /// Running times of the requests that did not wait for a slot.
+    work: MeanWork,
     /// Time since which every flow that the endpoint uses is in `flows`, or `None` before the first
     /// sweep.
     ///
@@ -84,6 +91,8 @@
             load: 0,
             idle_flows: 0,
             usage: IdleFlowUsage::default(),
+            slots: Slots::new(0),
+            work: MeanWork::default(),
             tracked_since: None,
             was_empty: false,
             last_sweep: None,
@@ -104,12 +113,39 @@
         self.load
     }
 
+    /// Returns the number of requests that the endpoint runs, has queued or receives within a round
+    /// trip of the caller.
+    ///
+    /// A flow without a request after that time takes no slot, though it may soon.
+    pub(crate) fn busy_count(&mut self, now: Millis) -> u32 {
+        self.expire_expected_requests(now);
+        let overdue = self
+            .expected_requests
+            .iter()
+            .take_while(|it| now.since(it.0) >= ROUND_TRIP_MS)
+            .filter(|it| {
+                let held = self.flows.get(&it.1);
+                held.is_some_and(|it| it.request == RequestState::Expected)
+            });
+        let overdue = u32::try_from(overdue.count()).unwrap_or(u32::MAX);
+        self.load.saturating_sub(overdue)
+    }
+
     /// Returns the load expected from the idle flows, in thousandths of a request.
     pub(crate) fn idle_load_thousandths(&self) -> u32 {
         self.idle_flows
             .saturating_mul(self.usage.requests_per_flow_thousandths())
     }
 
+    /// Returns the mean time that the endpoint works on a request, without waits for a slot.
+    pub(crate) const fn mean_work(&self) -> Millis {
+        self.work.mean()
+    }
+
+    pub(crate) const fn set_slots(&mut self, slots: Slots) {
+        self.slots = slots;
+    }
+
     pub(crate) fn set_idle_timeout(&mut self, timeout: Millis) {
         self.idle_timeout = timeout.max(CLOSED_RETENTION_MS);
     }
@@ -183,7 +219,12 @@
             .is_none_or(|it| end.wrapping_sub(it).cast_signed() > 0);
         if segment.data_bytes > 0 && is_new {
             held.caller_end = Some(end);
-            held.request = RequestState::Running { since: now };
+            // A flow that counts as working already is among those that `load` counts.
+            let others = self.load - u32::from(before == LoadClass::Working);
+            held.request = RequestState::Running {
+                since: now,
+                found_slot: others < u32::from(self.slots.get()),
+            };
         }
         if segment.rst || segment.fin {
             held.caller_closed = true;
@@ -230,7 +271,10 @@
             Phase::Open
         });
         if segment.data_bytes > 0 || segment.rst || segment.fin {
-            if let RequestState::Running { since } = held.request {
+            if let RequestState::Running { since, found_slot } = held.request {
+                if found_slot && segment.data_bytes > 0 {
+                    self.work.record(now.since(since));
+                }
                 if held.has_answered {
                     self.usage.record_request_duration(now.since(since));
                 }
@@ -330,7 +374,7 @@
         }
         let idle_timeout = self.idle_timeout;
         self.flows.retain(|_, held| {
-            if let RequestState::Running { since } = held.request
+            if let RequestState::Running { since, .. } = held.request
                 && now.since(since) > RUNNING_REQUEST_TTL_MS
             {
                 held.request = RequestState::None;
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -257,6 +257,9 @@
             Ok(Message(Body::FlowHeld(flow_held))) => {
                 return self.on_flow_held(now, sender, flow_held, out);
             }
+            Ok(Message(Body::OpeningHeld(it))) => {
+                return self.openings.mark_held(now, sender, it);
+            }
             Ok(Message(Body::LoadReport(report))) => {
                 return self.on_load_report(now, sender, report, out);
             }
@@ -383,6 +386,9 @@
         }
         if segment.is_opening_packet() {
             self.flows.remove_flow(flow);
+            if let Some((agent, service)) = self.openings.holder(now, flow) {
+                return self.forward_to_agent(service, PacketClass::Opening, agent, packet, out);
+            }
             let opening = self
                 .openings
                 .take_opening(flow)
--- a/crates/passthrough/src/balancer/counters.rs
+++ b/crates/passthrough/src/balancer/counters.rs
@@ -21,6 +21,8 @@
     pub openings_shared: u64,
     /// Openings offered to another zone first, because the own zone was more loaded than others.
     pub openings_spilled: u64,
+    /// Openings offered again because the agent at which they waited sent them back.
+    pub openings_handed_back: u64,
     /// Lookups of the endpoint that holds a flow.
     pub lookups: u64,
     /// Lookups in which all asked agents replied that their endpoints don't hold the flow.
@@ -55,7 +57,7 @@
 
     /// Returns the balancer's metric names with their counter values.
     #[must_use]
-    pub const fn named_values(&self) -> [(&'static str, u64); 14] {
+    pub const fn named_values(&self) -> [(&'static str, u64); 15] {
         [
             ("caller_packets", self.packets),
             ("openings", self.openings),
@@ -63,6 +65,7 @@
             ("openings_expired", self.openings_expired),
             ("openings_shared", self.openings_shared),
             ("openings_spilled", self.openings_spilled),
+            ("openings_handed_back", self.openings_handed_back),
             ("lookups", self.lookups),
             ("lookups_failed", self.lookups_failed),
             ("resets_sent", self.resets),
--- a/crates/passthrough/src/balancer/openings.rs
+++ b/crates/passthrough/src/balancer/openings.rs
@@ -8,7 +8,7 @@
 
 use units::Millis;
 
-use crate::Flow;
+use crate::{Flow, ServiceKey, message::OpeningHeld};
 
 /// Time after which an unaccepted opening packet is offered again, first to another endpoint.
 ///
@@ -34,6 +34,10 @@
     pub(crate) received_at: Millis,
     retry_at: Millis,
     offered_to: Vec<Ipv4Addr>,
+    /// The service to whose endpoints the opening packet was offered last.
+    offered_service: Option<ServiceKey>,
+    /// The agent at which the opening packet waits for a slot, until `retry_at`.
+    held_by: Option<Ipv4Addr>,
 }
 
 impl PendingOpening {
@@ -44,6 +48,8 @@
             received_at: now,
             retry_at: now,
             offered_to: Vec::new(),
+            offered_service: None,
+            held_by: None,
         }
     }
 
@@ -70,8 +76,10 @@
         self.retry_at = time;
     }
 
-    pub(crate) fn record_offer(&mut self, now: Millis, agent: Ipv4Addr) {
+    pub(crate) fn record_offer(&mut self, now: Millis, agent: Ipv4Addr, service: ServiceKey) {
         self.offered_to.push(agent);
+        self.offered_service = Some(service);
+        self.held_by = None;
         self.retry_at = now.plus(match self.offered_to.len() {
             1 => FIRST_RETRY_MS,
             2 => LAST_RETRY_MS,
@@ -100,6 +108,44 @@
         self.openings.remove(&flow)
     }
 
+    /// Records that an opening packet waits at an agent, so that it isn't offered to another one
+    /// meanwhile.
+    pub(crate) fn mark_held(&mut self, now: Millis, agent: Ipv4Addr, held: OpeningHeld) {
+        let Some(mut opening) = self.openings.remove(&held.flow) else {
+            return;
+        };
+        let stay = Millis::new(held.stay_ms.into()).min(EXPIRY_MS);
+        opening.retry_at = now.plus(stay).plus(FIRST_RETRY_MS);
+        opening.held_by = Some(agent);
+        if !opening.was_offered_to(agent) {
+            opening.offered_to.push(agent);
+        }
+        self.insert_opening(opening);
+    }
+
+    /// Returns the agent at which an opening packet waits, and the agent's service.
+    pub(crate) fn holder(&self, now: Millis, flow: Flow) -> Option<(Ipv4Addr, ServiceKey)> {
+        let opening = self.openings.get(&flow)?;
+        let is_current = now < opening.retry_at && !opening.is_opening_expired(now);
+        opening
+            .held_by
+            .zip(opening.offered_service)
+            .filter(|_| is_current)
+    }
+
+    /// Removes and returns an opening packet that an agent held and has sent back.
+    pub(crate) fn take_opening_held_by(
+        &mut self,
+        flow: Flow,
+        agent: Ipv4Addr,
+    ) -> Option<PendingOpening> {
+        let is_held = self
+            .openings
+            .get(&flow)
+            .is_some_and(|it| it.held_by == Some(agent));
+        is_held.then(|| self.openings.remove(&flow)).flatten()
+    }
+
     pub(crate) fn take_overdue_opening(&mut self, now: Millis) -> Option<PendingOpening> {
         while let Some(Reverse((retry_at, flow))) = self.deadlines.peek().copied() {
             if retry_at > now {
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -123,7 +123,7 @@
             catalog_revision: self.view.catalog().revision.get(),
         });
         self.counters.openings += 1;
-        opening.record_offer(now, first.agent_address());
+        opening.record_offer(now, first.agent_address(), service);
         self.openings.insert_opening(opening);
     }
 
@@ -289,7 +289,13 @@
         F::set_tag(packet, 0);
         let flow = segment.caller_flow();
         match returned.class {
-            PacketClass::Opening => self.flows.remove_flow_if_held_by(flow, agent),
+            PacketClass::Opening => {
+                self.flows.remove_flow_if_held_by(flow, agent);
+                if let Some(opening) = self.openings.take_opening_held_by(flow, agent) {
+                    self.counters.openings_handed_back += 1;
+                    self.offer_opening(now, opening, out);
+                }
+            }
             PacketClass::Established => {
                 self.flows.remove_flow_if_held_by(flow, agent);
                 self.start_lookup(now, flow, &segment, packet, Some(agent), out);
--- a/crates/passthrough/src/event.rs
+++ b/crates/passthrough/src/event.rs
@@ -72,6 +72,20 @@
         slots: u16,
         wait_ms: u64,
     },
+    /// An opening waits at the agent, since the endpoint has no slot for it.
+    OpeningWaits {
+        #[serde(serialize_with = "serialize_as_display")]
+        flow: Flow,
+        waiting: u16,
+        expected_ms: u64,
+    },
+    /// An opening that waited at the agent is delivered to the endpoint.
+    OpeningReleased {
+        #[serde(serialize_with = "serialize_as_display")]
+        flow: Flow,
+        wait_ms: u64,
+        expected_ms: u64,
+    },
     /// A balancer started a lookup of the endpoint that holds a flow.
     LookupStarted {
         #[serde(serialize_with = "serialize_as_display")]
@@ -179,6 +193,8 @@
             Self::OpeningPlaced { attempt: 0, .. }
             | Self::OpeningAccepted { .. }
             | Self::OpeningPassed { .. }
+            | Self::OpeningWaits { .. }
+            | Self::OpeningReleased { .. }
             | Self::HolderFound { .. } => EventKind::Ordinary,
             Self::OpeningPlaced { .. }
             | Self::LookupStarted { .. }
--- a/crates/passthrough/src/message.rs
+++ b/crates/passthrough/src/message.rs
@@ -26,8 +26,8 @@
 use digest::{DIGEST_MEMBERS_MAX, DigestHeader, NO_RETIRED_TOLD};
 pub(crate) use write::{
     write_catalog_chunk, write_digest, write_flow_held, write_flow_not_held,
-    write_forwarded_packet, write_load_report, write_lookup_request, write_retired_list,
-    write_returned_packet, write_state_notice,
+    write_forwarded_packet, write_load_report, write_lookup_request, write_opening_held,
+    write_retired_list, write_returned_packet, write_state_notice,
 };
 
 use crate::{
@@ -86,6 +86,7 @@
     pub(super) const RETIRED: u8 = 8;
     pub(super) const LOOKUP_REQUEST: u8 = 9;
     pub(super) const FLOW_NOT_HELD: u8 = 10;
+    pub(super) const OPENING_HELD: u8 = 14;
 }
 
 /// Error for a datagram that is not a valid message.
@@ -381,6 +382,22 @@
     pub(crate) utilization: Utilization,
 }
 
+/// An agent's message to the balancer that sent an opening: the opening waits at the agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct OpeningHeld {
+    pub(crate) flow: Flow,
+    /// Time after which the opening is at the endpoint or on its way back to the balancer.
+    pub(crate) stay_ms: u16,
+}
+
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct OpeningHeldHeader {
+    preamble: Preamble,
+    flow: [u8; FLOW_BYTES],
+    stay_ms: U16,
+}
+
 /// A balancer's request that an agent look up the holder of a packet's flow.
 ///
 /// The agent, not the balancer, sends copies of the packet to other agents, because the balancer's
@@ -615,6 +632,7 @@
     Forward(Forward, &'a [u8]),
     Returned(Returned, &'a [u8]),
     FlowHeld(FlowHeld),
+    OpeningHeld(OpeningHeld),
     StateNotice(StateNotice),
     LoadReport(LoadReport<'a>),
     Digest(Digest<'a>),
--- a/crates/passthrough/src/message/decode.rs
+++ b/crates/passthrough/src/message/decode.rs
@@ -8,9 +8,10 @@
     ChunkHeader, DIGEST_FORMER_TARGETS_MAX, DIGEST_MEMBERS_MAX, Digest, DigestHeader,
     DigestRequest, FlowHeld, FlowHeldHeader, FlowNotHeld, FlowNotHeldHeader, Forward,
     ForwardHeader, Instances, LAYOUT_VERSION, LoadReport, LoadReportHeader, LookupRequest,
-    LookupRequestHeader, MAGIC, Member, Message, MessageError, NO_RETIRED_TOLD, PacketClass,
-    PeerStatus, Preamble, REPORTED_BALANCERS_MAX, REPORTED_ROUTES_MAX, ReturnHeader, Returned,
-    RouteAddress, StateNotice, StateNoticeHeader, kind,
+    LookupRequestHeader, MAGIC, Member, Message, MessageError, NO_RETIRED_TOLD, OpeningHeld,
+    OpeningHeldHeader, PacketClass, PeerStatus, Preamble, REPORTED_BALANCERS_MAX,
+    REPORTED_ROUTES_MAX, ReturnHeader, Returned, RouteAddress, StateNotice, StateNoticeHeader,
+    kind,
 };
 use crate::{EndpointState, Flow, RequestKind, RequestProfile, ServiceKey};
 
@@ -34,6 +35,7 @@
         kind::CHUNK => decode_catalog_chunk(datagram)?,
         kind::LOOKUP_REQUEST => decode_lookup_request(datagram)?,
         kind::FLOW_NOT_HELD => decode_flow_not_held(datagram)?,
+        kind::OPENING_HELD => decode_opening_held(datagram)?,
         kind::RETIRED => Body::Retired(decode_prefix::<Preamble>(datagram)?.1),
         _ => return Err(MessageError::InvalidField { field: "kind" }),
     };
@@ -105,6 +107,14 @@
     }))
 }
 
+fn decode_opening_held(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
+    let (header, _) = decode_prefix::<OpeningHeldHeader>(datagram)?;
+    Ok(Body::OpeningHeld(OpeningHeld {
+        flow: Flow::from_bytes(header.flow),
+        stay_ms: header.stay_ms.get(),
+    }))
+}
+
 fn decode_lookup_request(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
     let (header, rest) = decode_prefix::<LookupRequestHeader>(datagram)?;
     if header.chain_len == 0 || usize::from(header.chain_len) > CANDIDATES_MAX {
--- a/crates/passthrough/src/message/write.rs
+++ b/crates/passthrough/src/message/write.rs
@@ -9,8 +9,9 @@
 use super::{
     Chunk, ChunkHeader, DIGEST_FORMER_TARGETS_MAX, DIGEST_MEMBERS_MAX, Digest, DigestHeader,
     FlowHeld, FlowHeldHeader, FlowNotHeld, FlowNotHeldHeader, Forward, ForwardHeader, LoadReport,
-    LoadReportHeader, LookupRequest, LookupRequestHeader, NO_RETIRED_TOLD, Preamble,
-    REPORTED_ROUTES_MAX, ReturnHeader, Returned, StateNotice, StateNoticeHeader, kind,
+    LoadReportHeader, LookupRequest, LookupRequestHeader, NO_RETIRED_TOLD, OpeningHeld,
+    OpeningHeldHeader, Preamble, REPORTED_ROUTES_MAX, ReturnHeader, Returned, StateNotice,
+    StateNoticeHeader, kind,
 };
 use crate::{EndpointState, RequestKind};
 
@@ -105,6 +106,17 @@
     out.extend_from_slice(header.as_bytes());
 }
 
+/// Encodes into `out` the message that an opening waits at an agent.
+pub(crate) fn write_opening_held(opening_held: OpeningHeld, out: &mut Vec<u8>) {
+    let header = OpeningHeldHeader {
+        preamble: Preamble::new(kind::OPENING_HELD),
+        flow: opening_held.flow.to_bytes(),
+        stay_ms: U16::new(opening_held.stay_ms),
+    };
+    out.clear();
+    out.extend_from_slice(header.as_bytes());
+}
+
 /// Encodes a balancer's notice of an endpoint's state into `out`.
 pub(crate) fn write_state_notice(notice: StateNotice, out: &mut Vec<u8>) {
     let header = StateNoticeHeader {
--- a/crates/passthrough/tests/support/mod.rs
+++ b/crates/passthrough/tests/support/mod.rs
@@ -372,6 +372,26 @@
         self.send_caller_packet(balancer, &bytes);
     }
 
+    /// Advances the clock, with callers that send a request on each flow that an endpoint accepts.
+    pub(crate) fn advance_with_requests(&mut self, ms: u64) {
+        for _ in 0..ms {
+            let seen = self.received.len();
+            self.advance_ms(1);
+            self.send_requests_on_accepted_flows(seen);
+        }
+    }
+
+    fn send_requests_on_accepted_flows(&mut self, seen: usize) {
+        let accepted: Vec<_> = self.received[seen..]
+            .iter()
+            .filter(|it| it.1.syn)
+            .map(|it| (it.1.destination, it.1.sequence))
+            .collect();
+        for (caller, sequence) in accepted {
+            self.send_request(0, caller, sequence, 1);
+        }
+    }
+
     /// Returns how many answers to requests a caller received.
     pub(crate) fn answer_count(&self, caller: SocketAddrV4) -> usize {
         let is_answer = |it: &&(Ipv4Addr, passthrough::Segment)| {
