--- a/crates/passthrough/src/balancer/counters.rs
+++ b/crates/passthrough/src/balancer/counters.rs
@@ -23,6 +23,8 @@
     pub openings_shared: u64,
     /// Openings offered to another zone first, because the own zone was more loaded than others.
     pub openings_spilled: u64,
+    /// Openings offered again because the agent at which they waited sent them back.
+    pub openings_handed_back: u64,
     /// Lookups of the endpoint that holds a flow.
     pub lookups: u64,
     /// Lookups in which all asked agents replied that their endpoints don't hold the flow.
@@ -57,7 +59,7 @@
 
     /// Returns the balancer's metric names with their counter values.
     #[must_use]
-    pub const fn named_values(&self) -> [(&'static str, u64); 15] {
+    pub const fn named_values(&self) -> [(&'static str, u64); 16] {
         [
             ("caller_packets", self.packets),
             ("openings", self.openings),
@@ -66,6 +68,7 @@
             ("openings_out_of_zone", self.openings_out_of_zone),
             ("openings_shared", self.openings_shared),
             ("openings_spilled", self.openings_spilled),
+            ("openings_handed_back", self.openings_handed_back),
             ("lookups", self.lookups),
             ("lookups_failed", self.lookups_failed),
             ("resets_sent", self.resets),
