Tell where an opening would go from the code that places it

Callers' complaints that a route is slow or refused can't be answered from the log, which names only openings that were sent.

The choice of the service and the candidates moves out of the placing of an opening into one function that changes nothing; the report on a new flow uses the same function. The report names the candidates in order with what is known of each, the endpoints left out and why, and what becomes of the opening.

--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -13,6 +13,7 @@
 mod notices;
 mod openings;
 mod peers;
+mod placement_report;
 mod retired_answers;
 mod retired_sync;
 mod routing;
@@ -26,6 +27,10 @@
 use units::Millis;
 
 pub use counters::BalancerCounters;
+pub use placement_report::{
+    CandidateReport, LeftOutEndpoint, LeftOutReason, LimitsReport, PlacementOutcome,
+    PlacementReport, ServiceRule, ZonePlan,
+};
 
 use crate::{
     CatalogView, DropReason, Endpoint, Event, Flow, Message, Outbox, PacketFormat, ResetReason,
@@ -359,15 +364,16 @@
     /// Returns whether the catalog may be outdated since the process stood still, and news of it
     /// are awaited.
     fn is_awaiting_news(&mut self, now: Millis) -> bool {
-        let Some(until) = self.unverified_until else {
-            return false;
-        };
+        let held_until = self.held_until(now);
+        self.unverified_until = held_until;
+        held_until.is_some()
+    }
+
+    /// Returns the time until which openings are held at most, if they are held now.
+    fn held_until(&self, now: Millis) -> Option<Millis> {
         let is_verified = self.confirmed_at.is_some_and(|it| it >= self.stalled_at);
-        if is_verified || now >= until {
-            self.unverified_until = None;
-            return false;
-        }
-        true
+        self.unverified_until
+            .filter(|until| !is_verified && now < *until)
     }
 
     /// Returns the time at which `on_timer` must be called next.
--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -118,6 +118,16 @@
     idle: Utilization,
 }
 
+/// What a balancer knows of the load and liveness of an agent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct KnownLoad {
+    /// Latest reported utilization, or `None` if the endpoint accepts no new flows.
+    pub(crate) utilization: Option<Utilization>,
+    pub(crate) utilization_age: Millis,
+    /// Time since the first notice that the agent has not answered.
+    pub(crate) unanswered: Option<Millis>,
+}
+
 /// The agents of all listed endpoints and of recently retired ones.
 #[derive(Debug, Default)]
 pub(crate) struct Agents {
@@ -328,6 +338,17 @@
         })
     }
 
+    /// Returns what is known of an agent's load and liveness.
+    pub(crate) fn known_load(&self, now: Millis, agent: Ipv4Addr) -> Option<KnownLoad> {
+        let state = self.find_agent(agent)?;
+        let is_closed = state.utilization == UTILIZATION_CLOSED;
+        Some(KnownLoad {
+            utilization: (!is_closed).then_some(state.utilization),
+            utilization_age: now.since(state.utilization_at),
+            unanswered: state.unanswered_since.map(|it| now.since(it)),
+        })
+    }
+
     /// Returns the utilization limits up to which an endpoint accepts a new flow immediately.
     ///
     /// An endpoint accepts a new flow if the endpoint has a free concurrency slot. When slots are
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -8,8 +8,8 @@
 
 use super::{Balancer, HOLD_STEP_MS, openings::PendingOpening, zones::Placeable};
 use crate::{
-    DropReason, Endpoint, EndpointState, Event, Flow, Outbox, PacketFormat, ResetReason, Segment,
-    ServiceKey,
+    DropReason, Endpoint, EndpointState, Event, Flow, Outbox, PacketFormat, RequestProfile,
+    ResetReason, Segment, ServiceKey,
     catalog::LOOKUP_SUBSET_MAX,
     message::{
         AcceptLimits, CANDIDATES_MAX, Candidate, Candidates, FlowHeld, FlowNotHeld, Forward,
@@ -27,6 +27,27 @@
 /// lost.
 const CHAIN_MAX: usize = 6;
 
+/// The service and the candidates of an opening, as the balancer chooses them at one moment.
+#[derive(Debug)]
+pub(super) struct OpeningChoice {
+    pub(super) service: ServiceKey,
+    pub(super) requests: RequestProfile,
+    pub(super) plan: PlanKind,
+    pub(super) candidates: Candidates,
+    pub(super) limits: AcceptLimits,
+}
+
+/// Why an opening can't be offered to any endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum NotPlaceable {
+    /// No route leads to a service.
+    NoRoute,
+    /// All endpoints of the service that would accept the flow are in zones out of use.
+    OnlyOutOfUse(ServiceKey),
+    /// No endpoint of the service would accept the flow.
+    Nowhere(ServiceKey),
+}
+
 impl<F: PacketFormat> Balancer<F> {
     /// Offers an opening packet to the endpoints that may accept the flow, in order of preference.
     pub(super) fn offer_opening(
@@ -45,28 +66,88 @@
             return;
         }
         let flow = opening.flow;
-        // The route may have changed since the opening packet was last offered.
-        let route = self.view.catalog().find_route(flow.service_address);
-        let requests = route.map(|it| it.requests).unwrap_or_default();
-        let Some(service) = route.and_then(|it| it.service_for_new_flow(flow.hash())) else {
-            return self.drop_packet(DropReason::NoRoute, out);
-        };
-        match self.collect_placeable_endpoints(service, flow.hash()) {
-            Placeable::Endpoints => {}
-            Placeable::OnlyOutOfUse if self.may_turn_away(now) => {
+        let mut subset = std::mem::take(&mut self.subset);
+        let choice = self.choose_candidates(now, &opening, &mut subset);
+        self.subset = subset;
+        let choice = match choice {
+            Ok(it) => it,
+            Err(NotPlaceable::NoRoute) => return self.drop_packet(DropReason::NoRoute, out),
+            Err(NotPlaceable::OnlyOutOfUse(_)) if self.may_turn_away(now) => {
                 return self.send_reset(flow, 0, ResetReason::ZonesOutOfUse, out);
             }
-            Placeable::OnlyOutOfUse | Placeable::Nowhere => {
+            Err(NotPlaceable::OnlyOutOfUse(_) | NotPlaceable::Nowhere(_)) => {
                 return self.drop_packet(DropReason::NoEndpoint, out);
             }
+        };
+        match choice.plan {
+            PlanKind::OwnZone => {}
+            PlanKind::Shared => self.counters.openings_shared += 1,
+            PlanKind::Spilled => self.counters.openings_spilled += 1,
+        }
+        let OpeningChoice {
+            service,
+            requests,
+            candidates,
+            limits,
+            ..
+        } = choice;
+        let Some(first) = candidates.as_slice().first().copied() else {
+            return self.drop_packet(DropReason::NoEndpoint, out);
+        };
+        let forward = Forward::new(
+            service,
+            self.config.address,
+            PacketClass::Opening,
+            candidates,
+        )
+        .with_limits(limits)
+        .with_requests(requests, opening.age_ms(now));
+        write_forwarded_packet(&forward, &opening.packet, &mut self.scratch);
+        out.send_to_peer(first.agent_address(), &self.scratch);
+        out.report_event(Event::OpeningPlaced {
+            flow,
+            agent: first.agent_address(),
+            candidates: candidates.len(),
+            attempt: opening.offer_count(),
+            catalog_revision: self.view.catalog().revision.number(),
+        });
+        self.counters.openings += 1;
+        let is_first = opening.offer_count() == 0;
+        self.counters.openings_out_of_zone +=
+            u64::from(is_first && self.view.catalog().is_evacuated(self.config.zone));
+        opening.record_offer(now, first.agent_address());
+        self.openings.insert_opening(opening);
+    }
+
+    /// Chooses the service and the candidates to which an opening would be offered now.
+    ///
+    /// An opening packet and an operator's question are answered alike, so nothing may change here.
+    /// `subset` is a buffer for the endpoints at which the flow may be placed.
+    pub(super) fn choose_candidates(
+        &self,
+        now: Millis,
+        opening: &PendingOpening,
+        subset: &mut Vec<Endpoint>,
+    ) -> Result<OpeningChoice, NotPlaceable> {
+        let flow = opening.flow;
+        // The route may have changed since the opening packet was last offered.
+        let route = self.view.catalog().find_route(flow.service_address);
+        let requests = route.map(|it| it.requests).unwrap_or_default();
+        let service = route
+            .and_then(|it| it.service_for_new_flow(flow.hash()))
+            .ok_or(NotPlaceable::NoRoute)?;
+        match self.collect_placeable_endpoints(service, flow.hash(), subset) {
+            Placeable::Endpoints => {}
+            Placeable::OnlyOutOfUse => return Err(NotPlaceable::OnlyOutOfUse(service)),
+            Placeable::Nowhere => return Err(NotPlaceable::Nowhere(service)),
         }
         let (zone, agents) = (self.config.zone, &self.agents);
         let is_late = opening.offer_count() > 0;
-        let loads = agents.zone_loads(now, &self.subset);
+        let loads = agents.zone_loads(now, subset);
         let draw = u16::try_from(flow.hash() % 1_000).unwrap_or(0);
         let plan = CandidatePlan::new(&loads, zone.get(), CANDIDATES_MAX, draw);
         plan.sort_endpoints(
-            &mut self.subset,
+            subset,
             |it| it.zone.get(),
             |it| {
                 (
@@ -77,14 +158,9 @@
                 )
             },
         );
-        match plan.kind() {
-            PlanKind::OwnZone => {}
-            PlanKind::Shared => self.counters.openings_shared += 1,
-            PlanKind::Spilled => self.counters.openings_spilled += 1,
-        }
         // An endpoint that restarted under a new id shares its agent with the endpoint's old entry.
         let mut candidates = Candidates::default();
-        for endpoint in &self.subset {
+        for endpoint in subset.iter() {
             if candidates
                 .as_slice()
                 .iter()
@@ -97,39 +173,20 @@
                 break;
             }
         }
-        let Some(first) = candidates.as_slice().first().copied() else {
-            return self.drop_packet(DropReason::NoEndpoint, out);
-        };
         // The flow's opening is late already at a retry, so the first endpoint with a free slot
         // accepts it.
-        let limits = if opening.offer_count() == 0 {
-            self.agents.accept_limits(now, &self.subset)
-        } else {
+        let limits = if is_late {
             AcceptLimits::FREE_SLOT
+        } else {
+            agents.accept_limits(now, subset)
         };
-        let forward = Forward::new(
+        Ok(OpeningChoice {
             service,
-            self.config.address,
-            PacketClass::Opening,
+            requests,
+            plan: plan.kind(),
             candidates,
-        )
-        .with_limits(limits)
-        .with_requests(requests, opening.age_ms(now));
-        write_forwarded_packet(&forward, &opening.packet, &mut self.scratch);
-        out.send_to_peer(first.agent_address(), &self.scratch);
-        out.report_event(Event::OpeningPlaced {
-            flow,
-            agent: first.agent_address(),
-            candidates: candidates.len(),
-            attempt: opening.offer_count(),
-            catalog_revision: self.view.catalog().revision.number(),
-        });
-        self.counters.openings += 1;
-        let is_first = opening.offer_count() == 0;
-        self.counters.openings_out_of_zone +=
-            u64::from(is_first && self.view.catalog().is_evacuated(self.config.zone));
-        opening.record_offer(now, first.agent_address());
-        self.openings.insert_opening(opening);
+            limits,
+        })
     }
 
     /// Starts a lookup of a flow: asks the agents of all endpoints that may hold the flow, except
--- a/crates/passthrough/src/balancer/zones.rs
+++ b/crates/passthrough/src/balancer/zones.rs
@@ -25,7 +25,7 @@
 /// Whether a service has endpoints at which a new flow may be placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Placeable {
-    /// The balancer's `subset` holds endpoints at which the flow may be placed.
+    /// The given buffer holds endpoints at which the flow may be placed.
     Endpoints,
     /// All endpoints that would accept flows are in zones out of use.
     OnlyOutOfUse,
@@ -89,22 +89,23 @@
     /// The endpoints around the flow's place on the ring of a large service may all be in zones out of
     /// use. All others are looked at then.
     pub(super) fn collect_placeable_endpoints(
-        &mut self,
+        &self,
         service: ServiceKey,
         flow_hash: u64,
+        subset: &mut Vec<Endpoint>,
     ) -> Placeable {
         for count_max in [PLACEMENT_SUBSET_MAX, usize::MAX] {
-            let is_whole =
-                self.view
-                    .collect_endpoint_subset(service, flow_hash, count_max, &mut self.subset);
-            self.subset.retain(|it| it.state == EndpointState::Ready);
-            if self.subset.is_empty() {
+            let is_whole = self
+                .view
+                .collect_endpoint_subset(service, flow_hash, count_max, subset);
+            subset.retain(|it| it.state == EndpointState::Ready);
+            if subset.is_empty() {
                 return Placeable::Nowhere;
             }
             let catalog = self.view.catalog();
-            self.subset.retain(|it| !catalog.is_evacuated(it.zone));
-            if !self.subset.is_empty() {
-                self.subset.truncate(PLACEMENT_SUBSET_MAX);
+            subset.retain(|it| !catalog.is_evacuated(it.zone));
+            if !subset.is_empty() {
+                subset.truncate(PLACEMENT_SUBSET_MAX);
                 return Placeable::Endpoints;
             }
             if is_whole {
--- a/crates/passthrough/src/lib.rs
+++ b/crates/passthrough/src/lib.rs
@@ -26,7 +26,10 @@
 mod store_era;
 
 pub use agent::{Agent, AgentConfig, AgentCounters};
-pub use balancer::{Balancer, BalancerConfig, BalancerCounters};
+pub use balancer::{
+    Balancer, BalancerConfig, BalancerCounters, CandidateReport, LeftOutEndpoint, LeftOutReason,
+    LimitsReport, PlacementOutcome, PlacementReport, ServiceRule, ZonePlan,
+};
 pub use catalog::{
     Catalog, CatalogView, ColdStart, Endpoint, EndpointKey, EndpointState, RequestKind,
     RequestProfile, Route, RouteTarget, ServiceKey, StoreState, ZoneKey,
