--- a/crates/lovagectl/src/error.rs
+++ b/crates/lovagectl/src/error.rs
@@ -1,6 +1,6 @@
 //! The reasons why a command of `lovagectl` fails.
 
-use std::{fmt, io, path::PathBuf};
+use std::{fmt, io, net::SocketAddr, path::PathBuf};
 
 use bundle::Refusal;
 use settings::SettingsError;
@@ -54,6 +54,15 @@
     Certificate(String),
     /// The Tokio runtime could not start.
     Runtime(io::Error),
+    /// A balancer did not answer a question, or refused it.
+    Balancer {
+        /// Address that was asked.
+        address: SocketAddr,
+        /// What went wrong.
+        cause: String,
+        /// What the operator should do.
+        remedy: &'static str,
+    },
     /// None of the queried processes could be reached.
     NoProcessReached {
         /// Each queried process and why it could not be reached.
@@ -96,6 +105,11 @@
                     "starting the Tokio runtime: {source}; free threads or memory"
                 )
             }
+            Self::Balancer {
+                address,
+                cause,
+                remedy,
+            } => write!(f, "balancer at {address}: {cause}; {remedy}"),
             Self::NoProcessReached { causes } => {
                 write!(
                     f,
--- a/crates/lovagectl/src/flags.rs
+++ b/crates/lovagectl/src/flags.rs
@@ -1,6 +1,9 @@
 //! The command line of `lovagectl`.
 
-use std::path::PathBuf;
+use std::{
+    net::{SocketAddr, SocketAddrV4},
+    path::PathBuf,
+};
 
 use bundle::PublicKey;
 use units::ServiceId;
@@ -99,6 +102,18 @@
             /// Flow, or a part of its name, such as the caller's address and port.
             required --flow flow: String
         }
+        /// Asks a passthrough balancer where an opening would go now, and why, without sending it.
+        cmd where {
+            /// Address and port of the balancer's metrics.
+            required --balancer balancer: SocketAddr
+            /// Address and port that callers of the route send to.
+            required --route route: SocketAddrV4
+            /// Caller's address and port; the flow's choices depend on them. One of no caller if not
+            /// given.
+            optional --caller caller: SocketAddrV4
+            /// Prints JSON instead of a table.
+            optional --json
+        }
         /// Shows the events of all processes merged in one order.
         cmd timeline {
             /// Settings file of this program in JSON.
--- a/crates/lovagectl/src/main.rs
+++ b/crates/lovagectl/src/main.rs
@@ -15,6 +15,7 @@
 mod keys;
 mod status;
 mod timeline_view;
+mod where_to;
 
 use std::process::ExitCode;
 
@@ -62,6 +63,7 @@
             BundleCmd::Diff(cmd) => bundles::print_bundle_diff(&cmd)?,
         },
         LovagectlCmd::Explain(cmd) => explain::explain_flow(&cmd)?,
+        LovagectlCmd::Where(cmd) => where_to::show_placement(&cmd)?,
         LovagectlCmd::Status(cmd) => return status::show_statuses(&cmd),
         LovagectlCmd::Timeline(cmd) => return timeline_view::show_timeline(&cmd),
     }
--- a/crates/passthrough-node/src/balancer.rs
+++ b/crates/passthrough-node/src/balancer.rs
@@ -18,6 +18,7 @@
     clock,
     http_server::{self, ServerState},
     metrics::Exposition,
+    placement_questions::{self, PlacementQuestion, QuestionSender},
     udp::{self, Inbox, Outgoing},
 };
 
@@ -118,7 +119,9 @@
     // The signal handlers are installed first, since an unhandled signal kills the process.
     let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signal)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(NodeError::Signal)?;
-    let mut process: Process<F> = Process::start_process(settings_file.current_settings())?;
+    let (question_sender, mut questions) = placement_questions::question_channel();
+    let mut process: Process<F> =
+        Process::start_process(settings_file.current_settings(), question_sender)?;
     let log = process.sockets.log.clone();
     let (reading_enabled_tx, reading_enabled) = watch::channel(true);
     let (newest_era_tx, newest_era) = watch::channel(StoreEra::default());
@@ -166,6 +169,11 @@
                 process.on_source_confirmation(&it);
                 false
             }
+            Some(it) = questions.recv() => {
+                process.answer_question(it);
+                // Datagrams are read after each question, since questions may follow one another.
+                true
+            }
             res = process.sockets.callers.readable() => res.is_ok(),
             res = process.sockets.peers.readable() => res.is_ok(),
             () = tokio::time::sleep(sleep) => false,
@@ -218,7 +226,10 @@
 
 impl<F: PacketFormat> Process<F> {
     /// Opens the sockets and starts a balancer without a catalog.
-    fn start_process(settings: &PassthroughBalancerSettings) -> Result<Self, NodeError> {
+    fn start_process(
+        settings: &PassthroughBalancerSettings,
+        questions: QuestionSender,
+    ) -> Result<Self, NodeError> {
         let log = EventLog::new(settings.instance.as_str());
         let sockets = Sockets {
             callers: udp::bind_udp_socket("callers", settings.caller_address)?,
@@ -230,9 +241,9 @@
             to_peers: Outgoing::new(),
         };
         let server_state = ServerState::default();
-        serve_http("readiness", settings.readiness_address, &server_state)?;
+        serve_http("readiness", settings.readiness_address, &server_state, None)?;
         if let Some(address) = settings.metrics_address {
-            serve_http("metrics", address, &server_state)?;
+            serve_http("metrics", address, &server_state, Some(questions))?;
         }
         log.write_line(
             LineKind::StateChange,
@@ -285,6 +296,12 @@
         deadline
     }
 
+    fn answer_question(&self, question: PlacementQuestion) {
+        let report = self.balancer.report_placement(clock::now(), question.flow);
+        // Whoever asked may have gone away.
+        let _gone = question.reply.send(report);
+    }
+
     fn on_source_update(&mut self, update: SourceUpdate) {
         self.store_calls = update.calls;
         self.skipped_items = update.skipped_items;
@@ -435,9 +452,14 @@
     purpose: &'static str,
     address: SocketAddr,
     server_state: &ServerState,
+    questions: Option<QuestionSender>,
 ) -> Result<(), NodeError> {
     let listener = http_server::bind_listener(purpose, address)?;
-    tokio::spawn(http_server::serve_status(listener, server_state.clone()));
+    tokio::spawn(http_server::serve_balancer_status(
+        listener,
+        server_state.clone(),
+        questions,
+    ));
     Ok(())
 }
 
--- a/crates/passthrough-node/src/http_server.rs
+++ b/crates/passthrough-node/src/http_server.rs
@@ -17,7 +17,10 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{net::TcpListener, sync::Semaphore};
 
-use crate::NodeError;
+use crate::{
+    NodeError,
+    placement_questions::{Answer, QuestionSender},
+};
 
 /// Time within which a client must send a request's head.
 const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -79,6 +82,16 @@
 /// Serves HTTP requests on a listener: the metrics at `/metrics`, the readiness at every other
 /// path.
 pub(crate) async fn serve_status(listener: TcpListener, state: ServerState) {
+    serve_balancer_status(listener, state, None).await;
+}
+
+/// Serves HTTP requests on a listener like `serve_status`, and where an opening would go at `/where`
+/// if `questions` is given.
+pub(crate) async fn serve_balancer_status(
+    listener: TcpListener,
+    state: ServerState,
+    questions: Option<QuestionSender>,
+) {
     let permits = Arc::new(Semaphore::new(CONNECTIONS_MAX));
     loop {
         let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
@@ -89,15 +102,21 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        let state = state.clone();
+        let (state, questions) = (state.clone(), questions.clone());
         tokio::spawn(async move {
             let service = service_fn(|request: http::Request<hyper::body::Incoming>| {
-                let response = if request.uri().path() == "/metrics" {
-                    state.metrics_response()
-                } else {
-                    state.readiness_response()
-                };
-                async move { Ok::<_, Infallible>(response) }
+                let (state, questions) = (state.clone(), questions.clone());
+                async move {
+                    let response = match (request.uri().path(), questions) {
+                        ("/metrics", _) => state.metrics_response(),
+                        ("/where", Some(questions)) => {
+                            let query = request.uri().query().unwrap_or_default();
+                            answer_response(questions.answer_query(query).await)
+                        }
+                        _ => state.readiness_response(),
+                    };
+                    Ok::<_, Infallible>(response)
+                }
             });
             // A broken connection affects only its client.
             let _broken = http1::Builder::new()
@@ -109,3 +128,22 @@
         });
     }
 }
+
+fn answer_response(answer: Answer) -> Response<Full<Bytes>> {
+    let (status, content_type, text) = match answer {
+        Answer::Report(json) => (StatusCode::OK, "application/json", json),
+        Answer::BadQuery(text) => (StatusCode::BAD_REQUEST, "text/plain", text),
+        Answer::Busy => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "text/plain",
+            "the balancer is busy; ask again".to_owned(),
+        ),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response.headers_mut().insert(
+        http::header::CONTENT_TYPE,
+        http::HeaderValue::from_static(content_type),
+    );
+    response
+}
--- a/crates/passthrough-node/src/lib.rs
+++ b/crates/passthrough-node/src/lib.rs
@@ -13,6 +13,7 @@
 mod event_log;
 mod http_server;
 mod metrics;
+mod placement_questions;
 mod read_schedule;
 mod settings_file;
 mod stall;
