--- a/crates/lovagectl/src/where_to.rs
+++ b/crates/lovagectl/src/where_to.rs
@@ -147,6 +147,11 @@
 /// Returns what is special about a candidate.
 fn remarks_on(candidate: &Value) -> String {
     let mut remarks = Vec::new();
+    if candidate["report_age_ms"].is_null() {
+        remarks.push("never reported".to_owned());
+    } else if candidate["utilization"].is_null() {
+        remarks.push("closed".to_owned());
+    }
     if candidate["is_last_resort"] == true {
         remarks.push("last resort".to_owned());
     }
--- a/crates/lovagehall/tests/placement_question.rs
+++ b/crates/lovagehall/tests/placement_question.rs
@@ -166,6 +166,8 @@
     );
     assert_eq!(report["candidates"][0]["is_own_zone"], true);
     assert_eq!(report["candidates"][1]["cold_left_ms"], 8_000);
+    // Nothing answers at the agents' addresses.
+    assert_eq!(report["candidates"][0]["report_age_ms"], Value::Null);
     assert_eq!(agents(&report["left_out"]), ["127.0.90.3"]);
 
     let route = ["--route", "198.18.0.1:443", "--caller", "100.64.0.7:1033"];
@@ -175,6 +177,7 @@
         "flow 100.64.0.7:1033>198.18.0.1:443: offered",
         "settings 7, catalog revision 5, era 0",
         "127.0.90.1",
+        "never reported",
         "cold for 8000 ms",
         ": draining",
     ] {
--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -93,7 +93,9 @@
     /// Whether the agent's latest report lists the routes of all flows of its endpoint.
     lists_every_route: bool,
     utilization: Utilization,
+    /// Time of the latest reply, or of the agent's adoption if `has_replied` is false.
     utilization_at: Millis,
+    has_replied: bool,
     /// Exponential moving average of the utilization in the agent's load reports; the latest report
     /// has weight one half.
     ///
@@ -121,9 +123,11 @@
 /// What a balancer knows of the load and liveness of an agent.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct KnownLoad {
-    /// Latest reported utilization, or `None` if the endpoint accepts no new flows.
+    /// Latest reported utilization, or `None` if the endpoint accepts no new flows or its agent has
+    /// never replied.
     pub(crate) utilization: Option<Utilization>,
-    pub(crate) utilization_age: Millis,
+    /// Age of the latest reply, if there is one.
+    pub(crate) report_age: Option<Millis>,
     /// Time since the first notice that the agent has not answered.
     pub(crate) unanswered: Option<Millis>,
 }
@@ -167,6 +171,7 @@
                 lists_every_route: known.is_some_and(|it| it.lists_every_route),
                 utilization: known.map_or(0, |it| it.utilization),
                 utilization_at: known.map_or(now, |it| it.utilization_at),
+                has_replied: known.is_some_and(|it| it.has_replied),
                 average: known.map_or_else(AverageUtilization::default, |it| it.average),
             });
         }
@@ -260,6 +265,7 @@
             state.unanswered_since = None;
             state.utilization = utilization;
             state.utilization_at = now;
+            state.has_replied = true;
             was_lost |= std::mem::take(&mut state.is_lost);
         }
         if was_lost {
@@ -341,10 +347,11 @@
     /// Returns what is known of an agent's load and liveness.
     pub(crate) fn known_load(&self, now: Millis, agent: Ipv4Addr) -> Option<KnownLoad> {
         let state = self.find_agent(agent)?;
-        let is_closed = state.utilization == UTILIZATION_CLOSED;
+        let is_open = state.utilization != UTILIZATION_CLOSED;
+        let age = now.since(state.utilization_at);
         Some(KnownLoad {
-            utilization: (!is_closed).then_some(state.utilization),
-            utilization_age: now.since(state.utilization_at),
+            utilization: (state.has_replied && is_open).then_some(state.utilization),
+            report_age: state.has_replied.then_some(age),
             unanswered: state.unanswered_since.map(|it| now.since(it)),
         })
     }
--- a/crates/passthrough/src/balancer/placement_report.rs
+++ b/crates/passthrough/src/balancer/placement_report.rs
@@ -82,10 +82,10 @@
     pub is_zone_out_of_use: bool,
     /// Time for which the endpoint stays cold, as its entry in the store stated; zero if it is warm.
     pub cold_left_ms: Millis,
-    /// Latest reported utilization in thousandths of the slots; `None` if the endpoint said that it
-    /// accepts no new flows, or if nothing is known of its agent.
+    /// Latest reported utilization in thousandths of the slots; `None` if the endpoint accepts no new
+    /// flows, or if its agent has never replied.
     pub utilization: Option<u16>,
-    /// Age of the report, or the time since the balancer learned of the agent if there is none.
+    /// Age of the agent's latest reply; `None` if it has never replied.
     pub report_age_ms: Option<Millis>,
     /// Time since the first notice that the agent has not answered, if there is one.
     pub unanswered_ms: Option<Millis>,
@@ -263,7 +263,7 @@
                 is_zone_out_of_use: self.view.catalog().is_evacuated(endpoint.zone),
                 cold_left_ms: endpoint.cold_left_ms,
                 utilization: load.and_then(|it| it.utilization),
-                report_age_ms: load.map(|it| it.utilization_age),
+                report_age_ms: load.and_then(|it| it.report_age),
                 unanswered_ms: load.and_then(|it| it.unanswered),
                 is_last_resort: self.agents.is_last_resort(now, agent),
                 slots: endpoint.slots.get(),
--- a/crates/passthrough/tests/placement_report.rs
+++ b/crates/passthrough/tests/placement_report.rs
@@ -191,3 +191,17 @@
     }
     assert_eq!(services.len(), 2);
 }
+
+#[test]
+fn report_tells_that_openings_are_held_after_a_stall() {
+    let mut network = SimNetwork::new(1, 2);
+    network.wake_balancer(0, 2_000);
+    let report = ask(&network, flow(1));
+    assert_eq!(report.outcome, PlacementOutcome::Held);
+    assert_eq!(report.held_ms, Some(Millis::new(300)));
+    assert_eq!(report.candidates.len(), 2);
+    network.advance_ms(400);
+    let report = ask(&network, flow(1));
+    assert_eq!(report.outcome, PlacementOutcome::Offered);
+    assert_eq!(report.held_ms, None);
+}
