--- a/crates/passthrough/src/balancer/placement_report.rs
+++ b/crates/passthrough/src/balancer/placement_report.rs
@@ -21,8 +21,9 @@
 const LEFT_OUT_MAX: usize = 64;
 
 /// What the agents and the balancer do if all candidates are full.
-const ALL_FULL: &str = "the candidate with the lowest utilization takes the opening, which waits at its \
-     endpoint; if all are closed, the opening returns, and the balancer offers it again later";
+const ALL_FULL: &str = "the candidate with the lowest utilization takes the opening, which waits \
+                        at its agent or endpoint; if all are closed, the opening returns, and the \
+                        balancer offers it again later";
 
 /// What would become of an opening.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
