Offer late openings of repeatable requests to a second endpoint

Single slow openings spoil the slowest answers: a chain of full candidates, an agent without CPU time, a queue on one link. An opening without an answer after the 95th percentile of the balancer's own waits is now offered to the least loaded other endpoint, within `extra_openings_percent` of the openings of ten seconds, never where the service is busy and never on routes whose requests run at most once. The setting is off by default. The other agent is told to give the opening up.

--- a/crates/passthrough-node/src/balancer.rs
+++ b/crates/passthrough-node/src/balancer.rs
@@ -245,8 +245,10 @@
             seeds: settings.seed_instances(),
         };
         let now = clock::now();
+        let mut balancer = Balancer::new(config, now);
+        balancer.set_extra_openings(settings.extra_openings_bp);
         Ok(Self {
-            balancer: Balancer::new(config, now),
+            balancer,
             sockets,
             server_state,
             inbox: Inbox::new(),
@@ -327,6 +329,7 @@
         self.balancer
             .add_seed_balancers(now, &settings.seed_instances());
         self.balancer.set_link_mbps(settings.link_mbps);
+        self.balancer.set_extra_openings(settings.extra_openings_bp);
         let log = &self.sockets.log;
         if settings.caller_address.port() != self.sockets.caller_port {
             log.write_line(
--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -173,6 +173,7 @@
             Ok(Message(Body::StateNotice(notice))) => {
                 return self.on_state_notice(now, sender, notice, out);
             }
+            Ok(Message(Body::FlowGivenUp(flow))) => return self.on_flow_given_up(flow),
             Ok(_) | Err(_) => return self.drop_packet(DropReason::Malformed, out),
         };
         let at = datagram.len() - packet_bytes;
@@ -216,6 +217,9 @@
                 out.report_event(Event::EndpointSilent { misses });
             }
             self.counters.unanswered += 1;
+            if delivery.is_given_up {
+                continue;
+            }
             let mut packet = delivery.packet;
             let forward = delivery.forward;
             self.forward_to_next_candidate(now, forward, UTILIZATION_CLOSED, &mut packet, out);
@@ -297,6 +301,16 @@
         }
     }
 
+    /// Handles a balancer's message that another agent has accepted the opening of a flow.
+    ///
+    /// The caller may still open the flow here, if this endpoint's answer reached it first. Nothing is
+    /// taken from the endpoint therefore; its answer to a pending delivery still tells of its health.
+    fn on_flow_given_up(&mut self, flow: Flow) {
+        if let Some(tag) = self.flows.stop_expecting_request(flow) {
+            self.deliveries.give_up_delivery(tag, flow);
+        }
+    }
+
     fn on_opening_packet(
         &mut self,
         now: Millis,
--- a/crates/passthrough/src/agent/deliveries.rs
+++ b/crates/passthrough/src/agent/deliveries.rs
@@ -24,6 +24,8 @@
     /// Copy of the packet if it must be forwarded to another agent when the endpoint doesn't
     /// answer; otherwise empty.
     pub(crate) packet: Vec<u8>,
+    /// Whether another agent has accepted the opening, so that no further agent needs the packet.
+    pub(crate) is_given_up: bool,
     deadline: Option<Millis>,
 }
 
@@ -34,6 +36,7 @@
             forward,
             sent_at: now,
             packet: Vec::new(),
+            is_given_up: false,
             deadline: None,
         }
     }
@@ -91,6 +94,17 @@
         slot.take().map(|it| it.1)
     }
 
+    /// Marks the delivery with the given tag as given up if it belongs to `flow`.
+    pub(crate) fn give_up_delivery(&mut self, tag: u32, flow: Flow) {
+        let slot = self.slots.get_mut(Self::delivery_index(tag));
+        if let Some(Some((slot_tag, delivery))) = slot
+            && *slot_tag == tag
+            && delivery.flow == flow
+        {
+            delivery.is_given_up = true;
+        }
+    }
+
     /// Removes and returns a delivery that the endpoint did not answer by the delivery's deadline.
     pub(crate) fn take_overdue_delivery(&mut self, now: Millis) -> Option<(Flow, Delivery)> {
         while let Some((deadline, tag)) = self.deadlines.front().copied() {
--- a/crates/passthrough/src/agent/held_flows.rs
+++ b/crates/passthrough/src/agent/held_flows.rs
@@ -387,6 +387,23 @@
         })
     }
 
+    /// Stops counting a request as expected on a flow that another agent has accepted. A request that
+    /// has arrived still counts.
+    ///
+    /// Returns the tag of the flow's pending delivery, zero if none is pending, or `None` if no request
+    /// was expected.
+    pub(crate) fn stop_expecting_request(&mut self, flow: Flow) -> Option<u32> {
+        let held = self.flows.get_mut(&flow)?;
+        if held.request != RequestState::Expected {
+            return None;
+        }
+        let before = held.load_class();
+        held.request = RequestState::None;
+        let (tag, after) = (held.tag, held.load_class());
+        self.update_load_counts(before, after);
+        Some(tag)
+    }
+
     /// Stops counting expected requests that did not arrive within `EXPECTED_REQUEST_TTL_MS`.
     pub(crate) fn expire_expected_requests(&mut self, now: Millis) {
         while let Some((since, flow)) = self.expected_requests.front().copied() {
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -7,6 +7,7 @@
 mod counters;
 mod duties;
 mod early_packets;
+mod extra_openings;
 mod flows;
 mod former_targets;
 mod lookups;
@@ -37,6 +38,7 @@
 use confirmation::MessageClock;
 use duties::Takeover;
 use early_packets::EarlyPackets;
+use extra_openings::ExtraOffers;
 use flows::FlowCache;
 use former_targets::FormerTargetSync;
 use lookups::Lookups;
@@ -96,6 +98,7 @@
     uploads: UploadLimiter,
     early_packets: EarlyPackets,
     openings: PendingOpenings,
+    extra_offers: ExtraOffers,
     lookups: Lookups,
     agents: Agents,
     peers: Peers,
@@ -158,6 +161,7 @@
             uploads,
             early_packets: EarlyPackets::default(),
             openings: PendingOpenings::default(),
+            extra_offers: ExtraOffers::default(),
             lookups: Lookups::default(),
             agents: Agents::default(),
             peers: Peers::default(),
@@ -305,6 +309,7 @@
             self.counters.openings_repeated += 1;
             self.offer_opening(now, opening, out);
         }
+        self.offer_late_openings(now, out);
         while let Some((flow, packet)) = self.lookups.take_due_retry(now) {
             self.retry_lookup(now, flow, &packet, out);
         }
@@ -313,6 +318,7 @@
             self.flows
                 .remove_expired_flows(now, self.view.catalog().idle_timeout_ms);
             self.lookups.remove_expired_lookups(now);
+            self.extra_offers.remove_expired(now);
             self.view.remove_expired_former_targets(now);
             let is_released = self
                 .confirmed_at
@@ -343,6 +349,7 @@
     pub fn on_stall(&mut self, now: Millis, stalled: Millis, out: &mut impl Outbox) {
         self.early_packets.clear();
         self.openings = PendingOpenings::default();
+        self.extra_offers.clear();
         self.lookups.forget_packets();
         // The silence of others during the stall is this balancer's own.
         self.agents.forgive_silence();
@@ -379,6 +386,7 @@
         }
         regular = regular.min(self.next_question_at().unwrap_or(regular));
         regular = regular.min(self.next_retired_answer_at().unwrap_or(regular));
+        regular = regular.min(self.extra_offers.next_deadline().unwrap_or(regular));
         let opening = self.openings.next_deadline().unwrap_or(regular);
         let lookup = self.lookups.next_retry_at().unwrap_or(regular);
         let transfer = self.transfers.next_send_at().unwrap_or(regular);
--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -361,6 +361,12 @@
         }
     }
 
+    /// Returns the mean of the utilization that the agent reported lately.
+    pub(crate) fn mean_utilization(&self, agent: Ipv4Addr) -> Utilization {
+        self.find_agent(agent)
+            .map_or(UTILIZATION_CLOSED, |it| it.average.utilization)
+    }
+
     /// Returns the reported loads of the endpoints in `subset` by availability zone.
     pub(crate) fn zone_loads(&self, now: Millis, subset: &[Endpoint]) -> ZoneLoads {
         let mut loads = ZoneLoads::default();
--- a/crates/passthrough/src/balancer/counters.rs
+++ b/crates/passthrough/src/balancer/counters.rs
@@ -23,6 +23,16 @@
     pub openings_shared: u64,
     /// Openings offered to another zone first, because the own zone was more loaded than others.
     pub openings_spilled: u64,
+    /// Openings offered to a second endpoint because the answer was late.
+    pub extra_openings: u64,
+    /// Late openings not offered to a second endpoint, because the allowed share was spent.
+    pub extra_openings_refused_budget: u64,
+    /// Late openings not offered to a second endpoint, because the service's endpoints were busy.
+    pub extra_openings_refused_busy: u64,
+    /// Extra openings that were accepted before the first offer was.
+    pub extra_openings_won: u64,
+    /// Messages to agents to give up an opening that another agent had accepted.
+    pub extra_openings_given_up: u64,
     /// Lookups of the endpoint that holds a flow.
     pub lookups: u64,
     /// Lookups in which all asked agents replied that their endpoints don't hold the flow.
@@ -57,7 +67,7 @@
 
     /// Returns the balancer's metric names with their counter values.
     #[must_use]
-    pub const fn named_values(&self) -> [(&'static str, u64); 15] {
+    pub const fn named_values(&self) -> [(&'static str, u64); 20] {
         [
             ("caller_packets", self.packets),
             ("openings", self.openings),
@@ -66,6 +76,17 @@
             ("openings_out_of_zone", self.openings_out_of_zone),
             ("openings_shared", self.openings_shared),
             ("openings_spilled", self.openings_spilled),
+            ("extra_openings", self.extra_openings),
+            (
+                "extra_openings_refused_budget",
+                self.extra_openings_refused_budget,
+            ),
+            (
+                "extra_openings_refused_busy",
+                self.extra_openings_refused_busy,
+            ),
+            ("extra_openings_won", self.extra_openings_won),
+            ("extra_openings_given_up", self.extra_openings_given_up),
             ("lookups", self.lookups),
             ("lookups_failed", self.lookups_failed),
             ("resets_sent", self.resets),
--- a/crates/passthrough/src/balancer/openings.rs
+++ b/crates/passthrough/src/balancer/openings.rs
@@ -34,6 +34,8 @@
     pub(crate) received_at: Millis,
     retry_at: Millis,
     offered_to: Vec<Ipv4Addr>,
+    /// The agent that got the opening packet as an extra opening, which is no attempt of its own.
+    pub(crate) extra_agent: Option<Ipv4Addr>,
 }
 
 impl PendingOpening {
@@ -44,6 +46,7 @@
             received_at: now,
             retry_at: now,
             offered_to: Vec::new(),
+            extra_agent: None,
         }
     }
 
@@ -57,7 +60,12 @@
     }
 
     pub(crate) fn was_offered_to(&self, agent: Ipv4Addr) -> bool {
-        self.offered_to.contains(&agent)
+        self.offered_to.contains(&agent) || self.extra_agent == Some(agent)
+    }
+
+    /// Returns the agents that received the opening packet first in each attempt.
+    pub(crate) fn offered_agents(&self) -> impl Iterator<Item = Ipv4Addr> {
+        self.offered_to.iter().copied()
     }
 
     /// Returns how many times the opening packet has been offered.
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -126,6 +126,9 @@
         });
         self.counters.openings += 1;
         let is_first = opening.offer_count() == 0;
+        if is_first {
+            self.extra_offers.on_opening_placed(now, flow, requests);
+        }
         self.counters.openings_out_of_zone +=
             u64::from(is_first && self.view.catalog().is_evacuated(self.config.zone));
         opening.record_offer(now, first.agent_address());
@@ -143,6 +146,7 @@
         except: Option<Ipv4Addr>,
         out: &mut impl Outbox,
     ) {
+        self.extra_offers.forget_first_agent(flow);
         let services = self.view.services_of_flow(flow);
         if services.is_empty() {
             return self.drop_packet(DropReason::NoRoute, out);
@@ -269,10 +273,13 @@
             .record_reply(now, agent, flow_held.utilization, out);
         if self.lookups.finish_lookup(flow) {
             out.report_event(Event::HolderFound { flow, agent });
+        } else if self.is_accepted_elsewhere(agent, flow, out) {
+            return;
         }
         if let Some(opening) = self.openings.take_opening(flow) {
             self.counters
                 .record_opening_wait(now.since(opening.received_at));
+            self.settle_extra_opening(now, agent, &opening, out);
         }
         self.flows.insert_flow(now, flow, agent, flow_held.service);
         self.record_served_route(now, flow.service_address, flow_held.service, out);
--- a/crates/passthrough/src/event.rs
+++ b/crates/passthrough/src/event.rs
@@ -53,6 +53,19 @@
         attempt: u8,
         catalog_revision: u64,
     },
+    /// A balancer offered an opening to a second endpoint, since no agent had answered within
+    /// `delay_ms`, the wait that `quantile_percent` of its latest openings don't exceed.
+    ExtraOpening {
+        #[serde(serialize_with = "serialize_as_display")]
+        flow: Flow,
+        agent: Ipv4Addr,
+        delay_ms: u64,
+        quantile_percent: u32,
+        /// Mean load of the service's endpoints, in thousandths of their slots.
+        load: u16,
+        /// Number of further extra openings that the operator's limit allows now.
+        budget_left: u64,
+    },
     /// An agent forwarded an opening packet to the next candidate because its own endpoint is full,
     /// draining, silent or an outlier.
     OpeningPassed {
@@ -233,6 +246,7 @@
             | Self::OpeningPassed { .. }
             | Self::HolderFound { .. } => EventKind::Ordinary,
             Self::OpeningPlaced { .. }
+            | Self::ExtraOpening { .. }
             | Self::LookupStarted { .. }
             | Self::LookupFailed { .. }
             | Self::ResetSent { .. }
--- a/crates/passthrough/src/message.rs
+++ b/crates/passthrough/src/message.rs
@@ -25,7 +25,7 @@
 };
 use digest::{DIGEST_MEMBERS_MAX, DigestHeader, NO_RETIRED_TOLD};
 pub(crate) use write::{
-    write_catalog_chunk, write_digest, write_flow_held, write_flow_not_held,
+    write_catalog_chunk, write_digest, write_flow_given_up, write_flow_held, write_flow_not_held,
     write_forwarded_packet, write_load_report, write_lookup_request, write_retired_list,
     write_returned_packet, write_state_notice,
 };
@@ -88,6 +88,7 @@
     pub(super) const RETIRED: u8 = 8;
     pub(super) const LOOKUP_REQUEST: u8 = 9;
     pub(super) const FLOW_NOT_HELD: u8 = 10;
+    pub(super) const FLOW_GIVEN_UP: u8 = 11;
 }
 
 /// Error for a datagram that is not a valid message.
@@ -441,6 +442,13 @@
     utilization: U16,
 }
 
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct FlowGivenUpHeader {
+    preamble: Preamble,
+    flow: [u8; FLOW_BYTES],
+}
+
 /// A packet returned to the balancer that sent it, because no candidate agent's endpoint holds or
 /// accepts its flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -663,4 +671,6 @@
     Retired(&'a [u8]),
     LookupRequest(LookupRequest<'a>, &'a [u8]),
     FlowNotHeld(FlowNotHeld),
+    /// Tells an agent that another one has accepted the flow's opening.
+    FlowGivenUp(Flow),
 }
--- a/crates/passthrough/src/message/decode.rs
+++ b/crates/passthrough/src/message/decode.rs
@@ -6,8 +6,8 @@
 use super::{
     AcceptLimits, AgedFormerTarget, Body, CANDIDATES_MAX, Candidate, Candidates, Chunk,
     ChunkHeader, DIGEST_FORMER_TARGETS_MAX, DIGEST_MEMBERS_MAX, Digest, DigestHeader,
-    DigestRequest, FlowHeld, FlowHeldHeader, FlowNotHeld, FlowNotHeldHeader, Forward,
-    ForwardHeader, Instances, LAYOUT_VERSION, LoadReport, LoadReportHeader, LookupRequest,
+    DigestRequest, FlowGivenUpHeader, FlowHeld, FlowHeldHeader, FlowNotHeld, FlowNotHeldHeader,
+    Forward, ForwardHeader, Instances, LAYOUT_VERSION, LoadReport, LoadReportHeader, LookupRequest,
     LookupRequestHeader, MAGIC, Member, Message, MessageError, NO_RETIRED_TOLD, PacketClass,
     PeerStatus, Preamble, REPORTED_BALANCERS_MAX, REPORTED_ROUTES_MAX, ReturnHeader, Returned,
     RouteAddress, StateNotice, StateNoticeHeader, kind,
@@ -34,6 +34,10 @@
         kind::CHUNK => decode_catalog_chunk(datagram)?,
         kind::LOOKUP_REQUEST => decode_lookup_request(datagram)?,
         kind::FLOW_NOT_HELD => decode_flow_not_held(datagram)?,
+        kind::FLOW_GIVEN_UP => {
+            let (header, _) = decode_prefix::<FlowGivenUpHeader>(datagram)?;
+            Body::FlowGivenUp(Flow::from_bytes(header.flow))
+        }
         kind::RETIRED => Body::Retired(decode_prefix::<Preamble>(datagram)?.1),
         _ => return Err(MessageError::InvalidField { field: "kind" }),
     };
--- a/crates/passthrough/src/message/write.rs
+++ b/crates/passthrough/src/message/write.rs
@@ -8,11 +8,12 @@
 
 use super::{
     Chunk, ChunkHeader, DIGEST_FORMER_TARGETS_MAX, DIGEST_MEMBERS_MAX, Digest, DigestHeader,
-    FlowHeld, FlowHeldHeader, FlowNotHeld, FlowNotHeldHeader, Forward, ForwardHeader, LoadReport,
-    LoadReportHeader, LookupRequest, LookupRequestHeader, NO_RETIRED_TOLD, Preamble,
-    REPORTED_ROUTES_MAX, ReturnHeader, Returned, StateNotice, StateNoticeHeader, kind,
+    FlowGivenUpHeader, FlowHeld, FlowHeldHeader, FlowNotHeld, FlowNotHeldHeader, Forward,
+    ForwardHeader, LoadReport, LoadReportHeader, LookupRequest, LookupRequestHeader,
+    NO_RETIRED_TOLD, Preamble, REPORTED_ROUTES_MAX, ReturnHeader, Returned, StateNotice,
+    StateNoticeHeader, kind,
 };
-use crate::{EndpointState, RequestKind};
+use crate::{EndpointState, Flow, RequestKind};
 
 /// Encodes a packet with its forwarding state into `out`.
 pub(crate) fn write_forwarded_packet(forward: &Forward, packet: &[u8], out: &mut Vec<u8>) {
@@ -82,6 +83,16 @@
     out.extend_from_slice(header.as_bytes());
 }
 
+/// Encodes into `out` the message that another agent has accepted the opening of `flow`.
+pub(crate) fn write_flow_given_up(flow: Flow, out: &mut Vec<u8>) {
+    let header = FlowGivenUpHeader {
+        preamble: Preamble::new(kind::FLOW_GIVEN_UP),
+        flow: flow.to_bytes(),
+    };
+    out.clear();
+    out.extend_from_slice(header.as_bytes());
+}
+
 /// Encodes into `out` a packet that an agent returns to its balancer.
 pub(crate) fn write_returned_packet(returned: Returned, packet: &[u8], out: &mut Vec<u8>) {
     let header = ReturnHeader {
--- a/crates/passthrough/tests/support/mod.rs
+++ b/crates/passthrough/tests/support/mod.rs
@@ -15,7 +15,7 @@
     Agent, AgentConfig, Balancer, BalancerConfig, Catalog, Endpoint, EndpointKey, EndpointState,
     Event, Outbox, PacketFormat, RequestProfile, Route, RouteTarget, ServiceKey, ZoneKey,
 };
-use units::{Millis, Revision, SettingsVersion, Slots, StoreEra};
+use units::{BasisPoints, Millis, Revision, SettingsVersion, Slots, StoreEra};
 
 pub(crate) use endpoint::UpstreamEndpoint;
 pub(crate) use format::{Flags, TestFormat, encode_packet};
@@ -224,6 +224,13 @@
         self.balancers.insert(balancer_ip(number), balancer);
     }
 
+    /// Changes the share of extra openings that a balancer may spend.
+    pub(crate) fn set_extra_openings(&mut self, number: u8, share: BasisPoints) {
+        self.with_balancer(balancer_ip(number), |balancer, _, _| {
+            balancer.set_extra_openings(share);
+        });
+    }
+
     /// Returns the availability zone of a balancer.
     pub(crate) fn balancer_zone(&self, number: u8) -> ZoneKey {
         let zone = number % self.balancer_zones.max(1);
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,7 +4,9 @@
 //! decisions come out. `passthrough` reads the loads from messages and carries out the decisions.
 
 mod candidates;
+mod extra_openings;
 mod zone_loads;
 
 pub use candidates::{CandidatePlan, PlanKind};
+pub use extra_openings::{DELAY_QUANTILE_PERCENT, ExtraGrant, ExtraOpenings, ExtraRefusal};
 pub use zone_loads::{EndpointLoad, ZoneLoads};
--- a/crates/settings/src/passthrough.rs
+++ b/crates/settings/src/passthrough.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
-use units::{InstanceId, Millis, Zone};
+use units::{BasisPoints, InstanceId, Millis, Zone};
 
 use crate::{SettingsError, Validate, check};
 
@@ -34,6 +34,15 @@
     /// Address on which the process serves its metrics; `None` serves no metrics.
     #[serde(default)]
     pub metrics_address: Option<SocketAddr>,
+    /// Largest number of openings that are offered to a second endpoint, as a share of all openings of
+    /// this balancer; percent in the file, with a fraction or without. Zero, the default, offers none.
+    #[serde(
+        default,
+        rename = "extra_openings_percent",
+        deserialize_with = "share_from_percent",
+        serialize_with = "share_to_percent"
+    )]
+    pub extra_openings_bp: BasisPoints,
     /// Maximum time between SIGTERM and the process's exit; seconds in the file, with a fraction or
     /// without.
     #[serde(
@@ -147,6 +156,31 @@
     Ok(Millis::new(truncate(seconds * 1_000.0).into()))
 }
 
+/// Deserializes a share in percent, with a fraction or without; a fraction of a hundredth is dropped.
+fn share_from_percent<'de, D: Deserializer<'de>>(deserializer: D) -> Result<BasisPoints, D::Error> {
+    const PERCENT_MAX: u32 = 20;
+    let percent = f64::deserialize(deserializer)?;
+    if !(0.0..=f64::from(PERCENT_MAX)).contains(&percent) {
+        return Err(de::Error::custom(format!(
+            "`extra_openings_percent`: `{percent}` is out of range; give 0 to {PERCENT_MAX} percent, \
+             where 0 turns extra openings off"
+        )));
+    }
+    // The product of a percentage with two decimals may lie just below a whole number.
+    let basis_points = truncate(percent * 100.0 + 1e-6);
+    u16::try_from(basis_points)
+        .map(BasisPoints::new)
+        .map_err(de::Error::custom)
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes the field by reference"
+)]
+fn share_to_percent<S: Serializer>(share: &BasisPoints, serializer: S) -> Result<S::Ok, S::Error> {
+    (f64::from(share.get()) / 100.0).serialize(serializer)
+}
+
 #[expect(
     clippy::trivially_copy_pass_by_ref,
     reason = "serde passes the field by reference"
--- a/crates/settings/tests/passthrough_settings.rs
+++ b/crates/settings/tests/passthrough_settings.rs
@@ -43,6 +43,13 @@
         ("link_mbps", json!(-4), "not a valid speed"),
         ("link_mbps", json!(1e10), "link_mbps"),
         ("link_mbps", json!("11"), "string"),
+        (
+            "extra_openings_percent",
+            json!(20.5),
+            "give 0 to 20 percent",
+        ),
+        ("extra_openings_percent", json!(-1), "give 0 to 20 percent"),
+        ("extra_openings_percent", json!("2"), "string"),
         ("stop_grace_s", json!(0), "stop_grace_s"),
         ("stop_grace_s", json!(0.0001), "stop_grace_s"),
         ("stop_grace_s", json!(-0.5), "`stop_grace_s`: `-0.5`"),
@@ -102,3 +109,28 @@
         assert_eq!(again, parsed, "{written}");
     }
 }
+
+#[test]
+fn extra_openings_are_a_share_in_percent() {
+    let parsed = |value: Value| {
+        let mut settings = balancer_settings();
+        if !value.is_null() {
+            settings["extra_openings_percent"] = value;
+        }
+        let parsed: PassthroughBalancerSettings = parse_settings(&settings.to_string()).unwrap();
+        let written = serde_json::to_string(&parsed).unwrap();
+        let again: PassthroughBalancerSettings = parse_settings(&written).unwrap();
+        assert_eq!(again, parsed, "{written}");
+        parsed.extra_openings_bp.get()
+    };
+    for (value, share) in [
+        (Value::Null, 0),
+        (json!(0), 0),
+        (json!(2), 200),
+        (json!(0.29), 29),
+        (json!(1.139), 113),
+        (json!(20), 2_000),
+    ] {
+        assert_eq!(parsed(value.clone()), share, "{value}");
+    }
+}
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -13,4 +13,4 @@
     BundleDigest, BundleVersion, EndpointId, Incarnation, InstanceId, KeyIndex, Revision,
     ServiceId, SettingsVersion, StoreEra, Zone,
 };
-pub use quantities::{ByteSize, Millis, PerSecond, Slots, Weight};
+pub use quantities::{BasisPoints, ByteSize, Millis, PerSecond, Slots, Weight};
--- a/crates/units/src/quantities.rs
+++ b/crates/units/src/quantities.rs
@@ -19,6 +19,11 @@
     PerSecond(u32), "rate", "/s"
 }
 
+number_newtype! {
+    /// A share in hundredths of a percent.
+    BasisPoints(u16), "share", " bp"
+}
+
 number_newtype! {
     /// A number of requests that an upstream can run concurrently.
     Slots(u16), "slots", " slots"
