--- a/crates/passthrough/src/balancer/extra_openings.rs
+++ b/crates/passthrough/src/balancer/extra_openings.rs
@@ -48,7 +48,8 @@
     /// route's requests may be repeated.
     pub(super) fn on_opening_placed(&mut self, now: Millis, flow: Flow, requests: RequestProfile) {
         self.decisions.record_opening(now);
-        self.forget_first_agent(flow);
+        // A caller may use the port of an earlier flow again.
+        self.settled.remove(&flow);
         if requests.kind.is_repeatable()
             && let Some(delay) = self.decisions.delay()
         {
@@ -67,12 +68,6 @@
         self.due.pop().map(|it| (it.0.1, it.0.2))
     }
 
-    /// Forgets which agent accepted a flow first, since the caller's packets show that the flow may be
-    /// open at the other one.
-    pub(super) fn forget_first_agent(&mut self, flow: Flow) {
-        self.settled.remove(&flow);
-    }
-
     pub(super) fn remove_expired(&mut self, now: Millis) {
         self.settled
             .retain(|_, it| now.since(it.1) <= SETTLED_TTL_MS);
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -146,7 +146,6 @@
         except: Option<Ipv4Addr>,
         out: &mut impl Outbox,
     ) {
-        self.extra_offers.forget_first_agent(flow);
         let services = self.view.services_of_flow(flow);
         if services.is_empty() {
             return self.drop_packet(DropReason::NoRoute, out);
--- a/crates/passthrough/tests/extra_openings.rs
+++ b/crates/passthrough/tests/extra_openings.rs
@@ -97,6 +97,7 @@
     for wait_ms in [0, 3, 6, 10, 40] {
         let mut network = network_with_waits(RequestKind::Download, 500);
         let before = request_count(&network);
+        let lookups = network.balancer(0).counters().lookups;
         let (first, _) = send_opening(&mut network, LATE_CALLER);
         network.link_waits.insert(agent_ip(first), wait_ms);
         network.advance_ms(20);
@@ -115,6 +116,10 @@
         let holder: Option<Ipv4Addr> = network.holder_address(caller(LATE_CALLER));
         assert_eq!(holder, Some(agent_ip(first)), "{wait_ms} ms of wait");
         assert_eq!(network.reset_count(caller(LATE_CALLER)), 0);
+        // The notice of the endpoint that accepted second doesn't mislead the balancer.
+        let is_first_noticed_first = wait_ms <= 6;
+        let lookups = network.balancer(0).counters().lookups - lookups;
+        assert_eq!(lookups, u64::from(!is_first_noticed_first), "{wait_ms}");
     }
 }
 
@@ -172,3 +177,26 @@
         );
     }
 }
+
+#[test]
+fn port_of_an_earlier_flow_opens_a_new_one() {
+    let mut network = network_with_waits(RequestKind::Idempotent, 500);
+    let (first, second) = send_opening(&mut network, LATE_CALLER);
+    let endpoint = network.endpoints.get_mut(&agent_ip(first)).unwrap();
+    endpoint.is_unresponsive = true;
+    network.advance_ms(100);
+    assert_eq!(outcomes(&network), (1, 0, 0, 1));
+    // The agent that accepted the flow first moves to another service and returns the next opening.
+    network.start_agent(second, "photos");
+    let endpoint = network.endpoints.get_mut(&agent_ip(first)).unwrap();
+    endpoint.is_unresponsive = false;
+    for _ in 0..2 {
+        send_opening(&mut network, LATE_CALLER);
+        network.advance_ms(20);
+    }
+    let repeated = network.balancer(0).counters().openings_repeated;
+    network.advance_ms(500);
+    assert_eq!(accepted_sequences(&network, LATE_CALLER).len(), 2);
+    let counters = network.balancer(0).counters();
+    assert_eq!(counters.openings_repeated, repeated, "the notice is taken");
+}
