--- a/crates/passthrough/src/agent/held_openings.rs
+++ b/crates/passthrough/src/agent/held_openings.rs
@@ -111,6 +111,11 @@
         true
     }
 
+    /// Drops an opening that waits, since another agent has accepted it, and returns whether it waited.
+    pub(super) fn drop_held_opening(&mut self, flow: Flow) -> bool {
+        self.held_openings.remove(|it| it.flow == flow).is_some()
+    }
+
     /// Delivers the openings for which the endpoint has a slot, and sends those back to their
     /// balancers that would wait for too long or whose endpoint takes none any more.
     pub(super) fn release_held_openings(&mut self, now: Millis, out: &mut impl Outbox) {
--- a/crates/passthrough/src/balancer/openings.rs
+++ b/crates/passthrough/src/balancer/openings.rs
@@ -38,6 +38,8 @@
     offered_service: Option<ServiceKey>,
     /// The agent at which the opening packet waits for a slot, until `retry_at`.
     held_by: Option<Ipv4Addr>,
+    /// The agent that got the opening packet as an extra opening, which is no attempt of its own.
+    pub(crate) extra_agent: Option<Ipv4Addr>,
 }
 
 impl PendingOpening {
@@ -50,6 +52,7 @@
             offered_to: Vec::new(),
             offered_service: None,
             held_by: None,
+            extra_agent: None,
         }
     }
 
@@ -63,7 +66,12 @@
     }
 
     pub(crate) fn was_offered_to(&self, agent: Ipv4Addr) -> bool {
-        self.offered_to.contains(&agent)
+        self.offered_to.contains(&agent) || self.extra_agent == Some(agent)
+    }
+
+    /// Returns the agents that received the opening packet first in each attempt.
+    pub(crate) fn offered_agents(&self) -> impl Iterator<Item = Ipv4Addr> {
+        self.offered_to.iter().copied()
     }
 
     /// Returns how many times the opening packet has been offered.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -5,11 +5,13 @@
 //! decisions.
 
 mod candidates;
+mod extra_openings;
 mod start_estimate;
 mod waiting_room;
 mod zone_loads;
 
 pub use candidates::{CandidatePlan, PlanKind};
+pub use extra_openings::{DELAY_QUANTILE_PERCENT, ExtraGrant, ExtraOpenings, ExtraRefusal};
 pub use start_estimate::{MeanWork, expected_wait};
 pub use waiting_room::{WaitingRoom, Wish};
 pub use zone_loads::{EndpointLoad, ZoneLoads};
--- a/crates/placement/src/waiting_room.rs
+++ b/crates/placement/src/waiting_room.rs
@@ -106,6 +106,12 @@
         openings.find(|it| is_wanted(it))
     }
 
+    /// Removes and returns the waiting opening for which `is_wanted` holds.
+    pub fn remove(&mut self, is_wanted: impl Fn(&T) -> bool) -> Option<T> {
+        let idx = self.waiting.iter().position(|it| is_wanted(&it.1))?;
+        Some(self.waiting.remove(idx).1)
+    }
+
     /// Returns how long the opening that arrived first has waited.
     #[must_use]
     pub fn longest_wait(&self, now: Millis) -> Option<Millis> {
--- a/crates/placement/tests/waiting_room.rs
+++ b/crates/placement/tests/waiting_room.rs
@@ -100,3 +100,16 @@
         assert_eq!(wait.get(), expect, "{ahead} ahead, {slots} slots");
     }
 }
+
+#[test]
+fn removed_opening_is_not_delivered() {
+    let mut room = WaitingRoom::default();
+    for number in 0..3 {
+        room.insert(wish(1, 0, number, 300), number)
+            .expect("there is room");
+    }
+    assert_eq!(room.remove(|it| *it == 1), Some(1));
+    assert_eq!(room.remove(|it| *it == 1), None);
+    let rest = std::iter::from_fn(|| room.take_next(Millis::new(10), WORK_MS));
+    assert_eq!(rest.map(|it| it.1).collect::<Vec<_>>(), [0, 2]);
+}
