--- a/crates/passthrough/src/balancer/retired_answers.rs
+++ b/crates/passthrough/src/balancer/retired_answers.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::VecDeque, net::Ipv4Addr, sync::Arc};
 
-use crate::{Endpoint, catalog::RETIRED_MAX, catalog_transfer::RETIRED_PER_MESSAGE};
+use crate::{Endpoint, catalog_transfer::RETIRED_PER_MESSAGE, catalog_view::RETIRED_MAX};
 
 /// Maximum number of answers that wait. A balancer whose question is dropped asks another one.
 const ANSWERS_MAX: usize = 64;
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -10,7 +10,7 @@
 use crate::{
     DropReason, Endpoint, EndpointState, Event, Flow, Outbox, PacketFormat, RequestProfile,
     ResetReason, Segment, ServiceKey,
-    catalog::LOOKUP_SUBSET_MAX,
+    catalog_view::LOOKUP_SUBSET_MAX,
     message::{
         AcceptLimits, CANDIDATES_MAX, Candidate, Candidates, FlowHeld, FlowNotHeld, Forward,
         Instances, LookupRequest, PacketClass, Returned, lookup_agents_per_request,
--- a/crates/passthrough/src/balancer/zones.rs
+++ b/crates/passthrough/src/balancer/zones.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     Endpoint, EndpointState, Event, Outbox, PacketFormat, ServiceKey, ZoneKey,
-    catalog::PLACEMENT_SUBSET_MAX,
+    catalog_view::PLACEMENT_SUBSET_MAX,
 };
 
 /// The availability zones out of use that this balancer knows of.
--- a/crates/passthrough/src/lib.rs
+++ b/crates/passthrough/src/lib.rs
@@ -14,6 +14,7 @@
 mod catalog;
 mod catalog_delta;
 mod catalog_transfer;
+mod catalog_view;
 pub mod clock_echo;
 mod event;
 mod flow;
@@ -31,9 +32,10 @@
     LimitsReport, PlacementOutcome, PlacementReport, ServiceRule, ZonePlan,
 };
 pub use catalog::{
-    Catalog, CatalogView, ColdStart, Endpoint, EndpointKey, EndpointState, RequestKind,
-    RequestProfile, Route, RouteTarget, ServiceKey, StoreState, ZoneKey,
+    Catalog, ColdStart, Endpoint, EndpointKey, EndpointState, RequestKind, RequestProfile, Route,
+    RouteTarget, ServiceKey, ZoneKey,
 };
+pub use catalog_view::{CatalogView, StoreState};
 pub use event::{DropReason, Event, EventKind, ResetReason};
 pub use flow::Flow;
 pub use message::{Message, MessageError, decode_message};
