--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -9,13 +9,14 @@
 mod held_flow;
 mod held_flows;
 mod held_openings;
+mod notices;
 mod outlier;
 mod usage;
 
 use std::{marker::PhantomData, net::Ipv4Addr};
 
 use placement::WaitingRoom;
-use units::{Millis, PerSecond, Revision, Slots};
+use units::{Millis, Slots};
 
 pub use counters::AgentCounters;
 
@@ -23,14 +24,12 @@
     DropReason, EndpointState, Event, Flow, Message, Outbox, PacketFormat, ResetReason, Segment,
     ServiceKey,
     message::{
-        Body, Candidate, Candidates, FlowHeld, FlowNotHeld, Forward, Instances, LoadReport,
-        LookupRequest, PacketClass, REPORTED_BALANCERS_MAX, REPORTED_ROUTES_MAX, Returned,
-        RouteAddress, StateNotice, UTILIZATION_CLOSED, UTILIZATION_FULL, Utilization,
-        write_flow_held, write_flow_not_held, write_forwarded_packet, write_load_report,
-        write_returned_packet,
+        Body, Candidate, Candidates, FlowHeld, FlowNotHeld, Forward, LookupRequest, PacketClass,
+        Returned, UTILIZATION_CLOSED, UTILIZATION_FULL, Utilization, write_flow_held,
+        write_flow_not_held, write_forwarded_packet, write_returned_packet,
     },
 };
-use cold_start::{ColdStartPacer, StatedStart, Warmth};
+use cold_start::ColdStartPacer;
 use deliveries::{Delivery, PendingDeliveries};
 use drain_guard::DrainGuard;
 use health::EndpointHealth;
@@ -488,25 +487,6 @@
         }
     }
 
-    fn report_warmth(&mut self, now: Millis, out: &mut impl Outbox) {
-        match self.cold_start.take_change(now, self.slots) {
-            Some(Warmth::Cold {
-                left,
-                rate,
-                is_learned,
-            }) => out.report_event(Event::EndpointCold {
-                left_ms: left.get(),
-                rate,
-                is_learned,
-            }),
-            Some(Warmth::Warm) => {
-                let paced = self.counters.paced;
-                out.report_event(Event::EndpointWarm { paced });
-            }
-            None => {}
-        }
-    }
-
     /// Handles a packet that the endpoint returned because it doesn't hold the flow.
     fn on_returned_packet(
         &mut self,
@@ -631,81 +611,6 @@
         out.send_to_peer(origin, &self.scratch);
     }
 
-    fn on_state_notice(
-        &mut self,
-        now: Millis,
-        sender: Ipv4Addr,
-        notice: StateNotice,
-        out: &mut impl Outbox,
-    ) {
-        self.record_balancer_notice(now, sender);
-        let is_news = notice.service == self.config.service && notice.revision >= self.revision;
-        if is_news && !self.drain_guard.refuses(now, self.state, &notice) {
-            let changed = self.state != notice.state || self.is_evacuated != notice.is_evacuated;
-            if self.is_evacuated && !notice.is_evacuated {
-                self.cold_start.suspect_start(now);
-            }
-            let stated = StatedStart {
-                born_ms: notice.born_ms,
-                cold_left: Millis::new(u64::from(notice.cold_left_ms)),
-                rate: PerSecond::new(notice.cold_rate),
-            };
-            self.cold_start.on_stated_start(now, stated);
-            self.revision = notice.revision;
-            self.state = notice.state;
-            self.is_evacuated = notice.is_evacuated;
-            self.slots = Slots::new(notice.slots);
-            self.flows.set_slots(self.slots);
-            self.flows
-                .set_idle_timeout(Millis::new(u64::from(notice.idle_timeout_ms)));
-            if changed {
-                out.report_event(Event::EndpointStateChanged {
-                    state: notice.state,
-                    slots: notice.slots,
-                    is_evacuated: notice.is_evacuated,
-                    revision: Revision::new(notice.revision).number(),
-                });
-            }
-            self.report_warmth(now, out);
-        }
-        // The report lists the balancers by turns if there are more than it has room for.
-        let turn = self.report_turn % self.balancers.len().max(1);
-        self.report_turn = turn + REPORTED_BALANCERS_MAX;
-        let (later, first) = self.balancers.split_at(turn);
-        let mut others = [[0; 4]; REPORTED_BALANCERS_MAX];
-        let mut len = 0;
-        let listed = first.iter().chain(later).filter(|it| it.0 != sender);
-        for (slot, (address, _)) in others.iter_mut().zip(listed) {
-            *slot = address.octets();
-            len += 1;
-        }
-        let mut routes = self.flows.route_addresses();
-        let lists_every_route =
-            routes.len() <= REPORTED_ROUTES_MAX && self.flows.includes_every_flow(now);
-        let route_turn = self.report_turn % routes.len().max(1);
-        routes.rotate_left(route_turn);
-        routes.truncate(REPORTED_ROUTES_MAX);
-        let routes: Vec<RouteAddress> = routes.into_iter().map(RouteAddress::from).collect();
-        let report = LoadReport {
-            service: self.config.service,
-            utilization: self.reported_utilization(now),
-            idle_utilization: self.idle_utilization(),
-            lists_every_route,
-            routes: &routes,
-            balancers: Instances::new(&others[..len]),
-        };
-        write_load_report(report, &mut self.scratch);
-        out.send_to_peer(sender, &self.scratch);
-        self.release_held_openings(now, out);
-    }
-
-    fn record_balancer_notice(&mut self, now: Millis, balancer: Ipv4Addr) {
-        match self.balancers.binary_search_by_key(&balancer, |it| it.0) {
-            Ok(idx) => self.balancers[idx].1 = now,
-            Err(idx) => self.balancers.insert(idx, (balancer, now)),
-        }
-    }
-
     fn send_reset(
         &mut self,
         flow: Flow,
