--- a/crates/passthrough/src/balancer/lookups.rs
+++ b/crates/passthrough/src/balancer/lookups.rs
@@ -21,11 +21,15 @@
 
 /// Maximum number of times that a lookup is repeated in a row because chains of it were lost.
 ///
-/// After a loss of power of all machines, lookups of thousands of dead flows overrun agents, which drop
-/// some of them, and the caller's next copy may come after its deadline. The pause doubles each time,
-/// so that an agent that doesn't answer at all costs few lookups.
+/// A busy agent may drop a chain, and the caller's next copy may come after its deadline. The pause
+/// doubles each time, so that an agent that doesn't answer at all costs few lookups.
 const LOST_CHAIN_RETRIES_MAX: u32 = 3;
 
+/// Maximum number of tracked lookups with which a lookup is repeated because chains of it were lost.
+///
+/// With more, the agents are overrun by lookups, and repeating them would keep them so.
+const LOOKUPS_WITH_REPEATS_MAX: usize = 64;
+
 /// Time for which a flow's lookup is tracked after its latest start.
 const LOOKUP_RETENTION_MS: Millis = Millis::new(5_000);
 
@@ -157,6 +161,9 @@
                 return None;
             }
             self.timeouts.pop();
+            if self.by_flow.len() > LOOKUPS_WITH_REPEATS_MAX {
+                continue;
+            }
             let lost = self
                 .by_flow
                 .get_mut(&flow)
--- a/crates/passthrough/tests/power_loss.rs
+++ b/crates/passthrough/tests/power_loss.rs
@@ -261,3 +261,32 @@
         assert!((2..=4).contains(&lookups), "{lookups} lookups");
     }
 }
+
+/// Lookups of very many dead flows overrun the agents, and repeating them would keep them overrun.
+#[test]
+fn lookups_of_very_many_flows_are_not_repeated() {
+    const FLOWS: u16 = 200;
+    let (mut network, _) = network_after_power_loss();
+    for (service, number) in endpoint_numbers() {
+        register_again(&mut network, service, number);
+    }
+    network.start_balancer(0);
+    network.advance_ms(100);
+    network.isolated.insert(agent_ip(2));
+    let begin = network.events.len();
+    for number in 0..FLOWS {
+        let data = encode_packet(
+            caller(1_000 + number),
+            SERVICE_ADDRESS,
+            Flags::ACK,
+            9,
+            5,
+            40,
+        );
+        network.send_caller_packet(0, &data);
+    }
+    network.advance_ms(1_400);
+    let started = |it: &&(_, Event)| matches!(it.1, Event::LookupStarted { .. });
+    let lookups = network.events[begin..].iter().filter(started).count();
+    assert_eq!(lookups, usize::from(FLOWS));
+}
