--- a/review/standins-2/caller.rs
+++ b/review/standins-2/caller.rs
@@ -145,7 +145,7 @@
     ) -> Outcome {
         let connection = if closes { "close" } else { "keep-alive" };
         let text = format!(
-            "POST /work HTTP/1.1\r\nHost: {}\r\nRequest-Id: {id}\r\nConnection: {connection}\r\n\
+            "POST /purchase HTTP/1.1\r\nHost: {}\r\nRequest-Id: {id}\r\nConnection: {connection}\r\n\
              Content-Length: 4\r\n\r\nbody",
             flow.route
         );
--- a/review/standins-2/swarm.rs
+++ b/review/standins-2/swarm.rs
@@ -273,7 +273,7 @@
                     };
                     flow.requests += 1;
                     let text = format!(
-                        "POST /work HTTP/1.1\r\nHost: {route}\r\nRequest-Id: {}-{port}-{}\r\n\
+                        "POST /purchase HTTP/1.1\r\nHost: {route}\r\nRequest-Id: {}-{port}-{}\r\n\
                          Connection: keep-alive\r\nContent-Length: 4\r\n\r\nbody",
                         own.ip(),
                         flow.requests
