Pass lookups on past silent endpoints

Cause: an agent handed a lookup's packet on only when its endpoint returned it. A silent endpoint returns nothing, so the endpoints behind it in the chain were never asked, and repeated lookups kept most of the order.

Evidence: 207 lookup_started, 24 holder_found, no lookup_failed in the log of the balancer that remained; no endpoint_silent at the agents, which learn of silence from openings only. Ruled out: agents that are gone (all answered), openings (none came).

Change: an agent waits 30 ms for its endpoint's word, then hands the packet on; such a chain reports no end, so it proves nothing. Repeated lookups ask in another order and from the third attempt on each agent by itself. A delivery that is tracked no longer counts as unanswered.

--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -233,17 +233,14 @@
     /// Performs the agent's timed actions that are due at `now`.
     pub fn on_timer(&mut self, now: Millis, out: &mut impl Outbox) {
         while let Some((flow, delivery)) = self.deliveries.take_overdue_delivery(now) {
-            self.flows.remove_unconfirmed(flow);
-            if let Some(misses) = self.health.on_opening_timeout(now) {
-                out.report_event(Event::EndpointSilent { misses });
-            }
-            self.counters.unanswered += 1;
-            if delivery.is_given_up {
-                continue;
+            if delivery.forward.class == PacketClass::Opening {
+                self.flows.remove_unconfirmed(flow);
+                if let Some(misses) = self.health.on_opening_timeout(now) {
+                    out.report_event(Event::EndpointSilent { misses });
+                }
+                self.counters.unanswered += 1;
             }
-            let mut packet = delivery.packet;
-            let forward = delivery.forward;
-            self.forward_to_next_candidate(now, forward, UTILIZATION_CLOSED, &mut packet, out);
+            self.pass_on_unanswered(now, delivery, out);
         }
         if self.health.take_due_probe(now) {
             out.probe_endpoint();
@@ -389,9 +386,8 @@
         packet: &mut [u8],
         out: &mut impl Outbox,
     ) {
-        let tag = self
-            .deliveries
-            .track_delivery(Delivery::new(now, flow, forward).with_packet(now, packet));
+        let delivery = Delivery::new(now, flow, forward).with_packet(now, packet);
+        let tag = self.track_delivery(now, delivery, out);
         self.flows
             .insert_unconfirmed(now, flow, forward.origin, tag);
         self.health.on_opening_offered(now);
@@ -421,9 +417,15 @@
             }
             return Self::deliver_to_endpoint(packet, 0, out);
         }
-        let tag = self
-            .deliveries
-            .track_delivery(Delivery::new(now, flow, forward));
+        let mut delivery = Delivery::new(now, flow, forward);
+        if forward.class == PacketClass::Lookup {
+            delivery = delivery.with_packet(now, packet);
+        }
+        if self.health.is_silent() {
+            let unanswered = delivery.take_for_next_agent();
+            self.pass_on_unanswered(now, unanswered, out);
+        }
+        let tag = self.track_delivery(now, delivery, out);
         self.flows
             .insert_unconfirmed(now, flow, forward.origin, tag);
         let _outcome = self
@@ -432,6 +434,35 @@
         Self::deliver_to_endpoint(packet, tag, out);
     }
 
+    /// Starts tracking a delivery and returns its tag. A delivery that it replaces counts as
+    /// unanswered.
+    fn track_delivery(&mut self, now: Millis, delivery: Delivery, out: &mut impl Outbox) -> u32 {
+        let (tag, replaced) = self.deliveries.track_delivery(delivery);
+        if let Some(replaced) = replaced.filter(|it| !it.is_given_up) {
+            self.counters.deliveries_untracked += 1;
+            self.pass_on_unanswered(now, replaced, out);
+        }
+        tag
+    }
+
+    /// Passes on the packet of a delivery that the endpoint has left unanswered, unless the packet was
+    /// not retained or no further agent needs it.
+    ///
+    /// The endpoints of the agents behind this one may hold the flow of a lookup while this endpoint
+    /// is silent.
+    fn pass_on_unanswered(&mut self, now: Millis, delivery: Delivery, out: &mut impl Outbox) {
+        if delivery.is_given_up || delivery.packet.is_empty() {
+            return;
+        }
+        let mut forward = delivery.forward;
+        if forward.class == PacketClass::Lookup {
+            self.counters.lookups_unanswered += 1;
+            forward.has_silent_endpoint = true;
+        }
+        let mut packet = delivery.packet;
+        self.forward_to_next_candidate(now, forward, UTILIZATION_CLOSED, &mut packet, out);
+    }
+
     /// Updates the held flows and the request outcomes with a packet that the endpoint sent.
     fn on_endpoint_answer(&mut self, now: Millis, segment: &Segment, out: &mut impl Outbox) {
         let flow = Flow {
@@ -504,6 +535,10 @@
                 return self.drop_packet(DropReason::UnknownReturn, out);
             };
             self.flows.remove_unconfirmed(flow);
+            if delivery.is_given_up && delivery.forward.class == PacketClass::Lookup {
+                // The packet was passed on while the endpoint was silent.
+                return;
+            }
             return self.forward_to_next_candidate(
                 now,
                 delivery.forward,
@@ -583,6 +618,10 @@
     ) {
         self.counters.sent_back += 1;
         if forward.class == PacketClass::Lookup {
+            // Without a report the chain counts as lost, and the lookup is repeated.
+            if forward.has_silent_endpoint {
+                return;
+            }
             // The balancer has retained the packet whose lookup it started.
             let Ok(segment) = F::decode_segment(packet) else {
                 return;
--- a/crates/passthrough/src/agent/counters.rs
+++ b/crates/passthrough/src/agent/counters.rs
@@ -21,6 +21,10 @@
     pub answers: u64,
     /// Lookup requests handled for balancers.
     pub searches: u64,
+    /// Packets of lookups passed on to the next agent because the endpoint was silent.
+    pub lookups_unanswered: u64,
+    /// Deliveries no longer tracked, before the endpoint had answered, because too many were.
+    pub deliveries_untracked: u64,
     /// Packets that the endpoint returned because it did not hold or accept their flow.
     pub returned: u64,
     /// Packets that the endpoint did not take and that the agent forwarded to another agent or
@@ -68,7 +72,7 @@
 
     /// Returns the agent's metric names with their counter values.
     #[must_use]
-    pub const fn named_values(&self) -> [(&'static str, u64); 16] {
+    pub const fn named_values(&self) -> [(&'static str, u64); 18] {
         [
             ("openings_offered", self.offered),
             ("openings_unanswered", self.unanswered),
@@ -76,6 +80,8 @@
             ("segments", self.segments),
             ("answers", self.answers),
             ("searches", self.searches),
+            ("lookups_unanswered", self.lookups_unanswered),
+            ("deliveries_untracked", self.deliveries_untracked),
             ("packets_returned", self.returned),
             ("packets_passed_on", self.passed_on),
             ("packets_sent_back", self.sent_back),
--- a/crates/passthrough/src/agent/deliveries.rs
+++ b/crates/passthrough/src/agent/deliveries.rs
@@ -4,15 +4,19 @@
 
 use units::Millis;
 
-use crate::{Flow, message::Forward};
+use crate::{
+    Flow,
+    message::{Forward, PacketClass},
+};
 
 /// Maximum number of tracked deliveries; a power of two. A new delivery replaces the oldest one.
 const DELIVERIES_MAX: usize = 512;
 
-/// Time within which a running endpoint answers an opening packet.
+/// Time within which a running endpoint answers an opening packet, or returns a packet of a flow
+/// that it doesn't hold.
 ///
-/// The endpoint's handshake takes well below a millisecond; the rest of the timeout allows for an
-/// agent that waits for CPU time.
+/// Either takes the endpoint well below a millisecond; the rest of the timeout allows for an agent
+/// that waits for CPU time.
 const ANSWER_TIMEOUT_MS: Millis = Millis::new(30);
 
 /// A packet delivered to the endpoint, with the packet's forwarding state.
@@ -24,7 +28,8 @@
     /// Copy of the packet if it must be forwarded to another agent when the endpoint doesn't
     /// answer; otherwise empty.
     pub(crate) packet: Vec<u8>,
-    /// Whether another agent has accepted the opening, so that no further agent needs the packet.
+    /// Whether no further agent needs the packet: another one has accepted the opening, or has been
+    /// sent the packet of a lookup.
     pub(crate) is_given_up: bool,
     deadline: Option<Millis>,
 }
@@ -47,6 +52,17 @@
         self.deadline = Some(now.plus(ANSWER_TIMEOUT_MS));
         self
     }
+
+    /// Returns the delivery with its packet, and leaves one whose packet no further agent needs.
+    pub(crate) fn take_for_next_agent(&mut self) -> Self {
+        let taken = Self {
+            packet: std::mem::take(&mut self.packet),
+            ..*self
+        };
+        self.is_given_up = true;
+        self.deadline = None;
+        taken
+    }
 }
 
 /// Deliveries that the endpoint has neither answered nor returned.
@@ -61,8 +77,9 @@
 }
 
 impl PendingDeliveries {
-    /// Starts tracking a delivery and returns the delivery's tag, which is never zero.
-    pub(crate) fn track_delivery(&mut self, delivery: Delivery) -> u32 {
+    /// Starts tracking a delivery and returns the delivery's tag, which is never zero, and the
+    /// delivery that made room if too many were tracked.
+    pub(crate) fn track_delivery(&mut self, delivery: Delivery) -> (u32, Option<Delivery>) {
         self.last_tag = self.last_tag.wrapping_add(1).max(1);
         let tag = self.last_tag;
         if let Some(deadline) = delivery.deadline {
@@ -72,8 +89,8 @@
         if delivery_index >= self.slots.len() {
             self.slots.resize_with(delivery_index + 1, || None);
         }
-        self.slots[delivery_index] = Some((tag, delivery));
-        tag
+        let replaced = self.slots[delivery_index].replace((tag, delivery));
+        (tag, replaced.map(|it| it.1))
     }
 
     /// Stops tracking all deliveries. Tags are not used again.
@@ -105,7 +122,10 @@
         }
     }
 
-    /// Removes and returns a delivery that the endpoint did not answer by the delivery's deadline.
+    /// Returns a delivery that the endpoint did not answer by the delivery's deadline.
+    ///
+    /// An opening's delivery is no longer tracked. That of a lookup remains tracked without its
+    /// packet: the endpoint may hold the flow and answer later.
     pub(crate) fn take_overdue_delivery(&mut self, now: Millis) -> Option<(Flow, Delivery)> {
         while let Some((deadline, tag)) = self.deadlines.front().copied() {
             if deadline > now {
@@ -113,9 +133,17 @@
             }
             self.deadlines.pop_front();
             let slot = self.slots.get_mut(Self::delivery_index(tag))?;
-            if slot.as_ref().is_some_and(|it| it.0 == tag) {
-                return slot.take().map(|it| (it.1.flow, it.1));
+            let Some((_, delivery)) = slot.as_mut().filter(|it| it.0 == tag) else {
+                continue;
+            };
+            if delivery.deadline.is_none() {
+                continue;
+            }
+            let unanswered = delivery.take_for_next_agent();
+            if unanswered.forward.class == PacketClass::Opening {
+                *slot = None;
             }
+            return Some((unanswered.flow, unanswered));
         }
         None
     }
@@ -123,7 +151,8 @@
     pub(crate) fn next_deadline(&mut self) -> Option<Millis> {
         while let Some((deadline, tag)) = self.deadlines.front().copied() {
             let slot = self.slots.get(Self::delivery_index(tag))?;
-            if slot.as_ref().is_some_and(|it| it.0 == tag) {
+            let is_due = |it: &(u32, Delivery)| it.0 == tag && it.1.deadline.is_some();
+            if slot.as_ref().is_some_and(is_due) {
                 return Some(deadline);
             }
             self.deadlines.pop_front();
--- a/crates/passthrough/src/balancer/lookups.rs
+++ b/crates/passthrough/src/balancer/lookups.rs
@@ -98,10 +98,14 @@
 }
 
 impl Lookups {
+    /// Returns how many times the flow has been looked up since its last successful lookup.
+    pub(crate) fn attempts(&self, flow: Flow) -> usize {
+        self.by_flow.get(&flow).map_or(0, |it| it.attempts)
+    }
+
     /// Starts a lookup of a flow that asks agents in the given number of chains.
     ///
-    /// Returns the lookup's id, or zero if a lookup of the flow is already in progress, and the
-    /// number of earlier attempts to look up the flow.
+    /// Returns the lookup's id, or zero if a lookup of the flow is already in progress.
     pub(crate) fn start_lookup(
         &mut self,
         now: Millis,
@@ -110,7 +114,7 @@
         generation: u64,
         acknowledged: u32,
         packet: &[u8],
-    ) -> (u16, usize) {
+    ) -> u16 {
         let retains_packet = self.by_flow.len() < RETAINED_PACKETS_MAX;
         let lookup = self.by_flow.entry(flow).or_insert_with(|| Lookup {
             id: 0,
@@ -130,10 +134,9 @@
             },
         });
         if lookup.pending_chains > 0 && now.since(lookup.started) < CHAIN_TIMEOUT_MS {
-            return (0, lookup.attempts + 1);
+            return 0;
         }
         self.last_lookup_id = self.last_lookup_id.wrapping_add(1).max(1);
-        let attempt = lookup.attempts;
         lookup.attempts += 1;
         lookup.id = self.last_lookup_id;
         lookup.pending_chains = chains;
@@ -145,7 +148,7 @@
             self.timeouts
                 .push(Reverse((now.plus(delay), flow, lookup.id)));
         }
-        (self.last_lookup_id, attempt)
+        self.last_lookup_id
     }
 
     /// Removes the next lookup retry that is due, and returns its flow and the caller's packet.
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -16,6 +16,7 @@
         Instances, LookupRequest, PacketClass, Returned, lookup_agents_per_request,
         write_forwarded_packet, write_lookup_request,
     },
+    rendezvous::sort_agents,
 };
 
 /// Maximum age of the store's latest confirmation at which a failed lookup may lead to a reset.
@@ -207,10 +208,13 @@
         if services.is_empty() {
             return self.drop_packet(DropReason::NoRoute, out);
         }
+        let attempt = self.lookups.attempts(flow);
         let mut is_complete = true;
         let mut groups = Vec::with_capacity(services.len());
         for service in services {
-            let (group, is_whole_service) = self.collect_lookup_group(now, flow, service, except);
+            let (mut group, is_whole_service) =
+                self.collect_lookup_group(now, flow, service, except);
+            group.arrange_for_attempt(flow, attempt);
             is_complete &= is_whole_service;
             if !group.agents.is_empty() {
                 groups.push(group);
@@ -220,7 +224,7 @@
             return self.drop_packet(DropReason::NoEndpoint, out);
         }
         let per_request = lookup_agents_per_request(packet.len());
-        let (lookup_id, attempt) = self.lookups.start_lookup(
+        let lookup_id = self.lookups.start_lookup(
             now,
             flow,
             groups.iter().map(|it| it.chain_count(per_request)).sum(),
@@ -232,15 +236,14 @@
         // tracked.
         let lookup_id = if is_complete { lookup_id } else { 0 };
         let mut asked = 0;
-        for group in &mut groups {
-            group.rotate_responsive(attempt);
+        for group in &groups {
             asked += group.agents.len();
             for (responsive, suspect) in group.requests(per_request) {
                 let request = LookupRequest {
                     service: group.service,
                     origin: self.config.address,
                     lookup_id,
-                    chain_len: u8::try_from(chain_len(responsive.len())).unwrap_or(u8::MAX),
+                    chain_len: u8::try_from(group.chain_len(responsive.len())).unwrap_or(u8::MAX),
                     responsive: Instances::new(responsive),
                     suspect: Instances::new(suspect),
                 };
@@ -294,6 +297,7 @@
         let group = LookupGroup {
             service,
             responsive: self.subset.partition_point(|it| !is_suspect(it)),
+            chain_max: CHAIN_MAX,
             agents: self
                 .subset
                 .iter()
@@ -410,6 +414,8 @@
     agents: Vec<[u8; 4]>,
     /// Number of responsive agents, which are the first in `agents`.
     responsive: usize,
+    /// Maximum number of responsive agents in one chain.
+    chain_max: usize,
 }
 
 impl LookupGroup {
@@ -432,24 +438,34 @@
     fn chain_count(&self, per_request: usize) -> usize {
         self.requests(per_request)
             .map(|(responsive, suspect)| {
-                responsive.len().div_ceil(chain_len(responsive.len())) + suspect.len()
+                responsive.len().div_ceil(self.chain_len(responsive.len())) + suspect.len()
             })
             .sum()
     }
 
-    /// Lets each attempt begin at a different agent, so that a dead agent prevents the others in its
-    /// chain from being asked only once.
-    fn rotate_responsive(&mut self, attempt: usize) {
-        let begin = attempt % self.responsive.max(1);
-        self.agents[..self.responsive].rotate_left(begin);
+    /// Orders the agents and bounds the chains for the given number of earlier attempts.
+    ///
+    /// A chain ends at the first agent that is gone but not yet suspected, and a request is lost
+    /// with the first agent of its list. So the second attempt asks in another order, and from the
+    /// third on each agent is asked in a chain of its own. Each repetition begins at another agent.
+    fn arrange_for_attempt(&mut self, flow: Flow, attempt: usize) {
+        if attempt == 0 {
+            return;
+        }
+        let responsive = &mut self.agents[..self.responsive];
+        sort_agents(flow.hash(), responsive);
+        responsive.rotate_left(attempt % responsive.len().max(1));
+        if attempt > 1 {
+            self.chain_max = 1;
+        }
     }
-}
 
-/// Returns the length of the chains into which a lookup divides a number of responsive agents.
-const fn chain_len(responsive: usize) -> usize {
-    let chains = responsive.div_ceil(CHAIN_MAX);
-    if chains == 0 {
-        return 1;
+    /// Returns the length of the chains into which a request divides its responsive agents.
+    const fn chain_len(&self, responsive: usize) -> usize {
+        let chains = responsive.div_ceil(self.chain_max);
+        if chains == 0 {
+            return 1;
+        }
+        responsive.div_ceil(chains)
     }
-    responsive.div_ceil(chains)
 }
--- a/crates/passthrough/src/message.rs
+++ b/crates/passthrough/src/message.rs
@@ -40,7 +40,7 @@
 const MAGIC: u16 = 0x4C47;
 
 /// Version of the layout of all messages.
-const LAYOUT_VERSION: u8 = 5;
+const LAYOUT_VERSION: u8 = 6;
 
 /// Maximum number of candidate agents in the header of a forwarded packet.
 pub(crate) const CANDIDATES_MAX: usize = 8;
@@ -76,6 +76,12 @@
     agents
 }
 
+/// Flags in the header of a forwarded packet.
+mod forward_flag {
+    pub(super) const MUST_ACCEPT: u8 = 1;
+    pub(super) const HAS_SILENT_ENDPOINT: u8 = 2;
+}
+
 /// Message kinds, as encoded in the preamble.
 mod kind {
     pub(super) const FORWARD: u8 = 1;
@@ -279,6 +285,9 @@
     pub(crate) class: PacketClass,
     /// Whether the current candidate must accept the opening packet regardless of its utilization.
     pub(crate) must_accept: bool,
+    /// Whether an endpoint of a lookup's chain has neither answered nor returned the packet, so that
+    /// the chain's end doesn't prove that its endpoints don't hold the flow.
+    pub(crate) has_silent_endpoint: bool,
     /// Id of the origin balancer's lookup; zero if the balancer does not track the lookup's result.
     pub(crate) lookup_id: u16,
     /// Index of the current candidate agent in `candidates`.
@@ -309,6 +318,7 @@
             origin,
             class,
             must_accept: false,
+            has_silent_endpoint: false,
             lookup_id: 0,
             position: 0,
             best_position: 0,
@@ -360,7 +370,8 @@
     service: U64,
     origin: [u8; 4],
     class: u8,
-    must_accept: u8,
+    /// Bits of `forward_flag`.
+    flags: u8,
     lookup_id: U16,
     position: u8,
     count: u8,
--- a/crates/passthrough/src/message/decode.rs
+++ b/crates/passthrough/src/message/decode.rs
@@ -11,7 +11,7 @@
     LookupRequestHeader, MAGIC, Member, Message, MessageError, NO_RETIRED_TOLD, OpeningHeld,
     OpeningHeldHeader, PacketClass, PeerStatus, Preamble, REPORTED_BALANCERS_MAX,
     REPORTED_ROUTES_MAX, ReturnHeader, Returned, RouteAddress, StateNotice, StateNoticeHeader,
-    kind,
+    forward_flag, kind,
 };
 use crate::{EndpointState, Flow, RequestKind, RequestProfile, ServiceKey};
 
@@ -61,7 +61,8 @@
         service: ServiceKey::new(header.service.get()),
         origin: header.origin.into(),
         class: PacketClass::from_wire_byte(header.class)?,
-        must_accept: header.must_accept != 0,
+        must_accept: header.flags & forward_flag::MUST_ACCEPT != 0,
+        has_silent_endpoint: header.flags & forward_flag::HAS_SILENT_ENDPOINT != 0,
         lookup_id: header.lookup_id.get(),
         position: header.position,
         best_position: header.best_position,
--- a/crates/passthrough/src/message/write.rs
+++ b/crates/passthrough/src/message/write.rs
@@ -11,18 +11,25 @@
     FlowGivenUpHeader, FlowHeld, FlowHeldHeader, FlowNotHeld, FlowNotHeldHeader, Forward,
     ForwardHeader, LoadReport, LoadReportHeader, LookupRequest, LookupRequestHeader,
     NO_RETIRED_TOLD, OpeningHeld, OpeningHeldHeader, Preamble, REPORTED_ROUTES_MAX, ReturnHeader,
-    Returned, StateNotice, StateNoticeHeader, kind,
+    Returned, StateNotice, StateNoticeHeader, forward_flag, kind,
 };
 use crate::{EndpointState, Flow, RequestKind};
 
 /// Encodes a packet with its forwarding state into `out`.
 pub(crate) fn write_forwarded_packet(forward: &Forward, packet: &[u8], out: &mut Vec<u8>) {
+    let mut flags = 0;
+    if forward.must_accept {
+        flags |= forward_flag::MUST_ACCEPT;
+    }
+    if forward.has_silent_endpoint {
+        flags |= forward_flag::HAS_SILENT_ENDPOINT;
+    }
     let header = ForwardHeader {
         preamble: Preamble::new(kind::FORWARD),
         service: U64::new(forward.service.get()),
         origin: forward.origin.octets(),
         class: forward.class.to_wire_byte(),
-        must_accept: u8::from(forward.must_accept),
+        flags,
         lookup_id: U16::new(forward.lookup_id),
         position: forward.position,
         count: forward.candidates.len(),
--- a/crates/passthrough/src/rendezvous.rs
+++ b/crates/passthrough/src/rendezvous.rs
@@ -1,4 +1,4 @@
-//! Rendezvous hashing: the order in which a flow prefers endpoints.
+//! Rendezvous hashing: the order in which a flow prefers endpoints or asks agents.
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -14,6 +14,11 @@
     endpoints.sort_unstable_by_key(|it| std::cmp::Reverse(preference_score(flow_hash, it.key)));
 }
 
+/// Sorts agents, given by their addresses, in an order that differs from flow to flow.
+pub(crate) fn sort_agents(flow_hash: u64, agents: &mut [[u8; 4]]) {
+    agents.sort_unstable_by_key(|it| xxh3_64_with_seed(it, flow_hash));
+}
+
 fn preference_score(flow_hash: u64, endpoint: EndpointKey) -> u64 {
     xxh3_64_with_seed(&endpoint.get().to_be_bytes(), flow_hash)
 }
