--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -23,6 +23,7 @@
 use crate::{
     DropReason, EndpointState, Event, Flow, Message, Outbox, PacketFormat, ResetReason, Segment,
     ServiceKey,
+    flow_identity::OpeningId,
     message::{
         Body, Candidate, Candidates, FlowHeld, FlowNotHeld, Forward, LookupRequest, PacketClass,
         Returned, UTILIZATION_CLOSED, UTILIZATION_FULL, Utilization, write_flow_held,
@@ -34,7 +35,7 @@
 use drain_guard::DrainGuard;
 use health::EndpointHealth;
 use held_flow::Phase;
-use held_flows::HeldFlows;
+use held_flows::{HeldFlows, HeldMatch};
 use held_openings::HeldOpening;
 use outlier::{OutlierDetector, RequestOutcome};
 
@@ -191,7 +192,9 @@
             Ok(Message(Body::StateNotice(notice))) => {
                 return self.on_state_notice(now, sender, notice, out);
             }
-            Ok(Message(Body::FlowGivenUp(flow))) => return self.on_flow_given_up(flow),
+            Ok(Message(Body::FlowGivenUp(flow, opening))) => {
+                return self.on_flow_given_up(flow, opening);
+            }
             Ok(_) | Err(_) => return self.drop_packet(DropReason::Malformed, out),
         };
         let at = datagram.len() - packet_bytes;
@@ -208,6 +211,9 @@
             self.on_returned_packet(now, &segment, packet, out);
             return self.release_held_openings(now, out);
         }
+        if self.take_answer_for_ended_flow(now, &segment, out) {
+            return self.release_held_openings(now, out);
+        }
         out.send_to_caller(*segment.destination.ip(), packet);
         self.counters.answers += 1;
         self.on_endpoint_answer(now, &segment, out);
@@ -232,9 +238,9 @@
 
     /// Performs the agent's timed actions that are due at `now`.
     pub fn on_timer(&mut self, now: Millis, out: &mut impl Outbox) {
-        while let Some((flow, delivery)) = self.deliveries.take_overdue_delivery(now) {
+        while let Some(delivery) = self.deliveries.take_overdue_delivery(now) {
             if delivery.forward.class == PacketClass::Opening {
-                self.flows.remove_unconfirmed(flow);
+                self.flows.remove_unconfirmed(delivery.flow(), delivery.tag);
                 if let Some(misses) = self.health.on_opening_timeout(now) {
                     out.report_event(Event::EndpointSilent { misses });
                 }
@@ -280,11 +286,10 @@
             self.counters.other_service += 1;
             return self.forward_to_next_candidate(now, forward, UTILIZATION_CLOSED, packet, out);
         }
-        let flow = segment.caller_flow();
         if forward.class == PacketClass::Opening && segment.is_opening_packet() {
-            return self.on_opening_packet(now, flow, forward, packet, out);
+            return self.on_opening_packet(now, &segment, forward, packet, out);
         }
-        self.on_flow_segment(now, flow, forward, &segment, packet, out);
+        self.on_flow_segment(now, forward, &segment, packet, out);
     }
 
     /// Sends a copy of the packet in a lookup request along each of the request's chains of agents.
@@ -325,23 +330,24 @@
     ///
     /// The caller may still open the flow here, if this endpoint's answer reached it first. Nothing is
     /// taken from the endpoint therefore; its answer to a pending delivery still tells of its health.
-    fn on_flow_given_up(&mut self, flow: Flow) {
-        if self.drop_held_opening(flow) {
+    fn on_flow_given_up(&mut self, flow: Flow, opening: OpeningId) {
+        if self.drop_held_opening(flow, opening) {
             return;
         }
-        if let Some(tag) = self.flows.stop_expecting_request(flow) {
-            self.deliveries.give_up_delivery(tag, flow);
+        if let Some(tag) = self.flows.stop_expecting_request(flow, opening) {
+            self.deliveries.give_up_delivery(tag, flow, opening);
         }
     }
 
     fn on_opening_packet(
         &mut self,
         now: Millis,
-        flow: Flow,
+        segment: &Segment,
         forward: Forward,
         packet: &mut [u8],
         out: &mut impl Outbox,
     ) {
+        let flow = segment.caller_flow();
         if let Some(candidate) = forward.current_candidate() {
             self.slots = Slots::new(u16::from(candidate.slots));
             self.flows.set_slots(self.slots);
@@ -353,7 +359,7 @@
             self.flows.set_origin_balancer(flow, forward.origin);
             return Self::deliver_to_endpoint(packet, 0, out);
         }
-        if self.refresh_held_opening(flow, &forward) {
+        if self.refresh_held_opening(segment, &forward) {
             return;
         }
         let utilization = self.utilization_for_openings(now);
@@ -362,7 +368,7 @@
         let is_accepted =
             forward.must_accept || (is_within_limits && self.has_slot_for_opening(now));
         if utilization != UTILIZATION_CLOSED && is_accepted {
-            return self.deliver_or_hold(now, flow, forward, packet, out);
+            return self.deliver_or_hold(now, segment, forward, packet, out);
         }
         out.report_event(Event::OpeningPassed {
             flow,
@@ -381,15 +387,15 @@
     fn offer_to_endpoint(
         &mut self,
         now: Millis,
-        flow: Flow,
+        segment: &Segment,
         forward: Forward,
         packet: &mut [u8],
         out: &mut impl Outbox,
     ) {
-        let delivery = Delivery::new(now, flow, forward).with_packet(now, packet);
+        let delivery = Delivery::new(now, *segment, forward).with_packet(now, packet);
         let tag = self.track_delivery(now, delivery, out);
         self.flows
-            .insert_unconfirmed(now, flow, forward.origin, tag);
+            .insert_unconfirmed(now, segment, forward.origin, tag);
         self.health.on_opening_offered(now);
         self.outliers.on_opening_offered(now);
         self.cold_start.record_delivery(now);
@@ -400,24 +406,37 @@
     fn on_flow_segment(
         &mut self,
         now: Millis,
-        flow: Flow,
         forward: Forward,
         segment: &Segment,
         packet: &mut [u8],
         out: &mut impl Outbox,
     ) {
+        let flow = segment.caller_flow();
         self.counters.segments += 1;
-        if self.flows.is_accepted(flow) {
-            let outcome = self
-                .flows
-                .on_caller_segment(now, flow, forward.origin, segment);
-            self.record_request_outcome(now, outcome, out);
-            if forward.class == PacketClass::Lookup {
-                self.send_flow_held(now, forward.origin, flow, out);
+        match self.flows.match_caller_packet(flow, segment) {
+            HeldMatch::Held => {
+                let outcome = self
+                    .flows
+                    .on_caller_segment(now, flow, forward.origin, segment);
+                self.record_request_outcome(now, outcome, out);
+                if forward.class == PacketClass::Lookup {
+                    self.send_flow_held(now, forward.origin, flow, out);
+                }
+                return Self::deliver_to_endpoint(packet, 0, out);
             }
-            return Self::deliver_to_endpoint(packet, 0, out);
+            HeldMatch::OtherFlow => {
+                self.counters.other_flow += 1;
+                return self.forward_to_next_candidate(
+                    now,
+                    forward,
+                    UTILIZATION_CLOSED,
+                    packet,
+                    out,
+                );
+            }
+            HeldMatch::Unknown => {}
         }
-        let mut delivery = Delivery::new(now, flow, forward);
+        let mut delivery = Delivery::new(now, *segment, forward);
         if forward.class == PacketClass::Lookup {
             delivery = delivery.with_packet(now, packet);
         }
@@ -427,7 +446,7 @@
         }
         let tag = self.track_delivery(now, delivery, out);
         self.flows
-            .insert_unconfirmed(now, flow, forward.origin, tag);
+            .insert_unconfirmed(now, segment, forward.origin, tag);
         let _outcome = self
             .flows
             .on_caller_segment(now, flow, forward.origin, segment);
@@ -463,12 +482,40 @@
         self.forward_to_next_candidate(now, forward, UTILIZATION_CLOSED, &mut packet, out);
     }
 
+    /// Takes an endpoint's packet that answers a lookup on behalf of an earlier flow of the same
+    /// addresses and ports, and returns whether it is one.
+    ///
+    /// The packet says nothing about the flow that is looked up, and its caller must not get it. After
+    /// a reset, the endpoint doesn't hold that flow; after an acknowledgement, it may.
+    fn take_answer_for_ended_flow(
+        &mut self,
+        now: Millis,
+        segment: &Segment,
+        out: &mut impl Outbox,
+    ) -> bool {
+        let flow = segment.endpoint_flow();
+        if self.flows.is_accepted(flow) {
+            return false;
+        }
+        let answered = self.deliveries.take_answered_for_ended_flow(flow, segment);
+        let Some(delivery) = answered else {
+            return false;
+        };
+        self.counters.ended_flow_answers += 1;
+        let _silent_ms = self.health.on_endpoint_packet(now);
+        self.flows.remove_unconfirmed(flow, delivery.tag);
+        if segment.rst && !delivery.is_given_up {
+            let (forward, mut packet) = (delivery.forward, delivery.packet);
+            self.forward_to_next_candidate(now, forward, UTILIZATION_CLOSED, &mut packet, out);
+        } else {
+            self.pass_on_unanswered(now, delivery, out);
+        }
+        true
+    }
+
     /// Updates the held flows and the request outcomes with a packet that the endpoint sent.
     fn on_endpoint_answer(&mut self, now: Millis, segment: &Segment, out: &mut impl Outbox) {
-        let flow = Flow {
-            caller: segment.destination,
-            service_address: segment.source,
-        };
+        let flow = segment.endpoint_flow();
         if let Some(silent_ms) = self.health.on_endpoint_packet(now) {
             let silent_ms = silent_ms.get();
             out.report_event(Event::EndpointAnswers { silent_ms });
@@ -534,7 +581,7 @@
             let Some(delivery) = self.deliveries.take_delivery(segment.tag, flow) else {
                 return self.drop_packet(DropReason::UnknownReturn, out);
             };
-            self.flows.remove_unconfirmed(flow);
+            self.flows.remove_unconfirmed(flow, delivery.tag);
             if delivery.is_given_up && delivery.forward.class == PacketClass::Lookup {
                 // The packet was passed on while the endpoint was silent.
                 return;
@@ -547,7 +594,14 @@
                 out,
             );
         }
-        let Some(held) = self.flows.remove_flow(flow) else {
+        let is_of_held_flow = if segment.is_opening_packet() {
+            let opening = OpeningId::of_packet(segment);
+            self.flows.has_accepted_opening(flow, opening)
+        } else {
+            self.flows.match_caller_packet(flow, segment) == HeldMatch::Held
+        };
+        let removed = is_of_held_flow.then(|| self.flows.remove_flow(flow));
+        let Some(held) = removed.flatten() else {
             return self.drop_packet(DropReason::UnknownReturn, out);
         };
         if held.is_closed_by_both_ends() || segment.rst {
@@ -601,8 +655,7 @@
         };
         if next.agent_address() == self.config.address && forward.must_accept {
             if let Ok(segment) = F::decode_segment(packet) {
-                let flow = segment.caller_flow();
-                self.deliver_or_hold(now, flow, forward, packet, out);
+                self.deliver_or_hold(now, &segment, forward, packet, out);
             }
             return;
         }
@@ -645,6 +698,8 @@
             flow,
             service: self.config.service,
             utilization,
+            opening: self.flows.opening(flow),
+            endpoint_position: self.flows.endpoint_position(flow),
         };
         write_flow_held(flow_held, &mut self.scratch);
         out.send_to_peer(origin, &self.scratch);
--- a/crates/passthrough/src/agent/counters.rs
+++ b/crates/passthrough/src/agent/counters.rs
@@ -23,6 +23,11 @@
     pub searches: u64,
     /// Packets of lookups passed on to the next agent because the endpoint was silent.
     pub lookups_unanswered: u64,
+    /// Packets of flows other than the one of the same addresses and ports that the endpoint accepted.
+    pub other_flow: u64,
+    /// Resets and acknowledgements with which the endpoint answered a lookup on behalf of a flow that
+    /// it had ended.
+    pub ended_flow_answers: u64,
     /// Deliveries no longer tracked, before the endpoint had answered, because too many were.
     pub deliveries_untracked: u64,
     /// Packets that the endpoint returned because it did not hold or accept their flow.
@@ -42,7 +47,8 @@
     pub not_held: u64,
     /// Openings that waited and went back to their balancers.
     pub handed_on: u64,
-    /// Openings that waited and were dropped after a stall.
+    /// Openings that waited and were dropped, after a stall or because their callers used their ports
+    /// for newer ones.
     pub held_dropped: u64,
     /// Histogram of the waits of delivered openings; the last bucket has no upper bound.
     held_waits: [u64; HELD_WAIT_BUCKETS_MS.len() + 1],
@@ -72,7 +78,7 @@
 
     /// Returns the agent's metric names with their counter values.
     #[must_use]
-    pub const fn named_values(&self) -> [(&'static str, u64); 18] {
+    pub const fn named_values(&self) -> [(&'static str, u64); 20] {
         [
             ("openings_offered", self.offered),
             ("openings_unanswered", self.unanswered),
@@ -81,6 +87,8 @@
             ("answers", self.answers),
             ("searches", self.searches),
             ("lookups_unanswered", self.lookups_unanswered),
+            ("packets_other_flow", self.other_flow),
+            ("ended_flow_answers", self.ended_flow_answers),
             ("deliveries_untracked", self.deliveries_untracked),
             ("packets_returned", self.returned),
             ("packets_passed_on", self.passed_on),
--- a/crates/passthrough/src/agent/deliveries.rs
+++ b/crates/passthrough/src/agent/deliveries.rs
@@ -5,7 +5,8 @@
 use units::Millis;
 
 use crate::{
-    Flow,
+    Flow, Segment,
+    flow_identity::{OpeningId, may_answer_for_ended_flow},
     message::{Forward, PacketClass},
 };
 
@@ -22,7 +23,10 @@
 /// A packet delivered to the endpoint, with the packet's forwarding state.
 #[derive(Debug, Clone)]
 pub(crate) struct Delivery {
-    pub(crate) flow: Flow,
+    /// Tag of the delivery, zero until it is tracked.
+    pub(crate) tag: u32,
+    /// Header of the delivered packet.
+    pub(crate) segment: Segment,
     pub(crate) forward: Forward,
     pub(crate) sent_at: Millis,
     /// Copy of the packet if it must be forwarded to another agent when the endpoint doesn't
@@ -35,9 +39,10 @@
 }
 
 impl Delivery {
-    pub(crate) const fn new(now: Millis, flow: Flow, forward: Forward) -> Self {
+    pub(crate) const fn new(now: Millis, segment: Segment, forward: Forward) -> Self {
         Self {
-            flow,
+            tag: 0,
+            segment,
             forward,
             sent_at: now,
             packet: Vec::new(),
@@ -46,6 +51,10 @@
         }
     }
 
+    pub(crate) const fn flow(&self) -> Flow {
+        self.segment.caller_flow()
+    }
+
     /// Retains a copy of the packet and sets the deadline for the endpoint's answer.
     pub(crate) fn with_packet(mut self, now: Millis, packet: &[u8]) -> Self {
         self.packet = packet.to_vec();
@@ -79,9 +88,10 @@
 impl PendingDeliveries {
     /// Starts tracking a delivery and returns the delivery's tag, which is never zero, and the
     /// delivery that made room if too many were tracked.
-    pub(crate) fn track_delivery(&mut self, delivery: Delivery) -> (u32, Option<Delivery>) {
+    pub(crate) fn track_delivery(&mut self, mut delivery: Delivery) -> (u32, Option<Delivery>) {
         self.last_tag = self.last_tag.wrapping_add(1).max(1);
         let tag = self.last_tag;
+        delivery.tag = tag;
         if let Some(deadline) = delivery.deadline {
             self.deadlines.push_back((deadline, tag));
         }
@@ -104,19 +114,39 @@
         let slot = self.slots.get_mut(Self::delivery_index(tag))?;
         if !slot
             .as_ref()
-            .is_some_and(|it| it.0 == tag && it.1.flow == flow)
+            .is_some_and(|it| it.0 == tag && it.1.flow() == flow)
         {
             return None;
         }
         slot.take().map(|it| it.1)
     }
 
-    /// Marks the delivery with the given tag as given up if it belongs to `flow`.
-    pub(crate) fn give_up_delivery(&mut self, tag: u32, flow: Flow) {
+    /// Removes and returns the earliest delivery of a lookup that the endpoint's packet may answer on
+    /// behalf of an earlier flow, which has ended.
+    pub(crate) fn take_answered_for_ended_flow(
+        &mut self,
+        flow: Flow,
+        answer: &Segment,
+    ) -> Option<Delivery> {
+        let is_answered = |it: &(u32, Delivery)| {
+            it.1.forward.class == PacketClass::Lookup
+                && it.1.flow() == flow
+                && may_answer_for_ended_flow(answer, &it.1.segment)
+        };
+        let slots = self.slots.iter_mut();
+        let answered = slots.filter(|slot| slot.as_ref().is_some_and(is_answered));
+        let earliest = answered.min_by_key(|slot| slot.as_ref().map(|it| it.0))?;
+        earliest.take().map(|it| it.1)
+    }
+
+    /// Marks the delivery with the given tag as given up if it belongs to the opening.
+    pub(crate) fn give_up_delivery(&mut self, tag: u32, flow: Flow, opening: OpeningId) {
         let slot = self.slots.get_mut(Self::delivery_index(tag));
         if let Some(Some((slot_tag, delivery))) = slot
             && *slot_tag == tag
-            && delivery.flow == flow
+            && delivery.flow() == flow
+            && delivery.segment.is_opening_packet()
+            && OpeningId::of_packet(&delivery.segment) == opening
         {
             delivery.is_given_up = true;
         }
@@ -126,7 +156,7 @@
     ///
     /// An opening's delivery is no longer tracked. That of a lookup remains tracked without its
     /// packet: the endpoint may hold the flow and answer later.
-    pub(crate) fn take_overdue_delivery(&mut self, now: Millis) -> Option<(Flow, Delivery)> {
+    pub(crate) fn take_overdue_delivery(&mut self, now: Millis) -> Option<Delivery> {
         while let Some((deadline, tag)) = self.deadlines.front().copied() {
             if deadline > now {
                 return None;
@@ -143,7 +173,7 @@
             if unanswered.forward.class == PacketClass::Opening {
                 *slot = None;
             }
-            return Some((unanswered.flow, unanswered));
+            return Some(unanswered);
         }
         None
     }
@@ -160,6 +190,16 @@
         None
     }
 
+    /// Returns whether an opening awaits the endpoint's answer.
+    pub(crate) fn has_pending_opening(&self) -> bool {
+        let is_pending = |(_, tag): &(Millis, u32)| {
+            let slot = self.slots.get(Self::delivery_index(*tag));
+            let delivery = slot.and_then(Option::as_ref).filter(|it| it.0 == *tag);
+            delivery.is_some_and(|it| it.1.forward.class == PacketClass::Opening)
+        };
+        self.deadlines.iter().any(is_pending)
+    }
+
     const fn delivery_index(tag: u32) -> usize {
         tag as usize % DELIVERIES_MAX
     }
--- a/crates/passthrough/src/agent/held_flow.rs
+++ b/crates/passthrough/src/agent/held_flow.rs
@@ -5,7 +5,10 @@
 use units::Millis;
 
 use super::outlier::RequestOutcome;
-use crate::Segment;
+use crate::{
+    Segment,
+    flow_identity::{FlowPositions, OpeningId},
+};
 
 /// State of the request on a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,6 +50,9 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct HeldFlow {
     pub(crate) phase: Phase,
+    /// The opening that the endpoint was offered or accepted, if the agent saw it.
+    pub(super) opening: Option<OpeningId>,
+    pub(super) positions: FlowPositions,
     /// The balancer that forwarded the latest packet of the flow.
     pub(crate) origin: Ipv4Addr,
     /// Tag of the flow's delivery that awaits the endpoint's answer, zero if no delivery does.
@@ -68,6 +74,30 @@
 }
 
 impl HeldFlow {
+    /// Creates the state of a flow of which a packet was just seen for the first time.
+    pub(super) const fn new(
+        now: Millis,
+        phase: Phase,
+        opening: Option<OpeningId>,
+        positions: FlowPositions,
+    ) -> Self {
+        Self {
+            phase,
+            opening,
+            positions,
+            origin: Ipv4Addr::UNSPECIFIED,
+            tag: 0,
+            last_used: now,
+            request: RequestState::None,
+            caller_end: None,
+            endpoint_end: None,
+            caller_acknowledged: 0,
+            caller_closed: false,
+            endpoint_closed: false,
+            has_answered: false,
+        }
+    }
+
     pub(crate) const fn is_closed_by_both_ends(&self) -> bool {
         self.caller_closed && self.endpoint_closed
     }
--- a/crates/passthrough/src/agent/held_flows.rs
+++ b/crates/passthrough/src/agent/held_flows.rs
@@ -13,7 +13,10 @@
     outlier::RequestOutcome,
     usage::IdleFlowUsage,
 };
-use crate::{Flow, Segment};
+use crate::{
+    Flow, Segment,
+    flow_identity::{FlowPositions, OpeningId},
+};
 
 /// Time for which a newly opened flow counts as an expected request.
 ///
@@ -24,7 +27,8 @@
 /// Time from an opening's delivery until its caller's request arrives, if neither is delayed.
 const ROUND_TRIP_MS: Millis = Millis::new(20);
 
-/// Time after which an unanswered request no longer counts towards the endpoint's load.
+/// Time after which an unanswered request no longer counts towards the endpoint's load, and a flow that
+/// the endpoint has not confirmed is forgotten.
 const RUNNING_REQUEST_TTL_MS: Millis = Millis::new(6_000);
 
 /// Time for which a flow that both ends have closed is kept, to recognize late packets.
@@ -34,8 +38,19 @@
 /// timeout.
 const DEFAULT_IDLE_TIMEOUT_MS: Millis = Millis::new(60_000);
 
+/// How a caller's packet relates to the flow of its addresses and ports that the endpoint accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum HeldMatch {
+    /// The agent knows no such flow.
+    Unknown,
+    /// The packet is of the flow that the endpoint accepted.
+    Held,
+    /// The packet is of an earlier or a later flow, which the endpoint doesn't hold.
+    OtherFlow,
+}
+
 /// What a packet from the endpoint reveals about the packet's flow.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct EndpointUpdate {
     /// The balancer to notify and the delivery that the packet answered, if a delivery was pending.
     pub(crate) holder_query: Option<HolderQuery>,
@@ -168,6 +183,28 @@
             .is_some_and(|it| it.phase > Phase::Unconfirmed)
     }
 
+    /// Returns how a caller's packet that is no opening packet relates to the flow that the endpoint
+    /// accepted.
+    pub(crate) fn match_caller_packet(&self, flow: Flow, segment: &Segment) -> HeldMatch {
+        let accepted = |it: &&HeldFlow| it.phase > Phase::Unconfirmed;
+        let Some(held) = self.flows.get(&flow).filter(accepted) else {
+            return HeldMatch::Unknown;
+        };
+        if held
+            .positions
+            .is_same_flow(&FlowPositions::of_caller_packet(segment))
+        {
+            HeldMatch::Held
+        } else {
+            HeldMatch::OtherFlow
+        }
+    }
+
+    /// Returns whether the endpoint accepted the opening.
+    pub(crate) fn has_accepted_opening(&self, flow: Flow, opening: OpeningId) -> bool {
+        self.is_accepted(flow) && self.opening(flow) == Some(opening)
+    }
+
     /// Returns whether an end of the flow has closed it.
     pub(crate) fn is_closed(&self, flow: Flow) -> bool {
         self.flows
@@ -175,6 +212,16 @@
             .is_some_and(|it| it.caller_closed || it.endpoint_closed)
     }
 
+    /// Returns the opening of a flow, if the agent saw it.
+    pub(crate) fn opening(&self, flow: Flow) -> Option<OpeningId> {
+        self.flows.get(&flow)?.opening
+    }
+
+    /// Returns the latest position of the endpoint in a flow, if it is known.
+    pub(crate) fn endpoint_position(&self, flow: Flow) -> Option<u32> {
+        self.flows.get(&flow)?.positions.endpoint
+    }
+
     pub(crate) fn set_origin_balancer(&mut self, flow: Flow, origin: Ipv4Addr) {
         if let Some(held) = self.flows.get_mut(&flow) {
             held.origin = origin;
@@ -182,26 +229,32 @@
     }
 
     /// Adds a flow that the endpoint may not hold, whose packet is being delivered to the endpoint.
+    ///
+    /// The flow replaces an earlier one of the same addresses and ports.
     pub(crate) fn insert_unconfirmed(
         &mut self,
         now: Millis,
-        flow: Flow,
+        segment: &Segment,
         origin: Ipv4Addr,
         tag: u32,
     ) {
-        let held = self.flows.entry(flow).or_insert(HeldFlow {
-            phase: Phase::Unconfirmed,
-            origin,
-            tag,
-            last_used: now,
-            request: RequestState::None,
-            caller_end: None,
-            endpoint_end: None,
-            caller_acknowledged: 0,
-            caller_closed: false,
-            endpoint_closed: false,
-            has_answered: false,
-        });
+        let flow = segment.caller_flow();
+        let opening = segment
+            .is_opening_packet()
+            .then(|| OpeningId::of_packet(segment));
+        let positions = FlowPositions::of_caller_packet(segment);
+        let is_same = |it: &HeldFlow| {
+            it.phase == Phase::Unconfirmed
+                && it.opening == opening
+                && it.positions.is_same_flow(&positions)
+        };
+        if !self.flows.get(&flow).is_some_and(is_same) {
+            self.remove_flow(flow);
+        }
+        let held = self
+            .flows
+            .entry(flow)
+            .or_insert_with(|| HeldFlow::new(now, Phase::Unconfirmed, opening, positions));
         held.origin = origin;
         held.tag = tag;
         if held.request == RequestState::None {
@@ -230,6 +283,8 @@
         held.origin = origin;
         held.last_used = now;
         held.caller_acknowledged = segment.acknowledged;
+        held.positions
+            .advance(&FlowPositions::of_caller_packet(segment));
         let before = held.load_class();
         let end = segment.sequence.wrapping_add(u32::from(segment.data_bytes));
         let is_new = held
@@ -261,6 +316,9 @@
     }
 
     /// Updates a flow with a packet from the endpoint.
+    ///
+    /// A packet of another flow of the same addresses and ports changes nothing, unless the endpoint
+    /// shows thereby that it holds that one.
     pub(crate) fn on_endpoint_segment(
         &mut self,
         now: Millis,
@@ -268,19 +326,33 @@
         segment: &Segment,
     ) -> EndpointUpdate {
         self.expire_expected_requests(now);
-        let held = self.flows.entry(flow).or_insert(HeldFlow {
-            phase: Phase::Accepted,
-            origin: Ipv4Addr::UNSPECIFIED,
-            tag: 0,
-            last_used: now,
-            request: RequestState::None,
-            caller_end: None,
-            endpoint_end: None,
+        let positions = FlowPositions::of_endpoint_packet(segment);
+        match self.flows.get(&flow) {
+            // The endpoint has ended the flow.
+            None if segment.rst => return EndpointUpdate::default(),
+            None => {}
+            Some(held) => {
+                let is_same = segment.rst || held.positions.is_same_flow(&positions);
+                let is_offered = held.phase == Phase::Unconfirmed && held.opening.is_some();
+                if is_offered && !(is_same && segment.syn) {
+                    return EndpointUpdate::default();
+                }
+                let is_accepted = held.phase > Phase::Unconfirmed;
+                if !is_same && is_accepted && !segment.syn {
+                    return EndpointUpdate::default();
+                }
+                if !is_same {
+                    self.remove_flow(flow);
+                }
+            }
+        }
+        let held = self.flows.entry(flow).or_insert_with(|| HeldFlow {
             caller_acknowledged: segment.sequence,
-            caller_closed: false,
-            endpoint_closed: false,
-            has_answered: false,
+            ..HeldFlow::new(now, Phase::Accepted, None, positions)
         });
+        if !segment.rst {
+            held.positions.advance(&positions);
+        }
         let before = held.load_class();
         let mut outcome = None;
         let mut answered = None;
@@ -331,13 +403,10 @@
         }
     }
 
-    /// Removes a flow that the endpoint has not accepted.
-    pub(crate) fn remove_unconfirmed(&mut self, flow: Flow) {
-        if self
-            .flows
-            .get(&flow)
-            .is_some_and(|it| it.phase == Phase::Unconfirmed)
-        {
+    /// Removes a flow that the endpoint has not accepted, if its latest delivery has the given tag.
+    pub(crate) fn remove_unconfirmed(&mut self, flow: Flow, tag: u32) {
+        let is_meant = |it: &HeldFlow| it.phase == Phase::Unconfirmed && it.tag == tag;
+        if self.flows.get(&flow).is_some_and(is_meant) {
             self.remove_flow(flow);
         }
     }
@@ -407,7 +476,9 @@
             {
                 held.request = RequestState::None;
             }
-            let retention = if held.is_closed_by_both_ends() {
+            let retention = if held.phase == Phase::Unconfirmed {
+                RUNNING_REQUEST_TTL_MS
+            } else if held.is_closed_by_both_ends() {
                 CLOSED_RETENTION_MS
             } else {
                 idle_timeout
@@ -432,9 +503,9 @@
     ///
     /// Returns the tag of the flow's pending delivery, zero if none is pending, or `None` if no request
     /// was expected.
-    pub(crate) fn stop_expecting_request(&mut self, flow: Flow) -> Option<u32> {
+    pub(crate) fn stop_expecting_request(&mut self, flow: Flow, opening: OpeningId) -> Option<u32> {
         let held = self.flows.get_mut(&flow)?;
-        if held.request != RequestState::Expected {
+        if held.request != RequestState::Expected || held.opening != Some(opening) {
             return None;
         }
         let before = held.load_class();
--- a/crates/passthrough/src/agent/held_openings.rs
+++ b/crates/passthrough/src/agent/held_openings.rs
@@ -8,7 +8,8 @@
 
 use super::Agent;
 use crate::{
-    Event, Flow, Outbox, PacketFormat,
+    Event, Flow, Outbox, PacketFormat, Segment,
+    flow_identity::OpeningId,
     message::{Forward, OpeningHeld, UTILIZATION_CLOSED, write_opening_held},
 };
 
@@ -36,27 +37,38 @@
 /// An opening that waits at the agent.
 #[derive(Debug)]
 pub(super) struct HeldOpening {
-    flow: Flow,
+    segment: Segment,
     forward: Forward,
     packet: Vec<u8>,
     expected_ms: Millis,
 }
 
+impl HeldOpening {
+    fn is_of(&self, flow: Flow) -> bool {
+        self.segment.caller_flow() == flow
+    }
+
+    const fn opening(&self) -> OpeningId {
+        OpeningId::of_packet(&self.segment)
+    }
+}
+
 impl<F: PacketFormat> Agent<F> {
     /// Delivers an opening packet if the endpoint has a slot for it or soon will have; otherwise the
     /// opening waits.
     pub(super) fn deliver_or_hold(
         &mut self,
         now: Millis,
-        flow: Flow,
+        segment: &Segment,
         forward: Forward,
         packet: &mut [u8],
         out: &mut impl Outbox,
     ) {
+        let flow = segment.caller_flow();
         let is_next = self.held_openings.is_empty() && self.has_slot_for_opening(now);
         if is_next || self.held_openings.is_full() {
             self.counters.not_held += u64::from(!is_next);
-            return self.offer_to_endpoint(now, flow, forward, packet, out);
+            return self.offer_to_endpoint(now, segment, forward, packet, out);
         }
         let age = Millis::new(forward.age_ms.into());
         let remaining = CALLER_GIVES_UP_MS.since(age);
@@ -84,7 +96,7 @@
             now.plus(stay),
         );
         let held = HeldOpening {
-            flow,
+            segment: *segment,
             forward,
             packet: packet.to_vec(),
             expected_ms,
@@ -99,21 +111,30 @@
             waiting: u16::try_from(self.held_openings.len()).unwrap_or(u16::MAX),
             expected_ms: expected_ms.get(),
         });
-        self.send_opening_held(flow, &forward, stay, out);
+        self.send_opening_held(segment, &forward, stay, out);
     }
 
     /// Handles another copy of an opening that waits, and returns whether the opening waits.
-    pub(super) fn refresh_held_opening(&mut self, flow: Flow, forward: &Forward) -> bool {
-        let Some(held) = self.held_openings.find_mut(|it| it.flow == flow) else {
+    ///
+    /// Drops an earlier opening of the same addresses and ports, which its caller has given up.
+    pub(super) fn refresh_held_opening(&mut self, segment: &Segment, forward: &Forward) -> bool {
+        let flow = segment.caller_flow();
+        let Some(held) = self.held_openings.find_mut(|it| it.is_of(flow)) else {
             return false;
         };
-        held.forward.origin = forward.origin;
-        true
+        if held.opening() == OpeningId::of_packet(segment) {
+            held.forward.origin = forward.origin;
+            return true;
+        }
+        self.held_openings.remove(|it| it.is_of(flow));
+        self.counters.held_dropped += 1;
+        false
     }
 
     /// Drops an opening that waits, since another agent has accepted it, and returns whether it waited.
-    pub(super) fn drop_held_opening(&mut self, flow: Flow) -> bool {
-        self.held_openings.remove(|it| it.flow == flow).is_some()
+    pub(super) fn drop_held_opening(&mut self, flow: Flow, opening: OpeningId) -> bool {
+        let is_meant = |it: &HeldOpening| it.is_of(flow) && it.opening() == opening;
+        self.held_openings.remove(is_meant).is_some()
     }
 
     /// Delivers the openings for which the endpoint has a slot, and sends those back to their
@@ -138,11 +159,11 @@
             };
             self.counters.record_opening_wait(wait);
             out.report_event(Event::OpeningReleased {
-                flow: held.flow,
+                flow: held.segment.caller_flow(),
                 wait_ms: wait.get(),
                 expected_ms: held.expected_ms.get(),
             });
-            self.offer_to_endpoint(now, held.flow, held.forward, &mut held.packet, out);
+            self.offer_to_endpoint(now, &held.segment, held.forward, &mut held.packet, out);
         }
         self.next_release = now.plus(RELEASE_INTERVAL_MS);
     }
@@ -168,18 +189,19 @@
             return true;
         }
         let is_quiet = now.since(self.endpoint_heard_at) >= QUIET_AFTER_MS;
-        is_quiet && self.deliveries.next_deadline().is_none()
+        is_quiet && !self.deliveries.has_pending_opening()
     }
 
     fn send_opening_held(
         &mut self,
-        flow: Flow,
+        segment: &Segment,
         forward: &Forward,
         stay: Millis,
         out: &mut impl Outbox,
     ) {
         let opening_held = OpeningHeld {
-            flow,
+            flow: segment.caller_flow(),
+            opening: OpeningId::of_packet(segment),
             stay_ms: u16::try_from(stay.get()).unwrap_or(u16::MAX),
         };
         write_opening_held(opening_held, &mut self.scratch);
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -37,6 +37,7 @@
     CatalogView, DropReason, Endpoint, Event, Flow, Message, Outbox, PacketFormat, ResetReason,
     Segment, ServiceKey, ZoneKey,
     catalog_transfer::TransferAssembler,
+    flow_identity::OpeningId,
     message::{Body, Candidate, Candidates, Forward, PacketClass, write_forwarded_packet},
 };
 use agents::Agents;
@@ -211,13 +212,15 @@
     }
 
     /// Returns how often a limit on the number of tracked items was exceeded: known balancers,
-    /// queued transfers, retired endpoints and former targets of routes, and the size of a catalog.
+    /// queued transfers, retired endpoints, former targets of routes and cached flows, and the size of
+    /// a catalog.
     #[must_use]
     pub const fn limits_exceeded_count(&self) -> u64 {
         self.counters.limits_exceeded
             + self.peers.ignored_count()
             + self.transfers.dropped_count()
             + self.retired_answers.dropped_count()
+            + self.flows.uncached_count()
             + self.view.ignored_retired_count()
             + self.view.former_targets().ignored_count()
     }
@@ -433,14 +436,18 @@
             return self.forward_to_agent(known.service, class, known.agent, packet, out);
         }
         if segment.is_opening_packet() {
+            // What is known of the addresses and ports is of an earlier flow.
             self.flows.remove_flow(flow);
-            if let Some((agent, service)) = self.openings.holder(now, flow) {
+            self.lookups.finish_lookup(flow);
+            let id = OpeningId::of_packet(segment);
+            if let Some((agent, service)) = self.openings.holder(now, flow, id) {
                 return self.forward_to_agent(service, PacketClass::Opening, agent, packet, out);
             }
             let opening = self
                 .openings
                 .take_opening(flow)
-                .unwrap_or_else(|| PendingOpening::new(now, flow, packet));
+                .filter(|it| it.id == id)
+                .unwrap_or_else(|| PendingOpening::new(now, flow, id, packet));
             return self.offer_opening(now, opening, out);
         }
         self.start_lookup(now, flow, segment, packet, None, out);
--- a/crates/passthrough/src/balancer/catalog_sync.rs
+++ b/crates/passthrough/src/balancer/catalog_sync.rs
@@ -14,7 +14,7 @@
 
 use super::{Balancer, CONFIRMATION_INTERVAL_MIN_MS};
 use crate::{
-    Catalog, Event, Outbox, PacketFormat, ResetReason, StoreState,
+    Catalog, Event, Outbox, PacketFormat, StoreState,
     catalog_transfer::{EncodedTransfer, TransferContent},
     clock_echo::ClockMark,
     message::{
@@ -137,8 +137,7 @@
             if !self.knows_all_holders(now, flow) {
                 continue;
             }
-            self.lookups.finish_lookup(flow);
-            self.send_reset(flow, sequence, ResetReason::HeldByNone, out);
+            self.reset_unheld_flow(flow, sequence, out);
         }
     }
 
--- a/crates/passthrough/src/balancer/extra_openings.rs
+++ b/crates/passthrough/src/balancer/extra_openings.rs
@@ -18,6 +18,7 @@
 use super::{Balancer, openings::PendingOpening};
 use crate::{
     Endpoint, Event, Flow, Outbox, PacketFormat, RequestProfile, ServiceKey,
+    flow_identity::OpeningId,
     message::{
         AcceptLimits, Candidate, Candidates, Forward, PacketClass, write_flow_given_up,
         write_forwarded_packet,
@@ -33,10 +34,11 @@
 pub(super) struct ExtraOffers {
     decisions: ExtraOpenings,
     /// Times at which openings are offered again unless an agent answers, earliest first, each with
-    /// the opening's flow and its delay.
-    due: BinaryHeap<Reverse<(Millis, Flow, Millis)>>,
-    /// Flows with an extra opening that an agent has accepted: the first agent, and the time.
-    settled: HashMap<Flow, (Ipv4Addr, Millis)>,
+    /// the opening's flow, the opening and its delay.
+    due: BinaryHeap<Reverse<(Millis, Flow, OpeningId, Millis)>>,
+    /// Flows with an extra opening that an agent has accepted: the opening, the first agent, and the
+    /// time.
+    settled: HashMap<Flow, (OpeningId, Ipv4Addr, Millis)>,
 }
 
 impl ExtraOffers {
@@ -46,14 +48,19 @@
 
     /// Records that an opening was placed for the first time, and plans its extra opening if its
     /// route's requests may be repeated.
-    pub(super) fn on_opening_placed(&mut self, now: Millis, flow: Flow, requests: RequestProfile) {
+    pub(super) fn on_opening_placed(
+        &mut self,
+        now: Millis,
+        flow: Flow,
+        id: OpeningId,
+        requests: RequestProfile,
+    ) {
         self.decisions.record_opening(now);
-        // A caller may use the port of an earlier flow again.
         self.settled.remove(&flow);
         if requests.kind.is_repeatable()
             && let Some(delay) = self.decisions.delay()
         {
-            self.due.push(Reverse((now.plus(delay), flow, delay)));
+            self.due.push(Reverse((now.plus(delay), flow, id, delay)));
         }
     }
 
@@ -61,16 +68,16 @@
         self.due.peek().map(|it| it.0.0)
     }
 
-    fn take_due(&mut self, now: Millis) -> Option<(Flow, Millis)> {
+    fn take_due(&mut self, now: Millis) -> Option<(Flow, OpeningId, Millis)> {
         if self.next_deadline()? > now {
             return None;
         }
-        self.due.pop().map(|it| (it.0.1, it.0.2))
+        self.due.pop().map(|it| (it.0.1, it.0.2, it.0.3))
     }
 
     pub(super) fn remove_expired(&mut self, now: Millis) {
         self.settled
-            .retain(|_, it| now.since(it.1) <= SETTLED_TTL_MS);
+            .retain(|_, it| now.since(it.2) <= SETTLED_TTL_MS);
     }
 
     /// Forgets all openings that wait for an answer.
@@ -89,7 +96,10 @@
 
     /// Offers the openings whose answers are late to a second endpoint each.
     pub(super) fn offer_late_openings(&mut self, now: Millis, out: &mut impl Outbox) {
-        while let Some((flow, delay)) = self.extra_offers.take_due(now) {
+        while let Some((flow, id, delay)) = self.extra_offers.take_due(now) {
+            if self.openings.pending_id(flow) != Some(id) {
+                continue;
+            }
             let Some(mut opening) = self.openings.take_opening(flow) else {
                 continue;
             };
@@ -197,13 +207,14 @@
         self.counters.extra_openings_won += u64::from(second == agent);
         for other in opening.offered_agents() {
             if other != agent {
-                self.give_up_at(other, opening.flow, out);
+                self.give_up_at(other, opening.flow, opening.id, out);
             }
         }
         if second != agent {
-            self.give_up_at(second, opening.flow, out);
+            self.give_up_at(second, opening.flow, opening.id, out);
         }
-        self.extra_offers.settled.insert(opening.flow, (agent, now));
+        let settled = (opening.id, agent, now);
+        self.extra_offers.settled.insert(opening.flow, settled);
     }
 
     /// Returns whether another agent accepted the flow of an extra opening before `agent` did, and
@@ -215,18 +226,22 @@
         &mut self,
         agent: Ipv4Addr,
         flow: Flow,
+        id: Option<OpeningId>,
         out: &mut impl Outbox,
     ) -> bool {
-        let first = self.extra_offers.settled.get(&flow).map(|it| it.0);
-        if first.is_none_or(|it| it == agent) {
+        let settled = self.extra_offers.settled.get(&flow);
+        let Some((id, first, _)) = settled.copied().filter(|it| Some(it.0) == id) else {
+            return false;
+        };
+        if first == agent {
             return false;
         }
-        self.give_up_at(agent, flow, out);
+        self.give_up_at(agent, flow, id, out);
         true
     }
 
-    fn give_up_at(&mut self, agent: Ipv4Addr, flow: Flow, out: &mut impl Outbox) {
-        write_flow_given_up(flow, &mut self.scratch);
+    fn give_up_at(&mut self, agent: Ipv4Addr, flow: Flow, id: OpeningId, out: &mut impl Outbox) {
+        write_flow_given_up(flow, id, &mut self.scratch);
         out.send_to_peer(agent, &self.scratch);
         self.counters.extra_openings_given_up += 1;
     }
--- a/crates/passthrough/src/balancer/flows.rs
+++ b/crates/passthrough/src/balancer/flows.rs
@@ -7,19 +7,24 @@
 use units::Millis;
 
 use super::uploads::UploadDetector;
-use crate::{Flow, Segment, ServiceKey};
+use crate::{
+    Flow, Segment, ServiceKey,
+    flow_identity::{FlowPositions, OpeningId},
+};
 
 /// Time for which a flow stays cached after its caller closed it, to forward retransmitted packets.
 const CLOSED_RETENTION_MS: Millis = Millis::new(3_000);
 
-/// Maximum number of cached flows. The full cache takes about 4 MB; a balancer of the intended size
-/// has about 8,400 open flows.
+/// Maximum number of cached flows. The full cache takes about 6 MB; a balancer of the intended size
+/// has about 8,400 open flows. Flows beyond are looked up with each packet.
 const CACHED_FLOWS_MAX: usize = 60_000;
 
 #[derive(Debug, Clone, Copy)]
 struct CacheEntry {
     agent: Ipv4Addr,
     service: ServiceKey,
+    opening: Option<OpeningId>,
+    positions: FlowPositions,
     last_used: Millis,
     closed: bool,
     upload_detector: UploadDetector,
@@ -44,6 +49,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct FlowCache {
     flows: HashMap<Flow, CacheEntry>,
+    /// Number of flows that were not cached because the cache was full.
+    uncached: u64,
 }
 
 impl FlowCache {
@@ -51,7 +58,15 @@
         self.flows.len()
     }
 
+    /// Returns how many flows were not cached because the cache was full.
+    pub(crate) const fn uncached_count(&self) -> u64 {
+        self.uncached
+    }
+
     /// Looks up the flow of a received packet and updates the flow's cache entry.
+    ///
+    /// Finds nothing for a packet at positions far from those of the cached flow, which is of another
+    /// flow of the same addresses and ports.
     pub(crate) fn look_up_flow(
         &mut self,
         now: Millis,
@@ -59,6 +74,13 @@
         segment: &Segment,
     ) -> Option<CachedFlow> {
         let entry = self.flows.get_mut(&flow)?;
+        if !segment.is_opening_packet() {
+            let positions = FlowPositions::of_caller_packet(segment);
+            if !entry.positions.is_same_flow(&positions) {
+                return None;
+            }
+            entry.positions.advance(&positions);
+        }
         entry.last_used = now;
         entry.closed |= segment.fin || segment.rst;
         Some(CachedFlow {
@@ -75,13 +97,18 @@
         flow: Flow,
         agent: Ipv4Addr,
         service: ServiceKey,
+        opening: Option<OpeningId>,
+        positions: FlowPositions,
     ) {
         if self.flows.len() >= CACHED_FLOWS_MAX && !self.flows.contains_key(&flow) {
+            self.uncached += 1;
             return;
         }
         let entry = CacheEntry {
             agent,
             service,
+            opening,
+            positions,
             last_used: now,
             closed: false,
             upload_detector: UploadDetector::default(),
@@ -93,11 +120,34 @@
         self.flows.remove(&flow);
     }
 
-    /// Removes a flow from the cache if its cached agent is `agent`.
-    pub(crate) fn remove_flow_if_held_by(&mut self, flow: Flow, agent: Ipv4Addr) {
-        if self.flows.get(&flow).is_some_and(|it| it.agent == agent) {
+    /// Returns whether another opening of the same addresses and ports is cached.
+    pub(crate) fn has_other_opening(&self, flow: Flow, opening: Option<OpeningId>) -> bool {
+        let cached = self.flows.get(&flow).and_then(|it| it.opening);
+        cached.is_some() && cached != opening
+    }
+
+    /// Removes the flow of a packet that `agent` returned, if the cache leads the packet there, and
+    /// returns whether it did.
+    pub(crate) fn remove_returned(
+        &mut self,
+        flow: Flow,
+        agent: Ipv4Addr,
+        segment: &Segment,
+    ) -> bool {
+        let leads_there = |it: &CacheEntry| {
+            let is_same = if segment.is_opening_packet() {
+                it.opening == Some(OpeningId::of_packet(segment))
+            } else {
+                it.positions
+                    .is_same_flow(&FlowPositions::of_caller_packet(segment))
+            };
+            it.agent == agent && is_same
+        };
+        let is_led = self.flows.get(&flow).is_some_and(leads_there);
+        if is_led {
             self.flows.remove(&flow);
         }
+        is_led
     }
 
     /// Removes flows that have been idle or closed for longer than their retention.
--- a/crates/passthrough/src/balancer/lookups.rs
+++ b/crates/passthrough/src/balancer/lookups.rs
@@ -8,7 +8,7 @@
 
 use units::Millis;
 
-use crate::{Flow, ServiceKey, message::FlowNotHeld};
+use crate::{Flow, Segment, ServiceKey, flow_identity::FlowPositions, message::FlowNotHeld};
 
 /// Time after which the unfinished chains of agents in a lookup count as lost.
 const CHAIN_TIMEOUT_MS: Millis = Millis::new(150);
@@ -40,6 +40,8 @@
 #[derive(Debug)]
 struct Lookup {
     id: u16,
+    /// Positions of the flow that is looked up, which tell it from others of its addresses and ports.
+    positions: FlowPositions,
     /// Number of lookups of the flow since its last successful lookup.
     attempts: usize,
     /// Number of chains of asked agents that have not reported their end.
@@ -98,9 +100,23 @@
 }
 
 impl Lookups {
-    /// Returns how many times the flow has been looked up since its last successful lookup.
-    pub(crate) fn attempts(&self, flow: Flow) -> usize {
-        self.by_flow.get(&flow).map_or(0, |it| it.attempts)
+    /// Prepares the lookup of the flow of a caller's packet, and returns how many times the flow has
+    /// been looked up since its last successful lookup.
+    ///
+    /// The lookup of another flow of the same addresses and ports ends: its failures prove nothing
+    /// about this one.
+    pub(crate) fn begin_attempt(&mut self, segment: &Segment) -> usize {
+        let flow = segment.caller_flow();
+        let positions = FlowPositions::of_caller_packet(segment);
+        let Some(lookup) = self.by_flow.get_mut(&flow) else {
+            return 0;
+        };
+        if !lookup.positions.is_same_flow(&positions) {
+            self.by_flow.remove(&flow);
+            return 0;
+        }
+        lookup.positions.advance(&positions);
+        lookup.attempts
     }
 
     /// Starts a lookup of a flow that asks agents in the given number of chains.
@@ -109,15 +125,16 @@
     pub(crate) fn start_lookup(
         &mut self,
         now: Millis,
-        flow: Flow,
+        segment: &Segment,
         chains: usize,
         generation: u64,
-        acknowledged: u32,
         packet: &[u8],
     ) -> u16 {
+        let flow = segment.caller_flow();
         let retains_packet = self.by_flow.len() < RETAINED_PACKETS_MAX;
         let lookup = self.by_flow.entry(flow).or_insert_with(|| Lookup {
             id: 0,
+            positions: FlowPositions::of_caller_packet(segment),
             attempts: 0,
             pending_chains: 0,
             ended_chains: Vec::new(),
@@ -126,7 +143,7 @@
             unfinished: 0,
             failures: 0,
             first_failure: None,
-            acknowledged,
+            acknowledged: segment.acknowledged,
             packet: if retains_packet {
                 packet.to_vec()
             } else {
@@ -143,7 +160,7 @@
         lookup.ended_chains.clear();
         lookup.started = now;
         lookup.generation = generation;
-        lookup.acknowledged = acknowledged;
+        lookup.acknowledged = segment.acknowledged;
         if let Some(delay) = lookup.lost_chain_delay() {
             self.timeouts
                 .push(Reverse((now.plus(delay), flow, lookup.id)));
@@ -202,9 +219,24 @@
         failed.into_iter().chain(lost).min()
     }
 
-    /// Ends the lookup of a flow and returns whether one was in progress.
-    pub(crate) fn finish_lookup(&mut self, flow: Flow) -> bool {
-        self.by_flow.remove(&flow).is_some()
+    /// Ends the lookup of a flow.
+    pub(crate) fn finish_lookup(&mut self, flow: Flow) {
+        self.by_flow.remove(&flow);
+    }
+
+    /// Ends the lookup of the flow that has the given positions, and returns the flow's positions, or
+    /// `None` if another flow or none was looked up.
+    pub(crate) fn take_found(
+        &mut self,
+        flow: Flow,
+        positions: &FlowPositions,
+    ) -> Option<FlowPositions> {
+        let looked_up = self.by_flow.get(&flow)?.positions;
+        if !looked_up.is_same_flow(positions) {
+            return None;
+        }
+        self.by_flow.remove(&flow);
+        Some(looked_up)
     }
 
     /// Records that a chain of asked agents ended without a holder of the flow. Returns the
--- a/crates/passthrough/src/balancer/openings.rs
+++ b/crates/passthrough/src/balancer/openings.rs
@@ -8,7 +8,7 @@
 
 use units::Millis;
 
-use crate::{Flow, ServiceKey, message::OpeningHeld};
+use crate::{Flow, ServiceKey, flow_identity::OpeningId, message::OpeningHeld};
 
 /// Time after which an unaccepted opening packet is offered again, first to another endpoint.
 ///
@@ -30,6 +30,7 @@
 #[derive(Debug)]
 pub(crate) struct PendingOpening {
     pub(crate) flow: Flow,
+    pub(crate) id: OpeningId,
     pub(crate) packet: Vec<u8>,
     pub(crate) received_at: Millis,
     retry_at: Millis,
@@ -43,9 +44,10 @@
 }
 
 impl PendingOpening {
-    pub(crate) fn new(now: Millis, flow: Flow, packet: &[u8]) -> Self {
+    pub(crate) fn new(now: Millis, flow: Flow, id: OpeningId, packet: &[u8]) -> Self {
         Self {
             flow,
+            id,
             packet: packet.to_vec(),
             received_at: now,
             retry_at: now,
@@ -116,9 +118,17 @@
         self.openings.remove(&flow)
     }
 
+    /// Returns which opening of a flow is pending, if one is.
+    pub(crate) fn pending_id(&self, flow: Flow) -> Option<OpeningId> {
+        self.openings.get(&flow).map(|it| it.id)
+    }
+
     /// Records that an opening packet waits at an agent, so that it isn't offered to another one
     /// meanwhile.
     pub(crate) fn mark_held(&mut self, now: Millis, agent: Ipv4Addr, held: OpeningHeld) {
+        if self.pending_id(held.flow) != Some(held.opening) {
+            return;
+        }
         let Some(mut opening) = self.openings.remove(&held.flow) else {
             return;
         };
@@ -132,8 +142,13 @@
     }
 
     /// Returns the agent at which an opening packet waits, and the agent's service.
-    pub(crate) fn holder(&self, now: Millis, flow: Flow) -> Option<(Ipv4Addr, ServiceKey)> {
-        let opening = self.openings.get(&flow)?;
+    pub(crate) fn holder(
+        &self,
+        now: Millis,
+        flow: Flow,
+        id: OpeningId,
+    ) -> Option<(Ipv4Addr, ServiceKey)> {
+        let opening = self.openings.get(&flow).filter(|it| it.id == id)?;
         let is_current = now < opening.retry_at && !opening.is_opening_expired(now);
         opening
             .held_by
@@ -145,12 +160,13 @@
     pub(crate) fn take_opening_held_by(
         &mut self,
         flow: Flow,
+        id: OpeningId,
         agent: Ipv4Addr,
     ) -> Option<PendingOpening> {
         let is_held = self
             .openings
             .get(&flow)
-            .is_some_and(|it| it.held_by == Some(agent));
+            .is_some_and(|it| it.id == id && it.held_by == Some(agent));
         is_held.then(|| self.openings.remove(&flow)).flatten()
     }
 
--- a/crates/passthrough/src/balancer/placement_report.rs
+++ b/crates/passthrough/src/balancer/placement_report.rs
@@ -15,7 +15,9 @@
     openings::PendingOpening,
     routing::{NotPlaceable, OpeningChoice},
 };
-use crate::{Endpoint, EndpointState, Flow, PacketFormat, Route, ServiceKey};
+use crate::{
+    Endpoint, EndpointState, Flow, PacketFormat, Route, ServiceKey, flow_identity::OpeningId,
+};
 
 /// Maximum number of endpoints that a report names as left out.
 const LEFT_OUT_MAX: usize = 64;
@@ -197,7 +199,7 @@
         }
         report.held_ms = held_until.map(|it| it.since(now));
         let mut subset = Vec::new();
-        let opening = PendingOpening::new(now, flow, &[]);
+        let opening = PendingOpening::new(now, flow, OpeningId::new(0), &[]);
         let service = match self.choose_candidates(now, &opening, &mut subset) {
             Ok(choice) => {
                 report.outcome = match held_until {
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -11,6 +11,7 @@
     DropReason, Endpoint, EndpointState, Event, Flow, Outbox, PacketFormat, RequestProfile,
     ResetReason, Segment, ServiceKey,
     catalog_view::LOOKUP_SUBSET_MAX,
+    flow_identity::{FlowPositions, OpeningId},
     message::{
         AcceptLimits, CANDIDATES_MAX, Candidate, Candidates, FlowHeld, FlowNotHeld, Forward,
         Instances, LookupRequest, PacketClass, Returned, lookup_agents_per_request,
@@ -115,7 +116,8 @@
         self.counters.openings += 1;
         let is_first = opening.offer_count() == 0;
         if is_first {
-            self.extra_offers.on_opening_placed(now, flow, requests);
+            self.extra_offers
+                .on_opening_placed(now, flow, opening.id, requests);
         }
         self.counters.openings_out_of_zone +=
             u64::from(is_first && self.view.catalog().is_evacuated(self.config.zone));
@@ -208,7 +210,7 @@
         if services.is_empty() {
             return self.drop_packet(DropReason::NoRoute, out);
         }
-        let attempt = self.lookups.attempts(flow);
+        let attempt = self.lookups.begin_attempt(segment);
         let mut is_complete = true;
         let mut groups = Vec::with_capacity(services.len());
         for service in services {
@@ -224,14 +226,18 @@
             return self.drop_packet(DropReason::NoEndpoint, out);
         }
         let per_request = lookup_agents_per_request(packet.len());
-        let lookup_id = self.lookups.start_lookup(
-            now,
-            flow,
-            groups.iter().map(|it| it.chain_count(per_request)).sum(),
-            self.view.endpoint_generation(),
-            segment.acknowledged,
-            packet,
-        );
+        // A caller that has reset its flow needs no verdict on it.
+        let lookup_id = if segment.rst {
+            0
+        } else {
+            self.lookups.start_lookup(
+                now,
+                segment,
+                groups.iter().map(|it| it.chain_count(per_request)).sum(),
+                self.view.endpoint_generation(),
+                packet,
+            )
+        };
         // If not every endpoint can be asked, the lookup proves nothing and its result is not
         // tracked.
         let lookup_id = if is_complete { lookup_id } else { 0 };
@@ -331,17 +337,35 @@
         let flow = flow_held.flow;
         self.agents
             .record_reply(now, agent, flow_held.utilization, out);
-        if self.lookups.finish_lookup(flow) {
+        let id = flow_held.opening;
+        let mut positions = FlowPositions {
+            caller: None,
+            endpoint: flow_held.endpoint_position,
+        };
+        if let Some(found) = self.lookups.take_found(flow, &positions) {
             out.report_event(Event::HolderFound { flow, agent });
-        } else if self.is_accepted_elsewhere(agent, flow, out) {
-            return;
+            positions.caller = found.caller;
+        } else {
+            let pending = self.openings.pending_id(flow);
+            let is_outdated = if pending.is_some() {
+                pending != id
+            } else {
+                self.flows.has_other_opening(flow, id)
+            };
+            if is_outdated || self.is_accepted_elsewhere(agent, flow, id, out) {
+                return;
+            }
+            positions.caller = id.map(OpeningId::get);
         }
-        if let Some(opening) = self.openings.take_opening(flow) {
+        if self.openings.pending_id(flow) == id
+            && let Some(opening) = self.openings.take_opening(flow)
+        {
             self.counters
                 .record_opening_wait(now.since(opening.received_at));
             self.settle_extra_opening(now, agent, &opening, out);
         }
-        self.flows.insert_flow(now, flow, agent, flow_held.service);
+        self.flows
+            .insert_flow(now, flow, agent, flow_held.service, id, positions);
         self.record_served_route(now, flow.service_address, flow_held.service, out);
     }
 
@@ -362,14 +386,15 @@
         let flow = segment.caller_flow();
         match returned.class {
             PacketClass::Opening => {
-                self.flows.remove_flow_if_held_by(flow, agent);
-                if let Some(opening) = self.openings.take_opening_held_by(flow, agent) {
+                let id = OpeningId::of_packet(&segment);
+                self.flows.remove_returned(flow, agent, &segment);
+                if let Some(opening) = self.openings.take_opening_held_by(flow, id, agent) {
                     self.counters.openings_handed_back += 1;
                     self.offer_opening(now, opening, out);
                 }
             }
             PacketClass::Established => {
-                self.flows.remove_flow_if_held_by(flow, agent);
+                self.flows.remove_returned(flow, agent, &segment);
                 self.start_lookup(now, flow, &segment, packet, Some(agent), out);
             }
             PacketClass::Lookup => {}
@@ -402,8 +427,18 @@
         if !failed.is_conclusive || !is_fresh || !self.knows_all_holders(now, flow) {
             return;
         }
+        self.reset_unheld_flow(flow, failed.acknowledged, out);
+    }
+
+    /// Ends the lookup of a flow that no endpoint holds, and resets the flow.
+    ///
+    /// A caller that is opening a new flow of the same addresses and ports would take the reset for an
+    /// answer to its opening.
+    pub(super) fn reset_unheld_flow(&mut self, flow: Flow, sequence: u32, out: &mut impl Outbox) {
         self.lookups.finish_lookup(flow);
-        self.send_reset(flow, failed.acknowledged, ResetReason::HeldByNone, out);
+        if self.openings.pending_id(flow).is_none() {
+            self.send_reset(flow, sequence, ResetReason::HeldByNone, out);
+        }
     }
 }
 
--- a/crates/passthrough/src/lib.rs
+++ b/crates/passthrough/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod clock_echo;
 mod event;
 mod flow;
+mod flow_identity;
 mod former_targets;
 mod message;
 mod outbox;
@@ -38,6 +39,6 @@
 pub use catalog_view::{CatalogView, StoreState};
 pub use event::{DropReason, Event, EventKind, ResetReason};
 pub use flow::Flow;
-pub use message::{Message, MessageError, decode_message};
+pub use message::{LAYOUT_VERSION, Message, MessageError, decode_message};
 pub use outbox::Outbox;
 pub use segment::{PacketFormat, Segment, SegmentError};
--- a/crates/passthrough/src/message.rs
+++ b/crates/passthrough/src/message.rs
@@ -34,13 +34,14 @@
     EndpointState, Flow, RequestKind, RequestProfile, Segment, ServiceKey,
     clock_echo::{ClockEcho, ClockMark},
     flow::FLOW_BYTES,
+    flow_identity::OpeningId,
 };
 
 /// Magic number that identifies a datagram as a message.
 const MAGIC: u16 = 0x4C47;
 
 /// Version of the layout of all messages.
-const LAYOUT_VERSION: u8 = 6;
+pub const LAYOUT_VERSION: u8 = 6;
 
 /// Maximum number of candidate agents in the header of a forwarded packet.
 pub(crate) const CANDIDATES_MAX: usize = 8;
@@ -82,6 +83,12 @@
     pub(super) const HAS_SILENT_ENDPOINT: u8 = 2;
 }
 
+/// Flags in the message that an agent's endpoint holds a flow.
+mod held_flag {
+    pub(super) const HAS_OPENING: u8 = 1;
+    pub(super) const HAS_ENDPOINT_POSITION: u8 = 2;
+}
+
 /// Message kinds, as encoded in the preamble.
 mod kind {
     pub(super) const FORWARD: u8 = 1;
@@ -394,12 +401,17 @@
     /// The service of the agent's endpoint, which the flow's route may have left.
     pub(crate) service: ServiceKey,
     pub(crate) utilization: Utilization,
+    /// The flow's opening, if the agent saw it.
+    pub(crate) opening: Option<OpeningId>,
+    /// The endpoint's latest position in the flow, if the agent knows it.
+    pub(crate) endpoint_position: Option<u32>,
 }
 
 /// An agent's message to the balancer that sent an opening: the opening waits at the agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct OpeningHeld {
     pub(crate) flow: Flow,
+    pub(crate) opening: OpeningId,
     /// Time after which the opening is at the endpoint or on its way back to the balancer.
     pub(crate) stay_ms: u16,
 }
@@ -409,6 +421,7 @@
 struct OpeningHeldHeader {
     preamble: Preamble,
     flow: [u8; FLOW_BYTES],
+    opening: U32,
     stay_ms: U16,
 }
 
@@ -468,6 +481,10 @@
     flow: [u8; FLOW_BYTES],
     service: U64,
     utilization: U16,
+    /// Bits of `held_flag`.
+    flags: u8,
+    opening: U32,
+    endpoint_position: U32,
 }
 
 #[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
@@ -475,6 +492,7 @@
 struct FlowGivenUpHeader {
     preamble: Preamble,
     flow: [u8; FLOW_BYTES],
+    opening: U32,
 }
 
 /// A packet returned to the balancer that sent it, because no candidate agent's endpoint holds or
@@ -701,5 +719,5 @@
     LookupRequest(LookupRequest<'a>, &'a [u8]),
     FlowNotHeld(FlowNotHeld),
     /// Tells an agent that another one has accepted the flow's opening.
-    FlowGivenUp(Flow),
+    FlowGivenUp(Flow, OpeningId),
 }
--- a/crates/passthrough/src/message/decode.rs
+++ b/crates/passthrough/src/message/decode.rs
@@ -11,9 +11,11 @@
     LookupRequestHeader, MAGIC, Member, Message, MessageError, NO_RETIRED_TOLD, OpeningHeld,
     OpeningHeldHeader, PacketClass, PeerStatus, Preamble, REPORTED_BALANCERS_MAX,
     REPORTED_ROUTES_MAX, ReturnHeader, Returned, RouteAddress, StateNotice, StateNoticeHeader,
-    forward_flag, kind,
+    forward_flag, held_flag, kind,
+};
+use crate::{
+    EndpointState, Flow, RequestKind, RequestProfile, ServiceKey, flow_identity::OpeningId,
 };
-use crate::{EndpointState, Flow, RequestKind, RequestProfile, ServiceKey};
 
 /// Decodes a datagram from a balancer or an agent into a message.
 ///
@@ -38,7 +40,8 @@
         kind::OPENING_HELD => decode_opening_held(datagram)?,
         kind::FLOW_GIVEN_UP => {
             let (header, _) = decode_prefix::<FlowGivenUpHeader>(datagram)?;
-            Body::FlowGivenUp(Flow::from_bytes(header.flow))
+            let opening = OpeningId::new(header.opening.get());
+            Body::FlowGivenUp(Flow::from_bytes(header.flow), opening)
         }
         kind::RETIRED => Body::Retired(decode_prefix::<Preamble>(datagram)?.1),
         _ => return Err(MessageError::InvalidField { field: "kind" }),
@@ -105,10 +108,14 @@
 
 fn decode_flow_held(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
     let (header, _) = decode_prefix::<FlowHeldHeader>(datagram)?;
+    let has_field = |flag| header.flags & flag != 0;
     Ok(Body::FlowHeld(FlowHeld {
         flow: Flow::from_bytes(header.flow),
         service: ServiceKey::new(header.service.get()),
         utilization: header.utilization.get(),
+        opening: has_field(held_flag::HAS_OPENING).then(|| OpeningId::new(header.opening.get())),
+        endpoint_position: has_field(held_flag::HAS_ENDPOINT_POSITION)
+            .then(|| header.endpoint_position.get()),
     }))
 }
 
@@ -116,6 +123,7 @@
     let (header, _) = decode_prefix::<OpeningHeldHeader>(datagram)?;
     Ok(Body::OpeningHeld(OpeningHeld {
         flow: Flow::from_bytes(header.flow),
+        opening: OpeningId::new(header.opening.get()),
         stay_ms: header.stay_ms.get(),
     }))
 }
--- a/crates/passthrough/src/message/write.rs
+++ b/crates/passthrough/src/message/write.rs
@@ -11,9 +11,9 @@
     FlowGivenUpHeader, FlowHeld, FlowHeldHeader, FlowNotHeld, FlowNotHeldHeader, Forward,
     ForwardHeader, LoadReport, LoadReportHeader, LookupRequest, LookupRequestHeader,
     NO_RETIRED_TOLD, OpeningHeld, OpeningHeldHeader, Preamble, REPORTED_ROUTES_MAX, ReturnHeader,
-    Returned, StateNotice, StateNoticeHeader, forward_flag, kind,
+    Returned, StateNotice, StateNoticeHeader, forward_flag, held_flag, kind,
 };
-use crate::{EndpointState, Flow, RequestKind};
+use crate::{EndpointState, Flow, RequestKind, flow_identity::OpeningId};
 
 /// Encodes a packet with its forwarding state into `out`.
 pub(crate) fn write_forwarded_packet(forward: &Forward, packet: &[u8], out: &mut Vec<u8>) {
@@ -90,11 +90,12 @@
     out.extend_from_slice(header.as_bytes());
 }
 
-/// Encodes into `out` the message that another agent has accepted the opening of `flow`.
-pub(crate) fn write_flow_given_up(flow: Flow, out: &mut Vec<u8>) {
+/// Encodes into `out` the message that another agent has accepted an opening of `flow`.
+pub(crate) fn write_flow_given_up(flow: Flow, opening: OpeningId, out: &mut Vec<u8>) {
     let header = FlowGivenUpHeader {
         preamble: Preamble::new(kind::FLOW_GIVEN_UP),
         flow: flow.to_bytes(),
+        opening: U32::new(opening.get()),
     };
     out.clear();
     out.extend_from_slice(header.as_bytes());
@@ -113,9 +114,19 @@
 
 /// Encodes into `out` the message that an agent's endpoint holds a flow.
 pub(crate) fn write_flow_held(flow_held: FlowHeld, out: &mut Vec<u8>) {
+    let mut flags = 0;
+    if flow_held.opening.is_some() {
+        flags |= held_flag::HAS_OPENING;
+    }
+    if flow_held.endpoint_position.is_some() {
+        flags |= held_flag::HAS_ENDPOINT_POSITION;
+    }
     let header = FlowHeldHeader {
         preamble: Preamble::new(kind::FLOW_HELD),
         flow: flow_held.flow.to_bytes(),
+        flags,
+        opening: U32::new(flow_held.opening.map_or(0, OpeningId::get)),
+        endpoint_position: U32::new(flow_held.endpoint_position.unwrap_or(0)),
         service: U64::new(flow_held.service.get()),
         utilization: U16::new(flow_held.utilization),
     };
@@ -128,6 +139,7 @@
     let header = OpeningHeldHeader {
         preamble: Preamble::new(kind::OPENING_HELD),
         flow: opening_held.flow.to_bytes(),
+        opening: U32::new(opening_held.opening.get()),
         stay_ms: U16::new(opening_held.stay_ms),
     };
     out.clear();
--- a/crates/passthrough/src/segment.rs
+++ b/crates/passthrough/src/segment.rs
@@ -42,6 +42,15 @@
         self.syn && !self.ack
     }
 
+    /// Returns the flow of a packet that was sent by its endpoint.
+    #[must_use]
+    pub const fn endpoint_flow(&self) -> Flow {
+        Flow {
+            caller: self.destination,
+            service_address: self.source,
+        }
+    }
+
     /// Returns the flow of a packet that was sent by its caller.
     #[must_use]
     pub const fn caller_flow(&self) -> Flow {
--- a/crates/passthrough/tests/messages.rs
+++ b/crates/passthrough/tests/messages.rs
@@ -21,7 +21,7 @@
             let mut network = SimNetwork::with_one_balancer();
             let revision = network.balancer(0).catalog_view().catalog().revision;
             // A valid preamble followed by arbitrary bytes.
-            let mut bytes = vec![0x4C, 0x47, 5, kind % 16];
+            let mut bytes = vec![0x4C, 0x47, passthrough::LAYOUT_VERSION, kind % 16];
             bytes.extend(input);
             network.inject_datagram(agent_ip(0), balancer_ip(0), &bytes);
             network.inject_datagram(balancer_ip(9), agent_ip(0), &bytes);
--- a/crates/passthrough/tests/support/mod.rs
+++ b/crates/passthrough/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 mod endpoint;
 mod format;
+pub(crate) mod open_flow;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
--- a/crates/passthrough/tests/uploads.rs
+++ b/crates/passthrough/tests/uploads.rs
@@ -88,7 +88,8 @@
     let before: usize = network.endpoints.values().map(|it| it.requests).sum();
     // The first four uploads end; then the callers of four waiting uploads retransmit.
     for number in 0..4 {
-        let fin = encode_packet(caller(number), SERVICE_ADDRESS, Flags::FIN, 401, 0, 0);
+        let next = endpoint_sequence_of(&network, number) + 1;
+        let fin = encode_packet(caller(number), SERVICE_ADDRESS, Flags::FIN, 401, next, 0);
         network.send_caller_packet(0, &fin);
     }
     for number in 4..8 {
