Take an opening from a port that is used again for a new one

Cause: balancers and agents took each opening packet of remembered addresses and ports for a copy of the remembered flow's, and gave it to the endpoint without a look at its state. Each new flow kept the memory young.

Evidence: in the agent's log endpoint_state_changed (draining) follows at once on the drain, and no opening_passed after it. Ruled out: late news of the drain.

Change: an opening packet is a copy only if its sequence number is the known opening's and neither end has closed the flow; to a balancer, which doesn't see that, only for the 1.4 s in which callers send copies. The exception for zones out of use goes. An agent that can't accept what the balancer took for a copy sends it back, and it is offered anew.

--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -352,10 +352,7 @@
             self.slots = Slots::new(u16::from(candidate.slots));
             self.flows.set_slots(self.slots);
         }
-        // A caller may use the port of a closed flow again, which opens a new one.
-        let is_copy =
-            self.flows.is_accepted(flow) && !(self.is_evacuated && self.flows.is_closed(flow));
-        if is_copy {
+        if self.flows.is_copy(flow, OpeningId::of_packet(segment)) {
             self.flows.set_origin_balancer(flow, forward.origin);
             return Self::deliver_to_endpoint(packet, 0, out);
         }
--- a/crates/passthrough/src/agent/held_flows.rs
+++ b/crates/passthrough/src/agent/held_flows.rs
@@ -205,11 +205,11 @@
         self.is_accepted(flow) && self.opening(flow) == Some(opening)
     }
 
-    /// Returns whether an end of the flow has closed it.
-    pub(crate) fn is_closed(&self, flow: Flow) -> bool {
-        self.flows
-            .get(&flow)
-            .is_some_and(|it| it.caller_closed || it.endpoint_closed)
+    /// Returns whether an opening packet is a copy of that of a flow which the endpoint accepted and
+    /// neither end has closed.
+    pub(crate) fn is_copy(&self, flow: Flow, opening: OpeningId) -> bool {
+        let is_open = |it: &HeldFlow| !it.caller_closed && !it.endpoint_closed;
+        self.has_accepted_opening(flow, opening) && self.flows.get(&flow).is_some_and(is_open)
     }
 
     /// Returns the opening of a flow, if the agent saw it.
--- a/crates/passthrough/src/balancer.rs
+++ b/crates/passthrough/src/balancer.rs
@@ -421,10 +421,7 @@
         };
         let known = self.flows.look_up_flow(now, flow, segment);
         // An opening is placed by the route in force. The rest of a flow stays where it was opened.
-        let known = known.filter(|it| {
-            !segment.is_opening_packet()
-                || (route.leads_to(it.service) && self.may_deliver_copy(it))
-        });
+        let known = known.filter(|it| !segment.is_opening_packet() || route.leads_to(it.service));
         if let Some(known) = known {
             if segment.fin || segment.rst {
                 self.uploads.release_upload(flow);
--- a/crates/passthrough/src/balancer/agents.rs
+++ b/crates/passthrough/src/balancer/agents.rs
@@ -451,14 +451,6 @@
         u8::try_from(slots).unwrap_or(u8::MAX)
     }
 
-    /// Returns the availability zone of the agent's endpoint of a service, if it is known.
-    pub(crate) fn endpoint_zone(&self, agent: Ipv4Addr, service: ServiceKey) -> Option<ZoneKey> {
-        let mut states = self.find_agents(agent).iter();
-        states
-            .find(|it| it.endpoint.service == service)
-            .map(|it| it.endpoint.zone)
-    }
-
     /// Returns the state of an agent; what its replies tell is the same for all its services.
     fn find_agent(&self, agent: Ipv4Addr) -> Option<&AgentState> {
         self.find_agents(agent).first()
--- a/crates/passthrough/src/balancer/flows.rs
+++ b/crates/passthrough/src/balancer/flows.rs
@@ -9,7 +9,7 @@
 use super::uploads::UploadDetector;
 use crate::{
     Flow, Segment, ServiceKey,
-    flow_identity::{FlowPositions, OpeningId},
+    flow_identity::{FlowPositions, KnownOpening, OpeningId},
 };
 
 /// Time for which a flow stays cached after its caller closed it, to forward retransmitted packets.
@@ -23,7 +23,7 @@
 struct CacheEntry {
     agent: Ipv4Addr,
     service: ServiceKey,
-    opening: Option<OpeningId>,
+    opening: KnownOpening,
     positions: FlowPositions,
     last_used: Millis,
     closed: bool,
@@ -37,8 +37,6 @@
     pub(crate) agent: Ipv4Addr,
     /// The service at which the flow was placed, which its route may have left since.
     pub(crate) service: ServiceKey,
-    /// Whether the caller has closed the flow.
-    pub(crate) is_closed: bool,
     /// Whether the received packet belongs to a long upload.
     pub(crate) is_upload: bool,
 }
@@ -65,8 +63,8 @@
 
     /// Looks up the flow of a received packet and updates the flow's cache entry.
     ///
-    /// Finds nothing for a packet at positions far from those of the cached flow, which is of another
-    /// flow of the same addresses and ports.
+    /// Finds nothing for a packet of another flow of the same addresses and ports: an opening packet
+    /// that is no copy of the cached flow's, or a packet at positions far from the flow's.
     pub(crate) fn look_up_flow(
         &mut self,
         now: Millis,
@@ -74,7 +72,12 @@
         segment: &Segment,
     ) -> Option<CachedFlow> {
         let entry = self.flows.get_mut(&flow)?;
-        if !segment.is_opening_packet() {
+        if segment.is_opening_packet() {
+            let opening = OpeningId::of_packet(segment);
+            if entry.closed || !entry.opening.may_have_copy(now, opening) {
+                return None;
+            }
+        } else {
             let positions = FlowPositions::of_caller_packet(segment);
             if !entry.positions.is_same_flow(&positions) {
                 return None;
@@ -86,7 +89,6 @@
         Some(CachedFlow {
             agent: entry.agent,
             service: entry.service,
-            is_closed: entry.closed,
             is_upload: segment.data_bytes > 0 && entry.upload_detector.record_packet(now),
         })
     }
@@ -107,7 +109,7 @@
         let entry = CacheEntry {
             agent,
             service,
-            opening,
+            opening: KnownOpening::new(now, opening),
             positions,
             last_used: now,
             closed: false,
@@ -122,7 +124,7 @@
 
     /// Returns whether another opening of the same addresses and ports is cached.
     pub(crate) fn has_other_opening(&self, flow: Flow, opening: Option<OpeningId>) -> bool {
-        let cached = self.flows.get(&flow).and_then(|it| it.opening);
+        let cached = self.flows.get(&flow).and_then(|it| it.opening.id());
         cached.is_some() && cached != opening
     }
 
@@ -136,7 +138,7 @@
     ) -> bool {
         let leads_there = |it: &CacheEntry| {
             let is_same = if segment.is_opening_packet() {
-                it.opening == Some(OpeningId::of_packet(segment))
+                it.opening.is(OpeningId::of_packet(segment))
             } else {
                 it.positions
                     .is_same_flow(&FlowPositions::of_caller_packet(segment))
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -387,10 +387,14 @@
         match returned.class {
             PacketClass::Opening => {
                 let id = OpeningId::of_packet(&segment);
-                self.flows.remove_returned(flow, agent, &segment);
+                let was_cached = self.flows.remove_returned(flow, agent, &segment);
                 if let Some(opening) = self.openings.take_opening_held_by(flow, id, agent) {
                     self.counters.openings_handed_back += 1;
                     self.offer_opening(now, opening, out);
+                } else if was_cached && self.openings.pending_id(flow).is_none() {
+                    // To the agent, which saw the flow end, the packet is a new opening.
+                    let opening = PendingOpening::new(now, flow, id, packet);
+                    self.offer_opening(now, opening, out);
                 }
             }
             PacketClass::Established => {
--- a/crates/passthrough/src/balancer/zones.rs
+++ b/crates/passthrough/src/balancer/zones.rs
@@ -8,7 +8,6 @@
 use super::{
     Balancer,
     catalog_sync::{ENTRY_RENEWAL_MS, STARTUP_PERIOD_MS},
-    flows::CachedFlow,
 };
 use crate::{
     Endpoint, EndpointState, Event, Outbox, PacketFormat, ServiceKey, ZoneKey,
@@ -127,13 +126,4 @@
             .is_some_and(|at| now.since(at) <= ENTRY_RENEWAL_MS);
         now.since(self.started) >= STARTUP_PERIOD_MS && !is_recovering
     }
-
-    /// Returns whether a copy of an opening packet may go to the agent that the cache names.
-    ///
-    /// A caller may use the port of a closed flow again. In a zone out of use such a flow is a new
-    /// one.
-    pub(super) fn may_deliver_copy(&self, cached: &CachedFlow) -> bool {
-        let zone = self.agents.endpoint_zone(cached.agent, cached.service);
-        !cached.is_closed || zone.is_none_or(|it| !self.view.catalog().is_evacuated(it))
-    }
 }
--- a/crates/passthrough/src/flow_identity.rs
+++ b/crates/passthrough/src/flow_identity.rs
@@ -1,5 +1,7 @@
 //! Tells apart the flows that use the same addresses and ports one after the other.
 
+use units::Millis;
+
 use crate::Segment;
 
 /// Distance within which two positions in a sequence space are of one flow.
@@ -8,6 +10,9 @@
 /// distance.
 const SAME_FLOW_BYTES: i32 = 76_800;
 
+/// Time after the first copy of an opening packet within which its caller sends further ones.
+const OPENING_COPIES_MS: Millis = Millis::new(1_400);
+
 /// Identifies an opening among those of the same addresses and ports: the sequence number that all
 /// copies of its packet carry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -28,6 +33,39 @@
     }
 }
 
+/// The opening of a flow that a process remembers.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct KnownOpening {
+    /// `None` if the process did not see the opening.
+    id: Option<OpeningId>,
+    known_since: Millis,
+}
+
+impl KnownOpening {
+    pub(crate) const fn new(now: Millis, id: Option<OpeningId>) -> Self {
+        Self {
+            id,
+            known_since: now,
+        }
+    }
+
+    pub(crate) const fn id(&self) -> Option<OpeningId> {
+        self.id
+    }
+
+    /// Returns whether `id` names this opening.
+    pub(crate) fn is(&self, id: OpeningId) -> bool {
+        self.id == Some(id)
+    }
+
+    /// Returns whether an opening packet that arrives now may be a copy of this opening's.
+    ///
+    /// Answers only a process that does not see whether the flow was closed.
+    pub(crate) fn may_have_copy(&self, now: Millis, id: OpeningId) -> bool {
+        self.is(id) && now.since(self.known_since) <= OPENING_COPIES_MS
+    }
+}
+
 /// The latest known positions of a flow's ends, each in its own sequence space.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(crate) struct FlowPositions {
--- a/crates/passthrough/tests/port_reuse.rs
+++ b/crates/passthrough/tests/port_reuse.rs
@@ -112,6 +112,62 @@
     }
 }
 
+/// Guards against a reset by an agent that remembers an earlier open flow of the same addresses, which
+/// its endpoint has forgotten.
+#[test]
+fn forgotten_flow_resets_no_later_one() {
+    for stale_cache in [false, true] {
+        let mut network = SimNetwork::new(2, ENDPOINTS);
+        let mut earlier = open(&mut network, 0, caller(1), 1_000);
+        assert!(earlier.request(&mut network, 0, 20));
+        // The other balancer remembers the earlier flow, too.
+        assert!(earlier.request(&mut network, 1, 50));
+        let endpoint = network.endpoints.get_mut(&agent_ip(earlier.holder));
+        endpoint.unwrap().restart();
+        set_state(
+            &mut network,
+            &[0, 1],
+            earlier.holder,
+            EndpointState::Draining,
+        );
+        // The caller gave the earlier flow up in silence.
+        let mut later = open(&mut network, 0, caller(1), 20_000_000);
+        assert_ne!(later.holder, earlier.holder);
+        assert!(later.request(&mut network, 0, 20));
+        if !stale_cache {
+            network.start_balancer(1);
+            network.advance_ms(50);
+        }
+        for _ in 0..2 {
+            assert!(later.request(&mut network, 1, 100), "{stale_cache}");
+        }
+        assert_eq!(network.reset_count(caller(1)), 0, "{stale_cache}");
+    }
+}
+
+/// A balancer that carried an earlier flow of the same addresses leads no packet of a later one to the
+/// earlier one's endpoint, even if that endpoint is silent and its agent remembers nothing.
+#[test]
+fn stale_cache_leads_no_packet_astray() {
+    let mut network = closing_network(2, ENDPOINTS);
+    let mut earlier = open(&mut network, 1, caller(1), 1_000);
+    assert!(earlier.request(&mut network, 1, 20));
+    let holder = earlier.holder;
+    // The end of the earlier flow passes the other balancer.
+    earlier.close(&mut network, 0);
+    set_state(&mut network, &[0, 1], holder, EndpointState::Draining);
+    for endpoint in network.endpoints.values_mut() {
+        endpoint.closes_after_answer = false;
+    }
+    let mut later = open(&mut network, 0, caller(1), 20_000_000);
+    assert!(later.request(&mut network, 0, 20));
+    network.start_agent(holder, SERVICE);
+    let silent = network.endpoints.get_mut(&agent_ip(holder)).unwrap();
+    silent.is_unresponsive = true;
+    assert!(later.request(&mut network, 1, 100));
+    assert_eq!(network.reset_count(caller(1)), 0);
+}
+
 /// A flow that nobody holds is still reset, by the balancer's proof, although endpoints that ended an
 /// earlier flow of its addresses would reset it at once.
 #[test]
