soak: callers use their ports again, endpoints know of ended flows

Half of the callers use one port or four by turns, each opening has a random sequence number, and endpoints answer for flows that ended there as the platform's protocol says. A reset counts against the flow that its caller had, by the endpoint's sequence number.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -37,6 +37,9 @@
 /// Delay of a packet under [`PacketFault::Delay`].
 const PACKET_DELAY: Duration = Duration::from_millis(60);
 
+/// Distance from the caller's acknowledgement number within which it takes packets of its flow.
+const RESET_WINDOW_BYTES: u32 = 76_800;
+
 /// Maximum number of attempts of one request.
 const ATTEMPTS_MAX: u32 = 3;
 
@@ -51,13 +54,28 @@
     pub(crate) report: Arc<RunReport>,
     /// Number of requests on one flow before the caller closes it.
     pub(crate) requests_per_flow: u32,
+    /// Number of ports that the caller uses by turns.
+    pub(crate) ports: u16,
 }
 
+/// First port of a caller.
+const FIRST_PORT: u16 = 1_024;
+
 /// A flow that the caller has opened, with its sequence numbers.
 struct OpenFlow {
     address: SocketAddrV4,
     sequence: u32,
     acknowledged: u32,
+    /// The sequence number with which the endpoint accepted the flow.
+    endpoint_sequence: u32,
+}
+
+impl OpenFlow {
+    /// Returns whether an endpoint's sequence number is near enough to be of this flow.
+    const fn is_near(&self, sequence: u32) -> bool {
+        let distance = sequence.wrapping_sub(self.acknowledged).cast_signed();
+        distance.unsigned_abs() <= RESET_WINDOW_BYTES
+    }
 }
 
 /// Reason for which an attempt to open a flow or to send a request ended without an answer.
@@ -71,7 +89,9 @@
     pub(crate) async fn send_requests(self, seed: u64) -> io::Result<()> {
         let socket = UdpSocket::bind((self.ip, self.packet_port)).await?;
         let mut rng = StdRng::seed_from_u64(seed);
-        let mut port = 1_024;
+        // Seeds recorded before openings had random numbers thus still produce the same pauses.
+        let mut openings = StdRng::seed_from_u64(!seed);
+        let mut port = FIRST_PORT;
         let mut open: Option<(OpenFlow, u32)> = None;
         for number in 0_u64.. {
             tokio::time::sleep(Duration::from_millis(rng.random_range(20..120))).await;
@@ -85,8 +105,9 @@
                     break;
                 }
                 if open.is_none() {
-                    port = if port >= 60_000 { 1_024 } else { port + 1 };
-                    match self.open_flow(&socket, port, started).await {
+                    port = FIRST_PORT + (port + 1 - FIRST_PORT) % self.ports;
+                    let opening = openings.random();
+                    match self.open_flow(&socket, port, opening, started).await {
                         Ok(flow) => open = Some((flow, 0)),
                         Err(error) => {
                             failures.push_str(" opening:");
@@ -132,13 +153,15 @@
         &self,
         socket: &UdpSocket,
         port: u16,
+        opening: u32,
         started: Instant,
     ) -> Result<OpenFlow, AttemptError> {
         let address = SocketAddrV4::new(self.ip, port);
         let mut flow = OpenFlow {
             address,
-            sequence: u32::from(port) << 8,
+            sequence: opening,
             acknowledged: 0,
+            endpoint_sequence: 0,
         };
         for (copy, wait) in (0..).zip(OPENING_COPY_WAITS) {
             flow.acknowledged = copy;
@@ -148,9 +171,10 @@
             while let Some((segment, is_system_reset)) =
                 self.receive_packet(socket, address, end).await
             {
-                if segment.syn && segment.ack {
-                    flow.sequence += 1;
-                    flow.acknowledged = segment.sequence + 1;
+                if segment.syn && segment.ack && segment.acknowledged == opening.wrapping_add(1) {
+                    flow.sequence = segment.acknowledged;
+                    flow.acknowledged = segment.sequence.wrapping_add(1);
+                    flow.endpoint_sequence = segment.sequence;
                     self.send_packet(socket, address, flag::ACK, &flow, &[])
                         .await;
                     return Ok(flow);
@@ -181,12 +205,17 @@
             while let Some((segment, is_system_reset)) =
                 self.receive_packet(socket, flow.address, end).await
             {
+                if !flow.is_near(segment.sequence) {
+                    // The packet is of an earlier flow of the port.
+                    continue;
+                }
                 if is_system_reset || segment.rst {
-                    self.count_and_check_reset(flow.address);
+                    self.count_and_check_reset(flow);
                     return Err(AttemptError::Reset);
                 }
                 if usize::from(segment.data_bytes) == data.len() {
-                    flow.sequence += u32::try_from(data.len()).unwrap_or(0);
+                    let len = u32::try_from(data.len()).unwrap_or(0);
+                    flow.sequence = flow.sequence.wrapping_add(len);
                     return Ok(());
                 }
             }
@@ -196,7 +225,8 @@
     }
 
     /// Counts a received reset, and records a violation if an endpoint still holds the reset flow.
-    fn count_and_check_reset(&self, address: SocketAddrV4) {
+    fn count_and_check_reset(&self, flow: &OpenFlow) {
+        let address = flow.address;
         self.report.resets.fetch_add(1, Ordering::Relaxed);
         let endpoints = self
             .endpoints
@@ -204,7 +234,7 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner);
         if let Some(holder) = endpoints
             .iter()
-            .find(|it| it.holds_flow(address, self.service_address))
+            .find(|it| it.holds_flow(address, self.service_address, flow.endpoint_sequence))
         {
             self.report.record_violation(format!(
                 "flow {address} was reset while endpoint {} held it",
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -33,20 +33,32 @@
 /// Time that an endpoint takes to process a request.
 const PROCESSING_TIME: Duration = Duration::from_millis(12);
 
+/// A flow whose opening packet the endpoint accepted.
+#[derive(Debug, Clone, Copy)]
+struct EndpointFlow {
+    /// The endpoint's initial sequence number.
+    sequence: u32,
+    /// The caller's initial sequence number, the same in all copies of the opening packet.
+    opening: u32,
+    is_established: bool,
+}
+
 #[derive(Debug)]
 struct State {
-    /// Number of the endpoint's current run, which increases with each crash. Its sequence numbers
-    /// derive from the run.
+    /// Number of the endpoint's current run, which increases with each crash.
     run: u32,
+    /// Number of flows accepted so far. The endpoint's sequence numbers derive from it and the run.
+    accepted: u32,
     is_up: bool,
     /// Whether the endpoint has a gray failure: it resets a third of its requests but still appears
     /// healthy.
     has_gray_failure: bool,
     draining_since: Option<Instant>,
     evacuated_since: Option<Instant>,
-    /// Flows whose opening packet was accepted, by caller and service address. The value is `true`
-    /// once the flow is established.
-    flows: BTreeMap<(SocketAddrV4, SocketAddrV4), bool>,
+    /// Flows by caller and service address.
+    flows: BTreeMap<(SocketAddrV4, SocketAddrV4), EndpointFlow>,
+    /// Callers and service addresses whose latest flow here has ended.
+    ended: BTreeSet<(SocketAddrV4, SocketAddrV4)>,
     /// Contents of the requests that the endpoint has processed.
     processed_requests: BTreeSet<Vec<u8>>,
 }
@@ -85,11 +97,13 @@
             outbound,
             state: Arc::new(Mutex::new(State {
                 run: 1,
+                accepted: 0,
                 is_up: true,
                 has_gray_failure: false,
                 draining_since: None,
                 evacuated_since: None,
                 flows: BTreeMap::new(),
+                ended: BTreeSet::new(),
                 processed_requests: BTreeSet::new(),
             })),
             store,
@@ -111,6 +125,7 @@
         state.is_up = false;
         state.run += 1;
         state.flows.clear();
+        state.ended.clear();
         drop(state);
         if let Some(listener) = self
             .listener
@@ -173,10 +188,17 @@
         self.store.put_entry(&self.store_key(), &entry);
     }
 
-    /// Returns whether the endpoint is running and holds the established flow.
-    pub(crate) fn holds_flow(&self, caller: SocketAddrV4, service_address: SocketAddrV4) -> bool {
+    /// Returns whether the endpoint is running and holds the established flow that it accepted with the
+    /// given sequence number.
+    pub(crate) fn holds_flow(
+        &self,
+        caller: SocketAddrV4,
+        service_address: SocketAddrV4,
+        sequence: u32,
+    ) -> bool {
         let state = self.lock_state();
-        state.is_up && state.flows.get(&(caller, service_address)) == Some(&true)
+        let held = state.flows.get(&(caller, service_address));
+        state.is_up && held.is_some_and(|it| it.is_established && it.sequence == sequence)
     }
 
     fn store_key(&self) -> String {
@@ -237,14 +259,10 @@
             return Vec::new();
         }
         let id = (segment.source, segment.destination);
-        // Initial sequence numbers of different endpoints and runs are far apart. With initial
-        // sequence numbers close together an endpoint accepted the end of another one's handshake,
-        // and two endpoints held one flow; seeds 318, 330 and 335 found this.
-        let address_hash = u32::from(*self.address.ip()).wrapping_mul(0x85EB_CA6B);
-        let own_sequence = state.run.wrapping_mul(0x9E37_79B9) ^ address_hash;
         if segment.is_opening_packet() {
             let is_late = |since: Option<Instant>, bound| {
-                let is_new = !state.flows.contains_key(&id);
+                let known = state.flows.get(&id);
+                let is_new = known.is_none_or(|it| it.opening != segment.sequence);
                 let is_over = since.is_some_and(|it| it.elapsed() > bound);
                 is_new && is_over && self.report.time_bounds_apply()
             };
@@ -258,28 +276,41 @@
                     "received an opening more than 5 s after its zone was taken out of use",
                 );
             }
-            state.flows.entry(id).or_insert(false);
+            let known = state.flows.get(&id).copied();
+            let known = known.filter(|it| it.opening == segment.sequence);
+            let flow = known.unwrap_or_else(|| EndpointFlow {
+                sequence: self.next_sequence(&mut state),
+                opening: segment.sequence,
+                is_established: false,
+            });
+            state.ended.remove(&id);
+            state.flows.insert(id, flow);
             return vec![Self::reply_packet(
                 &segment,
                 flag::SYN | flag::ACK,
-                own_sequence,
+                flow.sequence,
                 &[],
             )];
         }
-        let is_own_flow = state.flows.contains_key(&id)
-            && segment.acknowledged.wrapping_sub(own_sequence) < 1_000_000;
-        if !is_own_flow {
+        let is_own =
+            |it: &&mut EndpointFlow| segment.acknowledged.wrapping_sub(it.sequence) < 1_000_000;
+        let Some(flow) = state.flows.get_mut(&id).filter(is_own) else {
+            if state.ended.contains(&id) {
+                return Self::answer_for_ended_flow(&segment);
+            }
             let mut returned = bytes.to_vec();
             returned[14] |= flag::BOUNCED;
             return vec![(Duration::ZERO, returned)];
-        }
-        state.flows.insert(id, true);
+        };
+        flow.is_established = true;
+        let own_sequence = flow.sequence;
         if segment.fin || segment.rst {
             state.flows.remove(&id);
+            state.ended.insert(id);
             return vec![Self::reply_packet(
                 &segment,
                 flag::ACK | flag::FIN,
-                own_sequence + 1,
+                own_sequence.wrapping_add(1),
                 &[],
             )];
         }
@@ -290,22 +321,51 @@
         if state.has_gray_failure && state.processed_requests.len().is_multiple_of(3) {
             state.processed_requests.insert(request.to_vec());
             state.flows.remove(&id);
+            state.ended.insert(id);
             return vec![Self::reply_packet(
                 &segment,
                 flag::RST,
-                own_sequence + 1,
+                own_sequence.wrapping_add(1),
                 &[],
             )];
         }
-        let mut answer = Self::reply_packet(&segment, flag::ACK, own_sequence + 1, request);
+        let mut answer =
+            Self::reply_packet(&segment, flag::ACK, own_sequence.wrapping_add(1), request);
         if state.processed_requests.insert(request.to_vec()) {
             answer.0 = PROCESSING_TIME;
         }
         vec![answer]
     }
 
+    /// Returns an initial sequence number that is far from those of other flows, endpoints and runs.
+    ///
+    /// With initial sequence numbers close together an endpoint accepted the end of another one's
+    /// handshake, and two endpoints held one flow; seeds 318, 330 and 335 found this.
+    fn next_sequence(&self, state: &mut State) -> u32 {
+        state.accepted += 1;
+        let address_hash = u32::from(*self.address.ip()).wrapping_mul(0x85EB_CA6B);
+        let flow_hash = state.accepted.wrapping_mul(0xC2B2_AE35);
+        state.run.wrapping_mul(0x9E37_79B9) ^ address_hash ^ flow_hash
+    }
+
+    /// Answers a packet of a flow that has ended: data with a reset, a FIN with an acknowledgement.
+    fn answer_for_ended_flow(segment: &Segment) -> Vec<(Duration, Vec<u8>)> {
+        let flags = match (segment.rst, segment.fin, segment.data_bytes) {
+            (true, ..) | (_, false, 0) => return Vec::new(),
+            (_, true, 0) => flag::ACK,
+            _ => flag::RST,
+        };
+        vec![Self::reply_packet(
+            segment,
+            flags,
+            segment.acknowledged,
+            &[],
+        )]
+    }
+
     fn reply_packet(to: &Segment, flags: u8, sequence: u32, data: &[u8]) -> (Duration, Vec<u8>) {
-        let acknowledged = to.sequence + u32::from(to.data_bytes) + u32::from(to.syn);
+        let positions = u32::from(to.data_bytes) + u32::from(to.syn);
+        let acknowledged = to.sequence.wrapping_add(positions);
         let bytes = packet::encode(
             to.destination,
             to.source,
--- a/crates/soak/src/network.rs
+++ b/crates/soak/src/network.rs
@@ -25,6 +25,10 @@
 const BALANCERS: u8 = 3;
 const CALLERS: u8 = 12;
 
+/// Numbers of ports that callers use by turns.
+const FEW_PORTS: u16 = 4;
+const MANY_PORTS: u16 = 58_000;
+
 /// Number of loopback subnets that a run can choose from.
 const SUBNETS: u32 = 128;
 
@@ -134,19 +138,26 @@
         false
     }
 
-    /// Starts the callers. Half of them open a flow for each request, the others reuse their flows.
+    /// Starts the callers. Half of them open a flow for each request, the others reuse their flows. Half
+    /// of each use the port of an earlier flow again soon.
     pub(crate) fn start_callers(&self, rng: &mut StdRng) {
         for number in 0..CALLERS {
             let service_address = SERVICES[usize::from(number % 3 / 2)].1;
             let requests_per_flow = if number.is_multiple_of(2) { 1 } else { 40 };
-            self.start_caller(number, service_address, requests_per_flow, rng.random());
+            let ports = match number % 4 {
+                0 => 1,
+                1 => FEW_PORTS,
+                _ => MANY_PORTS,
+            };
+            let habit = (requests_per_flow, ports);
+            self.start_caller(number, service_address, habit, rng.random());
         }
     }
 
     /// Starts the callers of the shared route, which keep their flows open over its changes.
     pub(crate) fn start_shared_route_callers(&self, rng: &mut StdRng) {
         for number in CALLERS..CALLERS + SHARED_ROUTE_CALLERS {
-            self.start_caller(number, SHARED_ADDRESS, 40, rng.random());
+            self.start_caller(number, SHARED_ADDRESS, (40, MANY_PORTS), rng.random());
         }
     }
 
@@ -154,7 +165,7 @@
         &self,
         number: u8,
         service_address: SocketAddrV4,
-        requests_per_flow: u32,
+        (requests_per_flow, ports): (u32, u16),
         seed: u64,
     ) {
         let caller = Caller {
@@ -165,6 +176,7 @@
             endpoints: Arc::clone(&self.endpoints),
             report: Arc::clone(&self.report),
             requests_per_flow,
+            ports,
         };
         let report = Arc::clone(&self.report);
         tokio::spawn(async move {
