--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -450,13 +450,17 @@
         Self::deliver_to_endpoint(packet, tag, out);
     }
 
-    /// Starts tracking a delivery and returns its tag. A delivery that it replaces counts as
-    /// unanswered.
+    /// Starts tracking a delivery and returns its tag.
+    ///
+    /// A lookup whose delivery it replaces goes on at once. A replaced opening is offered again by its
+    /// balancer.
     fn track_delivery(&mut self, now: Millis, delivery: Delivery, out: &mut impl Outbox) -> u32 {
         let (tag, replaced) = self.deliveries.track_delivery(delivery);
         if let Some(replaced) = replaced.filter(|it| !it.is_given_up) {
             self.counters.deliveries_untracked += 1;
-            self.pass_on_unanswered(now, replaced, out);
+            if replaced.forward.class == PacketClass::Lookup {
+                self.pass_on_unanswered(now, replaced, out);
+            }
         }
         tag
     }
--- a/crates/passthrough/src/balancer/flows.rs
+++ b/crates/passthrough/src/balancer/flows.rs
@@ -15,7 +15,7 @@
 /// Time for which a flow stays cached after its caller closed it, to forward retransmitted packets.
 const CLOSED_RETENTION_MS: Millis = Millis::new(3_000);
 
-/// Maximum number of cached flows. The full cache takes about 6 MB; a balancer of the intended size
+/// Maximum number of cached flows. The full cache takes about 12 MB; a balancer of the intended size
 /// has about 8,400 open flows. Flows beyond are looked up with each packet.
 const CACHED_FLOWS_MAX: usize = 60_000;
 
