Shorten the chains of a lookup only after chains were lost

Why: the first form asked each agent by itself from the third attempt on, also for flows that nobody holds, and in an order without zones.

Change: only attempts that did not finish count. The second one asks in chains of three, zone by zone; later ones ask each agent by itself. Lookups that all agents answered go on in the first order.

--- a/crates/passthrough/src/balancer/lookups.rs
+++ b/crates/passthrough/src/balancer/lookups.rs
@@ -42,8 +42,8 @@
     id: u16,
     /// Positions of the flow that is looked up, which tell it from others of its addresses and ports.
     positions: FlowPositions,
-    /// Number of lookups of the flow since its last successful lookup.
-    attempts: usize,
+    /// Number of lookups in a row that did not finish before the present one began.
+    lost_attempts: usize,
     /// Number of chains of asked agents that have not reported their end.
     pending_chains: usize,
     /// The chains that have ended, each by its last agent and its service. A report that arrives
@@ -100,8 +100,8 @@
 }
 
 impl Lookups {
-    /// Prepares the lookup of the flow of a caller's packet, and returns how many times the flow has
-    /// been looked up since its last successful lookup.
+    /// Prepares the lookup of the flow of a caller's packet, and returns how many lookups of the flow in
+    /// a row did not finish, because a chain of agents was lost.
     ///
     /// The lookup of another flow of the same addresses and ports ends: its failures prove nothing
     /// about this one.
@@ -116,7 +116,11 @@
             return 0;
         }
         lookup.positions.advance(&positions);
-        lookup.attempts
+        if lookup.pending_chains > 0 {
+            lookup.lost_attempts + 1
+        } else {
+            0
+        }
     }
 
     /// Starts a lookup of a flow that asks agents in the given number of chains.
@@ -135,7 +139,7 @@
         let lookup = self.by_flow.entry(flow).or_insert_with(|| Lookup {
             id: 0,
             positions: FlowPositions::of_caller_packet(segment),
-            attempts: 0,
+            lost_attempts: 0,
             pending_chains: 0,
             ended_chains: Vec::new(),
             started: now,
@@ -154,7 +158,11 @@
             return 0;
         }
         self.last_lookup_id = self.last_lookup_id.wrapping_add(1).max(1);
-        lookup.attempts += 1;
+        lookup.lost_attempts = if lookup.pending_chains > 0 {
+            lookup.lost_attempts + 1
+        } else {
+            0
+        };
         lookup.id = self.last_lookup_id;
         lookup.pending_chains = chains;
         lookup.ended_chains.clear();
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -17,17 +17,18 @@
         Instances, LookupRequest, PacketClass, Returned, lookup_agents_per_request,
         write_forwarded_packet, write_lookup_request,
     },
-    rendezvous::sort_agents,
+    rendezvous::agent_score,
 };
 
 /// Maximum age of the store's latest confirmation at which a failed lookup may lead to a reset.
 const RESET_CONFIRMATION_MS: Millis = Millis::new(3_000);
 
-/// Maximum number of agents in one chain of a lookup.
+/// Maximum number of agents in one chain of a lookup, by the number of attempts in a row that did not
+/// finish; the last limit applies to all further ones.
 ///
 /// The limit bounds a chain's duration and the number of agents that stay unasked if the chain is
-/// lost.
-const CHAIN_MAX: usize = 6;
+/// lost, which it is at the first agent that is gone but not yet suspected.
+const CHAIN_MAX: [usize; 3] = [6, 3, 1];
 
 /// The service and the candidates of an opening, as the balancer chooses them at one moment.
 #[derive(Debug)]
@@ -210,13 +211,12 @@
         if services.is_empty() {
             return self.drop_packet(DropReason::NoRoute, out);
         }
-        let attempt = self.lookups.begin_attempt(segment);
+        let lost_attempts = self.lookups.begin_attempt(segment);
         let mut is_complete = true;
         let mut groups = Vec::with_capacity(services.len());
         for service in services {
-            let (mut group, is_whole_service) =
-                self.collect_lookup_group(now, flow, service, except);
-            group.arrange_for_attempt(flow, attempt);
+            let (group, is_whole_service) =
+                self.collect_lookup_group(now, flow, service, except, lost_attempts);
             is_complete &= is_whole_service;
             if !group.agents.is_empty() {
                 groups.push(group);
@@ -273,12 +273,16 @@
 
     /// Collects the agents of one service that a lookup asks, except the agent `except`. Returns
     /// also whether they are those of all endpoints of the service.
+    ///
+    /// A request is lost with the first agent of its list, so each attempt after one that did not
+    /// finish begins at another agent. The first two ask zone by zone, to save bytes between zones.
     fn collect_lookup_group(
         &mut self,
         now: Millis,
         flow: Flow,
         service: ServiceKey,
         except: Option<Ipv4Addr>,
+        lost_attempts: usize,
     ) -> (LookupGroup, bool) {
         let is_complete = self.view.collect_endpoint_subset(
             service,
@@ -298,12 +302,24 @@
         self.subset
             .sort_unstable_by_key(|it| (it.agent_address(), it.state == EndpointState::Retired));
         self.subset.dedup_by_key(|it| it.agent_address());
-        self.subset
-            .sort_by_key(|it| (is_suspect(it), it.zone != zone));
+        let score = |it: &Endpoint| agent_score(flow.hash(), it.agent_address());
+        match lost_attempts {
+            0 => self
+                .subset
+                .sort_by_key(|it| (is_suspect(it), it.zone != zone)),
+            1 => self
+                .subset
+                .sort_by_key(|it| (is_suspect(it), it.zone != zone, it.zone, score(it))),
+            _ => self.subset.sort_by_key(|it| (is_suspect(it), score(it))),
+        }
+        let responsive = self.subset.partition_point(|it| !is_suspect(it));
+        if lost_attempts > 1 {
+            self.subset[..responsive].rotate_left(lost_attempts % responsive.max(1));
+        }
         let group = LookupGroup {
             service,
-            responsive: self.subset.partition_point(|it| !is_suspect(it)),
-            chain_max: CHAIN_MAX,
+            responsive,
+            chain_max: CHAIN_MAX[lost_attempts.min(CHAIN_MAX.len() - 1)],
             agents: self
                 .subset
                 .iter()
@@ -482,23 +498,6 @@
             .sum()
     }
 
-    /// Orders the agents and bounds the chains for the given number of earlier attempts.
-    ///
-    /// A chain ends at the first agent that is gone but not yet suspected, and a request is lost
-    /// with the first agent of its list. So the second attempt asks in another order, and from the
-    /// third on each agent is asked in a chain of its own. Each repetition begins at another agent.
-    fn arrange_for_attempt(&mut self, flow: Flow, attempt: usize) {
-        if attempt == 0 {
-            return;
-        }
-        let responsive = &mut self.agents[..self.responsive];
-        sort_agents(flow.hash(), responsive);
-        responsive.rotate_left(attempt % responsive.len().max(1));
-        if attempt > 1 {
-            self.chain_max = 1;
-        }
-    }
-
     /// Returns the length of the chains into which a request divides its responsive agents.
     const fn chain_len(&self, responsive: usize) -> usize {
         let chains = responsive.div_ceil(self.chain_max);
--- a/crates/passthrough/src/rendezvous.rs
+++ b/crates/passthrough/src/rendezvous.rs
@@ -1,5 +1,7 @@
 //! Rendezvous hashing: the order in which a flow prefers endpoints or asks agents.
 
+use std::net::Ipv4Addr;
+
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{Endpoint, EndpointKey};
@@ -14,9 +16,9 @@
     endpoints.sort_unstable_by_key(|it| std::cmp::Reverse(preference_score(flow_hash, it.key)));
 }
 
-/// Sorts agents, given by their addresses, in an order that differs from flow to flow.
-pub(crate) fn sort_agents(flow_hash: u64, agents: &mut [[u8; 4]]) {
-    agents.sort_unstable_by_key(|it| xxh3_64_with_seed(it, flow_hash));
+/// Returns an agent's place in an order of agents that differs from flow to flow.
+pub(crate) fn agent_score(flow_hash: u64, agent: Ipv4Addr) -> u64 {
+    xxh3_64_with_seed(&agent.octets(), flow_hash)
 }
 
 fn preference_score(flow_hash: u64, endpoint: EndpointKey) -> u64 {
