--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -5,10 +5,12 @@
 mod counters;
 mod deliveries;
 mod drain_guard;
+mod endpoint_answers;
 mod health;
 mod held_flow;
 mod held_flows;
 mod held_openings;
+mod lookups;
 mod notices;
 mod outlier;
 mod usage;
@@ -25,19 +27,18 @@
     ServiceKey,
     flow_identity::OpeningId,
     message::{
-        Body, Candidate, Candidates, FlowHeld, FlowNotHeld, Forward, LookupRequest, PacketClass,
-        Returned, UTILIZATION_CLOSED, UTILIZATION_FULL, Utilization, write_flow_held,
-        write_flow_not_held, write_forwarded_packet, write_returned_packet,
+        Body, FlowHeld, FlowNotHeld, Forward, PacketClass, Returned, UTILIZATION_CLOSED,
+        UTILIZATION_FULL, Utilization, write_flow_held, write_flow_not_held,
+        write_forwarded_packet, write_returned_packet,
     },
 };
 use cold_start::ColdStartPacer;
 use deliveries::{Delivery, PendingDeliveries};
 use drain_guard::DrainGuard;
 use health::EndpointHealth;
-use held_flow::Phase;
 use held_flows::{HeldFlows, HeldMatch};
 use held_openings::HeldOpening;
-use outlier::{OutlierDetector, RequestOutcome};
+use outlier::OutlierDetector;
 
 /// Interval between two sweeps that remove unused flows and silent balancers.
 const SWEEP_INTERVAL_MS: Millis = Millis::new(1_000);
@@ -292,40 +293,6 @@
         self.on_flow_segment(now, forward, &segment, packet, out);
     }
 
-    /// Sends a copy of the packet in a lookup request along each of the request's chains of agents.
-    fn on_lookup_request(
-        &mut self,
-        now: Millis,
-        request: &LookupRequest<'_>,
-        packet: &[u8],
-        out: &mut impl Outbox,
-    ) {
-        self.counters.searches += 1;
-        let responsive = request.responsive.split_into_chains(request.chain_len);
-        for chain in responsive.chain(request.suspect.split_into_chains(1)) {
-            let mut candidates = Candidates::default();
-            for agent in chain.iter() {
-                candidates.push_candidate(Candidate::new(agent, 0));
-            }
-            let Some(first) = candidates.as_slice().first().copied() else {
-                continue;
-            };
-            let forward = Forward::new(
-                request.service,
-                request.origin,
-                PacketClass::Lookup,
-                candidates,
-            )
-            .with_lookup_id(request.lookup_id);
-            if first.agent_address() == self.config.address {
-                self.on_forwarded_packet(now, forward, &mut packet.to_vec(), out);
-                continue;
-            }
-            write_forwarded_packet(&forward, packet, &mut self.scratch);
-            out.send_to_peer(first.agent_address(), &self.scratch);
-        }
-    }
-
     /// Handles a balancer's message that another agent has accepted the opening of a flow.
     ///
     /// The caller may still open the flow here, if this endpoint's answer reached it first. Nothing is
@@ -450,176 +417,6 @@
         Self::deliver_to_endpoint(packet, tag, out);
     }
 
-    /// Starts tracking a delivery and returns its tag.
-    ///
-    /// A lookup whose delivery it replaces goes on at once. A replaced opening is offered again by its
-    /// balancer.
-    fn track_delivery(&mut self, now: Millis, delivery: Delivery, out: &mut impl Outbox) -> u32 {
-        let (tag, replaced) = self.deliveries.track_delivery(delivery);
-        if let Some(replaced) = replaced.filter(|it| !it.is_given_up) {
-            self.counters.deliveries_untracked += 1;
-            if replaced.forward.class == PacketClass::Lookup {
-                self.pass_on_unanswered(now, replaced, out);
-            }
-        }
-        tag
-    }
-
-    /// Passes on the packet of a delivery that the endpoint has left unanswered, unless the packet was
-    /// not retained or no further agent needs it.
-    ///
-    /// The endpoints of the agents behind this one may hold the flow of a lookup while this endpoint
-    /// is silent.
-    fn pass_on_unanswered(&mut self, now: Millis, delivery: Delivery, out: &mut impl Outbox) {
-        if delivery.is_given_up || delivery.packet.is_empty() {
-            return;
-        }
-        let mut forward = delivery.forward;
-        if forward.class == PacketClass::Lookup {
-            self.counters.lookups_unanswered += 1;
-            forward.has_silent_endpoint = true;
-        }
-        let mut packet = delivery.packet;
-        self.forward_to_next_candidate(now, forward, UTILIZATION_CLOSED, &mut packet, out);
-    }
-
-    /// Takes an endpoint's packet that answers a lookup on behalf of an earlier flow of the same
-    /// addresses and ports, and returns whether it is one.
-    ///
-    /// The packet says nothing about the flow that is looked up, and its caller must not get it. After
-    /// a reset, the endpoint doesn't hold that flow; after an acknowledgement, it may.
-    fn take_answer_for_ended_flow(
-        &mut self,
-        now: Millis,
-        segment: &Segment,
-        out: &mut impl Outbox,
-    ) -> bool {
-        let flow = segment.endpoint_flow();
-        if self.flows.is_accepted(flow) {
-            return false;
-        }
-        let answered = self.deliveries.take_answered_for_ended_flow(flow, segment);
-        let Some(delivery) = answered else {
-            return false;
-        };
-        self.counters.ended_flow_answers += 1;
-        let _silent_ms = self.health.on_endpoint_packet(now);
-        self.flows.remove_unconfirmed(flow, delivery.tag);
-        if segment.rst && !delivery.is_given_up {
-            let (forward, mut packet) = (delivery.forward, delivery.packet);
-            self.forward_to_next_candidate(now, forward, UTILIZATION_CLOSED, &mut packet, out);
-        } else {
-            self.pass_on_unanswered(now, delivery, out);
-        }
-        true
-    }
-
-    /// Updates the held flows and the request outcomes with a packet that the endpoint sent.
-    fn on_endpoint_answer(&mut self, now: Millis, segment: &Segment, out: &mut impl Outbox) {
-        let flow = segment.endpoint_flow();
-        if let Some(silent_ms) = self.health.on_endpoint_packet(now) {
-            let silent_ms = silent_ms.get();
-            out.report_event(Event::EndpointAnswers { silent_ms });
-            self.record_crash(now, out);
-        }
-        let endpoint_update = self.flows.on_endpoint_segment(now, flow, segment);
-        if let Some(answered) = endpoint_update.answered {
-            self.cold_start.record_answer(answered, self.slots);
-        }
-        self.record_request_outcome(now, endpoint_update.outcome, out);
-        let Some(query) = endpoint_update.holder_query else {
-            return;
-        };
-        let wait = self
-            .deliveries
-            .take_delivery(query.tag, flow)
-            .map(|it| now.since(it.sent_at));
-        if segment.syn {
-            out.report_event(Event::OpeningAccepted {
-                flow,
-                load: self.load_for_event(),
-                slots: self.slots.get(),
-                wait_ms: wait.unwrap_or_default().get(),
-            });
-        }
-        self.send_flow_held(now, query.origin, flow, out);
-    }
-
-    fn record_request_outcome(
-        &mut self,
-        now: Millis,
-        outcome: Option<RequestOutcome>,
-        out: &mut impl Outbox,
-    ) {
-        if outcome.is_some_and(|it| self.outliers.record_request_outcome(now, it)) {
-            let failures = self.outliers.failure_count();
-            out.report_event(Event::EndpointRecordChanged { failures });
-        }
-    }
-
-    /// Records that the endpoint crashed and lost its flows.
-    fn record_crash(&mut self, now: Millis, out: &mut impl Outbox) {
-        if let Some(hold_off) = self.outliers.record_crash(now) {
-            self.cold_start.suspect_start(now);
-            let hold_off_ms = hold_off.get();
-            out.report_event(Event::EndpointCrashed { hold_off_ms });
-        }
-    }
-
-    /// Handles a packet that the endpoint returned because it doesn't hold the flow.
-    fn on_returned_packet(
-        &mut self,
-        now: Millis,
-        segment: &Segment,
-        packet: &mut [u8],
-        out: &mut impl Outbox,
-    ) {
-        let flow = segment.caller_flow();
-        let _silent_ms = self.health.on_endpoint_packet(now);
-        self.counters.returned += 1;
-        F::set_tag(packet, 0);
-        if segment.tag != 0 {
-            let Some(delivery) = self.deliveries.take_delivery(segment.tag, flow) else {
-                return self.drop_packet(DropReason::UnknownReturn, out);
-            };
-            self.flows.remove_unconfirmed(flow, delivery.tag);
-            if delivery.is_given_up && delivery.forward.class == PacketClass::Lookup {
-                // The packet was passed on while the endpoint was silent.
-                return;
-            }
-            return self.forward_to_next_candidate(
-                now,
-                delivery.forward,
-                UTILIZATION_CLOSED,
-                packet,
-                out,
-            );
-        }
-        let is_of_held_flow = if segment.is_opening_packet() {
-            let opening = OpeningId::of_packet(segment);
-            self.flows.has_accepted_opening(flow, opening)
-        } else {
-            self.flows.match_caller_packet(flow, segment) == HeldMatch::Held
-        };
-        let removed = is_of_held_flow.then(|| self.flows.remove_flow(flow));
-        let Some(held) = removed.flatten() else {
-            return self.drop_packet(DropReason::UnknownReturn, out);
-        };
-        if held.is_closed_by_both_ends() || segment.rst {
-            return;
-        }
-        if held.phase == Phase::Open && !segment.syn {
-            // No other endpoint can hold the flow, since this endpoint accepted it before.
-            out.report_event(Event::EndpointForgotFlow { flow });
-            self.record_crash(now, out);
-            return self.send_reset(flow, segment.acknowledged, ResetReason::EndpointForgot, out);
-        }
-        let class = PacketClass::for_known_agent(segment);
-        let service = self.config.service;
-        let forward = Forward::new(service, held.origin, class, Candidates::default());
-        self.return_packet_to_balancer(&forward, packet, out);
-    }
-
     /// Forwards a packet to the next candidate agent. After the last candidate, the packet returns
     /// to the balancer that sent it.
     ///
--- a/crates/passthrough/src/balancer/lookups.rs
+++ b/crates/passthrough/src/balancer/lookups.rs
@@ -69,6 +69,14 @@
         self.failures > 0 && self.pending_chains == 0
     }
 
+    /// Returns how many attempts in a row will not have finished if the next one begins now.
+    const fn lost_attempts_before_next(&self) -> usize {
+        if self.pending_chains == 0 {
+            return 0;
+        }
+        self.lost_attempts + 1
+    }
+
     /// Returns the time after its start at which the lookup is repeated if chains are still pending.
     const fn lost_chain_delay(&self) -> Option<Millis> {
         if self.unfinished >= LOST_CHAIN_RETRIES_MAX || self.packet.is_empty() {
@@ -116,11 +124,7 @@
             return 0;
         }
         lookup.positions.advance(&positions);
-        if lookup.pending_chains > 0 {
-            lookup.lost_attempts + 1
-        } else {
-            0
-        }
+        lookup.lost_attempts_before_next()
     }
 
     /// Starts a lookup of a flow that asks agents in the given number of chains.
@@ -158,11 +162,7 @@
             return 0;
         }
         self.last_lookup_id = self.last_lookup_id.wrapping_add(1).max(1);
-        lookup.lost_attempts = if lookup.pending_chains > 0 {
-            lookup.lost_attempts + 1
-        } else {
-            0
-        };
+        lookup.lost_attempts = lookup.lost_attempts_before_next();
         lookup.id = self.last_lookup_id;
         lookup.pending_chains = chains;
         lookup.ended_chains.clear();
