Play ports that are used again in many orders of events

Ten callers open, use, close, give up and reset flows from one port each over three balancers, while balancers and agents restart, endpoints are silent or drain, and messages are lost, repeated and delayed.

--- a/crates/passthrough/tests/support/endpoint.rs
+++ b/crates/passthrough/tests/support/endpoint.rs
@@ -93,6 +93,13 @@
         self.flows.get(&caller).is_some_and(|it| it.is_open)
     }
 
+    /// Returns whether the endpoint holds the open flow that it accepted with the sequence number before
+    /// `expected`.
+    pub(crate) fn holds_flow_at(&self, caller: SocketAddrV4, expected: u32) -> bool {
+        let held = self.flows.get(&caller);
+        held.is_some_and(|it| it.is_open && it.sequence.wrapping_add(1) == expected)
+    }
+
     /// Handles a delivered packet and returns the packets to send, each with a delay in
     /// milliseconds.
     pub(crate) fn on_packet(&mut self, own: Ipv4Addr, bytes: &[u8]) -> Vec<(u64, Vec<u8>)> {
--- a/crates/passthrough/tests/support/open_flow.rs
+++ b/crates/passthrough/tests/support/open_flow.rs
@@ -11,9 +11,9 @@
 pub(crate) struct OpenFlow {
     pub(crate) caller: SocketAddrV4,
     /// Sequence number of the caller's next byte.
-    next: u32,
+    pub(crate) next: u32,
     /// Sequence number of the endpoint's next byte.
-    expected: u32,
+    pub(crate) expected: u32,
     pub(crate) holder: u8,
 }
 
