Let new instances run beside those of the release before

Why: the identity of flows had come with a new layout version, so that old and new instances dropped each other's messages and a release that replaces them in turn would have cut every flow between them. A release is a planned change.

Change: openings and positions follow the fields that the release before reads; messages without them are believed as before. A lookup's packet past a silent endpoint has a class that old agents drop.

--- a/crates/passthrough/src/agent.rs
+++ b/crates/passthrough/src/agent.rs
@@ -297,7 +297,12 @@
     ///
     /// The caller may still open the flow here, if this endpoint's answer reached it first. Nothing is
     /// taken from the endpoint therefore; its answer to a pending delivery still tells of its health.
-    fn on_flow_given_up(&mut self, flow: Flow, opening: OpeningId) {
+    fn on_flow_given_up(&mut self, flow: Flow, opening: Option<OpeningId>) {
+        // A balancer of an earlier release doesn't name the opening.
+        let known = self.held_opening(flow).or(self.flows.opening(flow));
+        let Some(opening) = opening.or(known) else {
+            return;
+        };
         if self.drop_held_opening(flow, opening) {
             return;
         }
--- a/crates/passthrough/src/agent/held_openings.rs
+++ b/crates/passthrough/src/agent/held_openings.rs
@@ -131,6 +131,12 @@
         false
     }
 
+    /// Returns which opening of a flow waits, if one does.
+    pub(super) fn held_opening(&mut self, flow: Flow) -> Option<OpeningId> {
+        let waiting = self.held_openings.find_mut(|it| it.is_of(flow))?;
+        Some(waiting.opening())
+    }
+
     /// Drops an opening that waits, since another agent has accepted it, and returns whether it waited.
     pub(super) fn drop_held_opening(&mut self, flow: Flow, opening: OpeningId) -> bool {
         let is_meant = |it: &HeldOpening| it.is_of(flow) && it.opening() == opening;
@@ -201,7 +207,7 @@
     ) {
         let opening_held = OpeningHeld {
             flow: segment.caller_flow(),
-            opening: OpeningId::of_packet(segment),
+            opening: Some(OpeningId::of_packet(segment)),
             stay_ms: u16::try_from(stay.get()).unwrap_or(u16::MAX),
         };
         write_opening_held(opening_held, &mut self.scratch);
--- a/crates/passthrough/src/balancer/openings.rs
+++ b/crates/passthrough/src/balancer/openings.rs
@@ -126,7 +126,7 @@
     /// Records that an opening packet waits at an agent, so that it isn't offered to another one
     /// meanwhile.
     pub(crate) fn mark_held(&mut self, now: Millis, agent: Ipv4Addr, held: OpeningHeld) {
-        if self.pending_id(held.flow) != Some(held.opening) {
+        if held.opening.is_some() && self.pending_id(held.flow) != held.opening {
             return;
         }
         let Some(mut opening) = self.openings.remove(&held.flow) else {
--- a/crates/passthrough/src/balancer/routing.rs
+++ b/crates/passthrough/src/balancer/routing.rs
@@ -353,7 +353,13 @@
         let flow = flow_held.flow;
         self.agents
             .record_reply(now, agent, flow_held.utilization, out);
-        let id = flow_held.opening;
+        // An agent of an earlier release names neither the opening nor the endpoint's position.
+        let is_unnamed = flow_held.opening.is_none() && flow_held.endpoint_position.is_none();
+        let id = if is_unnamed {
+            self.openings.pending_id(flow)
+        } else {
+            flow_held.opening
+        };
         let mut positions = FlowPositions {
             caller: None,
             endpoint: flow_held.endpoint_position,
--- a/crates/passthrough/src/message.rs
+++ b/crates/passthrough/src/message.rs
@@ -41,7 +41,7 @@
 const MAGIC: u16 = 0x4C47;
 
 /// Version of the layout of all messages.
-pub const LAYOUT_VERSION: u8 = 6;
+pub const LAYOUT_VERSION: u8 = 5;
 
 /// Maximum number of candidate agents in the header of a forwarded packet.
 pub(crate) const CANDIDATES_MAX: usize = 8;
@@ -77,12 +77,6 @@
     agents
 }
 
-/// Flags in the header of a forwarded packet.
-mod forward_flag {
-    pub(super) const MUST_ACCEPT: u8 = 1;
-    pub(super) const HAS_SILENT_ENDPOINT: u8 = 2;
-}
-
 /// Flags in the message that an agent's endpoint holds a flow.
 mod held_flag {
     pub(super) const HAS_OPENING: u8 = 1;
@@ -165,6 +159,10 @@
     Lookup,
 }
 
+/// Encodes the class of a lookup's packet whose chain has a silent endpoint. Agents of earlier releases
+/// drop it, so that they don't report the chain's end as proof.
+const LOOKUP_PAST_SILENCE: u8 = 3;
+
 impl PacketClass {
     /// Returns the class of a packet whose flow is held by a known agent's endpoint.
     pub(crate) const fn for_known_agent(segment: &Segment) -> Self {
@@ -187,7 +185,7 @@
         match byte {
             0 => Ok(Self::Opening),
             1 => Ok(Self::Established),
-            2 => Ok(Self::Lookup),
+            2 | LOOKUP_PAST_SILENCE => Ok(Self::Lookup),
             _ => Err(MessageError::InvalidField { field: "class" }),
         }
     }
@@ -377,8 +375,7 @@
     service: U64,
     origin: [u8; 4],
     class: u8,
-    /// Bits of `forward_flag`.
-    flags: u8,
+    must_accept: u8,
     lookup_id: U16,
     position: u8,
     count: u8,
@@ -403,7 +400,8 @@
     pub(crate) utilization: Utilization,
     /// The flow's opening, if the agent saw it.
     pub(crate) opening: Option<OpeningId>,
-    /// The endpoint's latest position in the flow, if the agent knows it.
+    /// The endpoint's latest position in the flow, or `None` if an agent of an earlier release sent the
+    /// message.
     pub(crate) endpoint_position: Option<u32>,
 }
 
@@ -411,7 +409,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct OpeningHeld {
     pub(crate) flow: Flow,
-    pub(crate) opening: OpeningId,
+    /// The opening, or `None` if an agent of an earlier release sent the message.
+    pub(crate) opening: Option<OpeningId>,
     /// Time after which the opening is at the endpoint or on its way back to the balancer.
     pub(crate) stay_ms: u16,
 }
@@ -421,7 +420,6 @@
 struct OpeningHeldHeader {
     preamble: Preamble,
     flow: [u8; FLOW_BYTES],
-    opening: U32,
     stay_ms: U16,
 }
 
@@ -481,6 +479,12 @@
     flow: [u8; FLOW_BYTES],
     service: U64,
     utilization: U16,
+}
+
+/// What identifies a held flow, after the header; missing in messages of earlier releases.
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct HeldIdentity {
     /// Bits of `held_flag`.
     flags: u8,
     opening: U32,
@@ -492,7 +496,6 @@
 struct FlowGivenUpHeader {
     preamble: Preamble,
     flow: [u8; FLOW_BYTES],
-    opening: U32,
 }
 
 /// A packet returned to the balancer that sent it, because no candidate agent's endpoint holds or
@@ -719,5 +722,5 @@
     LookupRequest(LookupRequest<'a>, &'a [u8]),
     FlowNotHeld(FlowNotHeld),
     /// Tells an agent that another one has accepted the flow's opening.
-    FlowGivenUp(Flow, OpeningId),
+    FlowGivenUp(Flow, Option<OpeningId>),
 }
--- a/crates/passthrough/src/message/decode.rs
+++ b/crates/passthrough/src/message/decode.rs
@@ -7,11 +7,11 @@
     AcceptLimits, AgedFormerTarget, Body, CANDIDATES_MAX, Candidate, Candidates, Chunk,
     ChunkHeader, DIGEST_FORMER_TARGETS_MAX, DIGEST_MEMBERS_MAX, Digest, DigestHeader,
     DigestRequest, FlowGivenUpHeader, FlowHeld, FlowHeldHeader, FlowNotHeld, FlowNotHeldHeader,
-    Forward, ForwardHeader, Instances, LAYOUT_VERSION, LoadReport, LoadReportHeader, LookupRequest,
-    LookupRequestHeader, MAGIC, Member, Message, MessageError, NO_RETIRED_TOLD, OpeningHeld,
-    OpeningHeldHeader, PacketClass, PeerStatus, Preamble, REPORTED_BALANCERS_MAX,
-    REPORTED_ROUTES_MAX, ReturnHeader, Returned, RouteAddress, StateNotice, StateNoticeHeader,
-    forward_flag, held_flag, kind,
+    Forward, ForwardHeader, HeldIdentity, Instances, LAYOUT_VERSION, LOOKUP_PAST_SILENCE,
+    LoadReport, LoadReportHeader, LookupRequest, LookupRequestHeader, MAGIC, Member, Message,
+    MessageError, NO_RETIRED_TOLD, OpeningHeld, OpeningHeldHeader, PacketClass, PeerStatus,
+    Preamble, REPORTED_BALANCERS_MAX, REPORTED_ROUTES_MAX, ReturnHeader, Returned, RouteAddress,
+    StateNotice, StateNoticeHeader, held_flag, kind,
 };
 use crate::{
     EndpointState, Flow, RequestKind, RequestProfile, ServiceKey, flow_identity::OpeningId,
@@ -39,9 +39,8 @@
         kind::FLOW_NOT_HELD => decode_flow_not_held(datagram)?,
         kind::OPENING_HELD => decode_opening_held(datagram)?,
         kind::FLOW_GIVEN_UP => {
-            let (header, _) = decode_prefix::<FlowGivenUpHeader>(datagram)?;
-            let opening = OpeningId::new(header.opening.get());
-            Body::FlowGivenUp(Flow::from_bytes(header.flow), opening)
+            let (header, rest) = decode_prefix::<FlowGivenUpHeader>(datagram)?;
+            Body::FlowGivenUp(Flow::from_bytes(header.flow), decode_opening_id(rest))
         }
         kind::RETIRED => Body::Retired(decode_prefix::<Preamble>(datagram)?.1),
         _ => return Err(MessageError::InvalidField { field: "kind" }),
@@ -64,8 +63,8 @@
         service: ServiceKey::new(header.service.get()),
         origin: header.origin.into(),
         class: PacketClass::from_wire_byte(header.class)?,
-        must_accept: header.flags & forward_flag::MUST_ACCEPT != 0,
-        has_silent_endpoint: header.flags & forward_flag::HAS_SILENT_ENDPOINT != 0,
+        must_accept: header.must_accept != 0,
+        has_silent_endpoint: header.class == LOOKUP_PAST_SILENCE,
         lookup_id: header.lookup_id.get(),
         position: header.position,
         best_position: header.best_position,
@@ -107,23 +106,28 @@
 }
 
 fn decode_flow_held(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
-    let (header, _) = decode_prefix::<FlowHeldHeader>(datagram)?;
-    let has_field = |flag| header.flags & flag != 0;
+    let (header, rest) = decode_prefix::<FlowHeldHeader>(datagram)?;
+    let identity = decode_prefix::<HeldIdentity>(rest).ok().map(|it| it.0);
+    let field = |flag: u8, value: fn(&HeldIdentity) -> u32| {
+        let identity = identity.filter(|it| it.flags & flag != 0)?;
+        Some(value(&identity))
+    };
     Ok(Body::FlowHeld(FlowHeld {
         flow: Flow::from_bytes(header.flow),
         service: ServiceKey::new(header.service.get()),
         utilization: header.utilization.get(),
-        opening: has_field(held_flag::HAS_OPENING).then(|| OpeningId::new(header.opening.get())),
-        endpoint_position: has_field(held_flag::HAS_ENDPOINT_POSITION)
-            .then(|| header.endpoint_position.get()),
+        opening: field(held_flag::HAS_OPENING, |it| it.opening.get()).map(OpeningId::new),
+        endpoint_position: field(held_flag::HAS_ENDPOINT_POSITION, |it| {
+            it.endpoint_position.get()
+        }),
     }))
 }
 
 fn decode_opening_held(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
-    let (header, _) = decode_prefix::<OpeningHeldHeader>(datagram)?;
+    let (header, rest) = decode_prefix::<OpeningHeldHeader>(datagram)?;
     Ok(Body::OpeningHeld(OpeningHeld {
         flow: Flow::from_bytes(header.flow),
-        opening: OpeningId::new(header.opening.get()),
+        opening: decode_opening_id(rest),
         stay_ms: header.stay_ms.get(),
     }))
 }
@@ -155,6 +159,12 @@
     }))
 }
 
+/// Decodes the opening that a message ends with, or returns `None` if an earlier release sent it.
+fn decode_opening_id(rest: &[u8]) -> Option<OpeningId> {
+    let bytes = rest.first_chunk::<4>()?;
+    Some(OpeningId::new(u32::from_be_bytes(*bytes)))
+}
+
 fn decode_state_notice(datagram: &[u8]) -> Result<Body<'_>, MessageError> {
     let (header, _) = decode_prefix::<StateNoticeHeader>(datagram)?;
     let state = match header.state {
--- a/crates/passthrough/src/message/write.rs
+++ b/crates/passthrough/src/message/write.rs
@@ -9,27 +9,24 @@
 use super::{
     Chunk, ChunkHeader, DIGEST_FORMER_TARGETS_MAX, DIGEST_MEMBERS_MAX, Digest, DigestHeader,
     FlowGivenUpHeader, FlowHeld, FlowHeldHeader, FlowNotHeld, FlowNotHeldHeader, Forward,
-    ForwardHeader, LoadReport, LoadReportHeader, LookupRequest, LookupRequestHeader,
-    NO_RETIRED_TOLD, OpeningHeld, OpeningHeldHeader, Preamble, REPORTED_ROUTES_MAX, ReturnHeader,
-    Returned, StateNotice, StateNoticeHeader, forward_flag, held_flag, kind,
+    ForwardHeader, HeldIdentity, LOOKUP_PAST_SILENCE, LoadReport, LoadReportHeader, LookupRequest,
+    LookupRequestHeader, NO_RETIRED_TOLD, OpeningHeld, OpeningHeldHeader, Preamble,
+    REPORTED_ROUTES_MAX, ReturnHeader, Returned, StateNotice, StateNoticeHeader, held_flag, kind,
 };
 use crate::{EndpointState, Flow, RequestKind, flow_identity::OpeningId};
 
 /// Encodes a packet with its forwarding state into `out`.
 pub(crate) fn write_forwarded_packet(forward: &Forward, packet: &[u8], out: &mut Vec<u8>) {
-    let mut flags = 0;
-    if forward.must_accept {
-        flags |= forward_flag::MUST_ACCEPT;
-    }
-    if forward.has_silent_endpoint {
-        flags |= forward_flag::HAS_SILENT_ENDPOINT;
-    }
     let header = ForwardHeader {
         preamble: Preamble::new(kind::FORWARD),
         service: U64::new(forward.service.get()),
         origin: forward.origin.octets(),
-        class: forward.class.to_wire_byte(),
-        flags,
+        class: if forward.has_silent_endpoint {
+            LOOKUP_PAST_SILENCE
+        } else {
+            forward.class.to_wire_byte()
+        },
+        must_accept: u8::from(forward.must_accept),
         lookup_id: U16::new(forward.lookup_id),
         position: forward.position,
         count: forward.candidates.len(),
@@ -95,10 +92,10 @@
     let header = FlowGivenUpHeader {
         preamble: Preamble::new(kind::FLOW_GIVEN_UP),
         flow: flow.to_bytes(),
-        opening: U32::new(opening.get()),
     };
     out.clear();
     out.extend_from_slice(header.as_bytes());
+    out.extend_from_slice(&opening.get().to_be_bytes());
 }
 
 /// Encodes into `out` a packet that an agent returns to its balancer.
@@ -114,6 +111,12 @@
 
 /// Encodes into `out` the message that an agent's endpoint holds a flow.
 pub(crate) fn write_flow_held(flow_held: FlowHeld, out: &mut Vec<u8>) {
+    let header = FlowHeldHeader {
+        preamble: Preamble::new(kind::FLOW_HELD),
+        flow: flow_held.flow.to_bytes(),
+        service: U64::new(flow_held.service.get()),
+        utilization: U16::new(flow_held.utilization),
+    };
     let mut flags = 0;
     if flow_held.opening.is_some() {
         flags |= held_flag::HAS_OPENING;
@@ -121,17 +124,14 @@
     if flow_held.endpoint_position.is_some() {
         flags |= held_flag::HAS_ENDPOINT_POSITION;
     }
-    let header = FlowHeldHeader {
-        preamble: Preamble::new(kind::FLOW_HELD),
-        flow: flow_held.flow.to_bytes(),
+    let identity = HeldIdentity {
         flags,
         opening: U32::new(flow_held.opening.map_or(0, OpeningId::get)),
         endpoint_position: U32::new(flow_held.endpoint_position.unwrap_or(0)),
-        service: U64::new(flow_held.service.get()),
-        utilization: U16::new(flow_held.utilization),
     };
     out.clear();
     out.extend_from_slice(header.as_bytes());
+    out.extend_from_slice(identity.as_bytes());
 }
 
 /// Encodes into `out` the message that an opening waits at an agent.
@@ -139,11 +139,13 @@
     let header = OpeningHeldHeader {
         preamble: Preamble::new(kind::OPENING_HELD),
         flow: opening_held.flow.to_bytes(),
-        opening: U32::new(opening_held.opening.get()),
         stay_ms: U16::new(opening_held.stay_ms),
     };
     out.clear();
     out.extend_from_slice(header.as_bytes());
+    if let Some(opening) = opening_held.opening {
+        out.extend_from_slice(&opening.get().to_be_bytes());
+    }
 }
 
 /// Encodes a balancer's notice of an endpoint's state into `out`.
