Keep back resets that answer a lookup of the agent's process before

The endpoint, which had ended an earlier flow of the port, answered with a reset; the new process knew of no lookup, passed the reset on, and the caller lost an open flow that another endpoint held.

Change: an agent that neither knows a flow nor gave its endpoint a packet of it believes neither resets nor bare acknowledgements. Data, FINs and acknowledgements of data that it delivered still prove the holder.

--- a/crates/passthrough/src/agent/deliveries.rs
+++ b/crates/passthrough/src/agent/deliveries.rs
@@ -139,6 +139,11 @@
         earliest.take().map(|it| it.1)
     }
 
+    /// Returns whether a packet of the flow awaits the endpoint's answer.
+    pub(crate) fn has_delivery(&self, flow: Flow) -> bool {
+        self.slots.iter().flatten().any(|it| it.1.flow() == flow)
+    }
+
     /// Marks the delivery with the given tag as given up if it belongs to the opening.
     pub(crate) fn give_up_delivery(&mut self, tag: u32, flow: Flow, opening: OpeningId) {
         let slot = self.slots.get_mut(Self::delivery_index(tag));
--- a/crates/passthrough/src/agent/lookups.rs
+++ b/crates/passthrough/src/agent/lookups.rs
@@ -5,6 +5,7 @@
 use super::{Agent, deliveries::Delivery};
 use crate::{
     Outbox, PacketFormat, Segment,
+    flow_identity::may_be_of_ended_flow,
     message::{
         Candidate, Candidates, Forward, LookupRequest, PacketClass, UTILIZATION_CLOSED,
         write_forwarded_packet,
@@ -89,11 +90,12 @@
         self.forward_to_next_candidate(now, forward, UTILIZATION_CLOSED, &mut packet, out);
     }
 
-    /// Takes an endpoint's packet that answers a lookup on behalf of an earlier flow of the same
+    /// Takes an endpoint's packet that may answer a lookup on behalf of an earlier flow of the same
     /// addresses and ports, and returns whether it is one.
     ///
     /// The packet says nothing about the flow that is looked up, and its caller must not get it. After
-    /// a reset, the endpoint doesn't hold that flow; after an acknowledgement, it may.
+    /// a reset, the endpoint doesn't hold that flow; after an acknowledgement, it may. The lookup may
+    /// have been given to the endpoint by the agent's process before this one.
     pub(super) fn take_answer_for_ended_flow(
         &mut self,
         now: Millis,
@@ -106,7 +108,9 @@
         }
         let answered = self.deliveries.take_answered_for_ended_flow(flow, segment);
         let Some(delivery) = answered else {
-            return false;
+            let is_unknown = may_be_of_ended_flow(segment) && !self.deliveries.has_delivery(flow);
+            self.counters.ended_flow_answers += u64::from(is_unknown);
+            return is_unknown;
         };
         self.counters.ended_flow_answers += 1;
         let _silent_ms = self.health.on_endpoint_packet(now);
--- a/crates/passthrough/src/flow_identity.rs
+++ b/crates/passthrough/src/flow_identity.rs
@@ -116,12 +116,17 @@
     segment.sequence.wrapping_add(segment.data_bytes as u32)
 }
 
-/// Returns whether an endpoint's packet may answer a caller's packet on behalf of an earlier flow,
-/// which has ended.
+/// Returns whether an endpoint's packet may be of a flow that it has ended.
 ///
 /// An endpoint answers data of a flow that it ended with a reset, and a FIN with a bare
 /// acknowledgement, whichever flow of the same addresses and ports they are of.
-pub(crate) const fn may_answer_for_ended_flow(answer: &Segment, caller_packet: &Segment) -> bool {
+pub(crate) const fn may_be_of_ended_flow(answer: &Segment) -> bool {
     let is_bare = answer.data_bytes == 0 && !answer.syn && !answer.fin;
-    answer.rst || (is_bare && caller_packet.fin)
+    answer.rst || is_bare
+}
+
+/// Returns whether an endpoint's packet may answer the given packet of a caller on behalf of an earlier
+/// flow, which has ended.
+pub(crate) const fn may_answer_for_ended_flow(answer: &Segment, caller_packet: &Segment) -> bool {
+    may_be_of_ended_flow(answer) && (answer.rst || caller_packet.fin)
 }
--- a/crates/passthrough/tests/port_reuse.rs
+++ b/crates/passthrough/tests/port_reuse.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use passthrough::EndpointState;
+use passthrough::{EndpointState, Event};
 use support::{
     Flags, SERVICE, SERVICE_ADDRESS, SimNetwork, agent_ip, caller, encode_packet,
     open_flow::{OpenFlow, closing_network, open, set_state, try_open},
@@ -89,6 +89,38 @@
     }
 }
 
+/// Guards against the reset of an ended flow that answers a lookup after the agent has restarted, which
+/// knows nothing of the lookup (seed 1302 of `reuse_in_disorder`).
+#[test]
+fn agents_that_restart_during_a_lookup_pass_no_reset_on() {
+    for restart_after_ms in 0..8 {
+        for ends_flow in [false, true] {
+            let mut network = closing_network(2, ENDPOINTS);
+            let mut flow = open_after_ended_flows(&mut network, 1, 4_100);
+            for endpoint in network.endpoints.values_mut() {
+                endpoint.closes_after_answer = ends_flow;
+            }
+            assert!(flow.request(&mut network, 0, 20));
+            network.start_balancer(1);
+            network.advance_ms(1_100);
+            let before = network.received.len();
+            flow.expected += u32::from(ends_flow) * 40;
+            let flags = if ends_flow { Flags::FIN } else { Flags::ACK };
+            flow.send(&mut network, 1, flags, if ends_flow { 0 } else { 10 });
+            network.advance_ms(restart_after_ms);
+            for number in (0..ENDPOINTS).filter(|it| *it != flow.holder) {
+                network.start_agent(number, SERVICE);
+            }
+            network.advance_ms(190);
+            let case = format!("after {restart_after_ms} ms, ends: {ends_flow}");
+            assert_eq!(network.reset_count(flow.caller), 0, "{case}");
+            let received = network.received[before..].iter();
+            let acknowledgements = received.filter(|it| it.1.data_bytes == 0).count();
+            assert!(acknowledgements <= 1, "{case}: only the holder answers");
+        }
+    }
+}
+
 /// Guards against an acknowledgement of a later flow's FIN by an endpoint that ended an earlier flow:
 /// the true endpoint must get the FIN.
 #[test]
@@ -220,3 +252,24 @@
     network.advance_ms(500);
     assert_eq!(network.reset_count(caller(2)), 0, "its opening is pending");
 }
+
+/// The bare acknowledgement of data proves the holder to an agent that has restarted, before the answer
+/// to a long request comes.
+#[test]
+fn acknowledged_data_prove_the_holder() {
+    let mut network = SimNetwork::new(2, ENDPOINTS);
+    let mut flow = open(&mut network, 0, caller(1), 1_000);
+    assert!(flow.request(&mut network, 0, 20));
+    for endpoint in network.endpoints.values_mut() {
+        endpoint.request_ms = 400;
+    }
+    for number in 0..ENDPOINTS {
+        network.start_agent(number, SERVICE);
+    }
+    network.start_balancer(1);
+    network.advance_ms(1_100);
+    flow.send(&mut network, 1, Flags::ACK, 10);
+    network.advance_ms(150);
+    let mut events = network.events.iter().map(|it| it.1);
+    assert!(events.any(|it| matches!(it, Event::HolderFound { .. })));
+}
