--- a/crates/passthrough/src/flow_identity.rs
+++ b/crates/passthrough/src/flow_identity.rs
@@ -60,7 +60,7 @@
 
     /// Returns whether an opening packet that arrives now may be a copy of this opening's.
     ///
-    /// For a process that does not see whether the flow was closed.
+    /// Answers only a process that does not see whether the flow was closed.
     pub(crate) fn may_have_copy(&self, now: Millis, id: OpeningId) -> bool {
         self.is(id) && now.since(self.known_since) <= OPENING_COPIES_MS
     }
