--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -45,13 +45,23 @@
         cold_per_s: 0,
     };
     let services = [service("ledger", 2), service("feed", 1)];
-    let route = |address, service| Route { address, service, kind: "idempotent" };
-    let first = config(7, &[route(LEDGER, "ledger"), route(FEED, "feed")], &services);
+    let route = |address, service| Route {
+        address,
+        service,
+        kind: "idempotent",
+    };
+    let first = config(
+        7,
+        &[route(LEDGER, "ledger"), route(FEED, "feed")],
+        &services,
+    );
     let mut day = Deployment::start(&first, &services, record)?;
     day.start_clients(LEDGER, 100, 15.0)?;
     day.start_clients(FEED, 101, 5.0)?;
     pause(4.0);
-    let new_address = day.plan.at(Ipv4Addr::new(127, 200, 1, 8), day.plan.ports.store);
+    let new_address = day
+        .plan
+        .at(Ipv4Addr::new(127, 200, 1, 8), day.plan.ports.store);
     let _new_door = day.store.listen(new_address)?;
     if has_trouble {
         let seeds: Vec<Ipv4Addr> = (0..ZONES.len()).map(|it| day.plan.ip(it, 10)).collect();
@@ -84,9 +94,22 @@
     pause(10.0);
     day.stop_clients();
     day.say_outcomes();
-    let sent = day.requests.sent.lock().unwrap_or_else(PoisonError::into_inner).clone();
-    let runs = day.seen.runs.lock().unwrap_or_else(PoisonError::into_inner).clone();
-    let by_request: HashMap<u64, &str> = runs.iter().map(|it| (it.request, it.service.as_str())).collect();
+    let sent = day
+        .requests
+        .sent
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
+    let runs = day
+        .seen
+        .runs
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
+    let by_request: HashMap<u64, &str> = runs
+        .iter()
+        .map(|it| (it.request, it.service.as_str()))
+        .collect();
     let late = sent
         .iter()
         .filter(|it| it.service_address == LEDGER && it.at > acknowledged + CONFIG_APPLY);
@@ -123,8 +146,16 @@
         cold_per_s: 0,
     };
     let services = [service("ledger", 2), service("feed", 1)];
-    let route = |address, service| Route { address, service, kind: "idempotent" };
-    let first = config(7, &[route(LEDGER, "ledger"), route(FEED, "feed")], &services);
+    let route = |address, service| Route {
+        address,
+        service,
+        kind: "idempotent",
+    };
+    let first = config(
+        7,
+        &[route(LEDGER, "ledger"), route(FEED, "feed")],
+        &services,
+    );
     let mut day = Deployment::start(&first, &services, record)?;
     day.start_clients(FEED, 101, 5.0)?;
     day.start_clients_with(LEDGER, 100, |it| {
@@ -158,21 +189,46 @@
     pause(12.0);
     day.stop_clients();
     day.say_outcomes();
-    let sent = day.requests.sent.lock().unwrap_or_else(PoisonError::into_inner).clone();
-    let arrivals = day.seen.arrivals.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    let sent = day
+        .requests
+        .sent
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
+    let arrivals = day
+        .seen
+        .arrivals
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
     let (mut judged, mut broken) = (0, 0);
-    for it in sent.iter().filter(|it| it.service_address == LEDGER && it.at > began) {
+    for it in sent
+        .iter()
+        .filter(|it| it.service_address == LEDGER && it.at > began)
+    {
         judged += 1;
-        let in_time =
-            |arrival: &&Arrival| arrival.client == it.client && arrival.at >= it.at && arrival.at <= it.at + REORDER;
-        let own = arrivals.iter().filter(in_time).filter(|it| it.is_held).count();
-        let other = arrivals.iter().filter(in_time).filter(|it| !it.is_held).count();
+        let in_time = |arrival: &&Arrival| {
+            arrival.client == it.client && arrival.at >= it.at && arrival.at <= it.at + REORDER
+        };
+        let own = arrivals
+            .iter()
+            .filter(in_time)
+            .filter(|it| it.is_held)
+            .count();
+        let other = arrivals
+            .iter()
+            .filter(in_time)
+            .filter(|it| !it.is_held)
+            .count();
         let is_broken = own == 0 && other >= PACKETS_MIN;
         broken += usize::from(is_broken);
         record.write(&format!(
             "flow of {}: within {} ms of request {}, {other} packets reached other endpoints and \
              {own} its own; {:?}",
-            it.client, REORDER.as_millis(), it.request, it.outcome
+            it.client,
+            REORDER.as_millis(),
+            it.request,
+            it.outcome
         ));
     }
     record.say(&format!(
@@ -200,8 +256,16 @@
         cold_per_s: 0,
     };
     let services = [service("ledger", 2), service("feed", 1)];
-    let route = |address, service| Route { address, service, kind: "idempotent" };
-    let first = config(7, &[route(LEDGER, "ledger"), route(FEED, "feed")], &services);
+    let route = |address, service| Route {
+        address,
+        service,
+        kind: "idempotent",
+    };
+    let first = config(
+        7,
+        &[route(LEDGER, "ledger"), route(FEED, "feed")],
+        &services,
+    );
     let mut day = Deployment::start(&first, &services, record)?;
     day.start_clients(FEED, 101, 5.0)?;
     day.start_clients_with(LEDGER, 100, |it| {
@@ -244,12 +308,24 @@
     pause(8.5);
     day.stop_clients();
     day.say_outcomes();
-    let sent = day.requests.sent.lock().unwrap_or_else(PoisonError::into_inner).clone();
-    let later: Vec<_> =
-        sent.iter().filter(|it| it.service_address == LEDGER && it.at > began).collect();
-    let resets = later.iter().filter(|it| it.outcome == "reset by the system").count();
-    let first_s =
-        later.iter().map(|it| it.at.duration_since(began).as_secs_f64()).fold(f64::INFINITY, f64::min);
+    let sent = day
+        .requests
+        .sent
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
+    let later: Vec<_> = sent
+        .iter()
+        .filter(|it| it.service_address == LEDGER && it.at > began)
+        .collect();
+    let resets = later
+        .iter()
+        .filter(|it| it.outcome == "reset by the system")
+        .count();
+    let first_s = later
+        .iter()
+        .map(|it| it.at.duration_since(began).as_secs_f64())
+        .fold(f64::INFINITY, f64::min);
     record.say(&format!(
         "{} open flows were used again, {first_s:.1} s or more after the start; {resets} of them were \
          reset by the system",
@@ -278,7 +354,11 @@
         work: Duration::from_millis(13),
         cold_per_s: COLD_PER_S,
     };
-    let routes = [Route { address: LEDGER, service: "desk", kind: "idempotent" }];
+    let routes = [Route {
+        address: LEDGER,
+        service: "desk",
+        kind: "idempotent",
+    }];
     let services = [desk];
     let mut day = Deployment::start(&config(7, &routes, &services), &services, record)?;
     day.start_clients(LEDGER, 100, PER_S)?;
@@ -320,10 +400,18 @@
 /// Returns the most openings that a cold endpoint took in any one second, of those that were sent
 /// within that second.
 fn most_in_a_second(day: &Deployment, record: &Record) -> usize {
-    let sent = day.requests.sent.lock().unwrap_or_else(PoisonError::into_inner);
+    let sent = day
+        .requests
+        .sent
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
     let sent_at: HashMap<(SocketAddrV4, u32), Instant> =
         sent.iter().map(|it| ((it.client, it.seq), it.at)).collect();
-    let taken = day.seen.taken.lock().unwrap_or_else(PoisonError::into_inner);
+    let taken = day
+        .seen
+        .taken
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
     let mut by_endpoint: HashMap<&str, Vec<&Taken>> = HashMap::new();
     for it in taken.iter().filter(|it| it.is_cold) {
         by_endpoint.entry(&it.endpoint).or_default().push(it);
--- a/review/standins-3/client.rs
+++ b/review/standins-3/client.rs
@@ -46,7 +46,9 @@
             packet_addr: it.1,
             misses: 2,
         };
-        let routers = Arc::new(Self { nodes: Mutex::new(nodes.iter().map(node).collect()) });
+        let routers = Arc::new(Self {
+            nodes: Mutex::new(nodes.iter().map(node).collect()),
+        });
         for idx in 0..nodes.len() {
             let routers = Arc::clone(&routers);
             let address = nodes[idx].2;
@@ -240,9 +242,22 @@
         let request = self.requests.next.fetch_add(1, Ordering::SeqCst) + 1;
         let seq = (request as u32).wrapping_mul(2_654_435_761);
         let (own, to) = (self.own(port), self.settings.service_address);
-        let sent = Sent { request, at: now, client: own, seq, service_address: to, outcome: "" };
-        self.requests.sent.lock().unwrap_or_else(PoisonError::into_inner).push(sent);
-        self.record.write(&format!("client {own} opens a flow to {to} seq={seq} request {request}"));
+        let sent = Sent {
+            request,
+            at: now,
+            client: own,
+            seq,
+            service_address: to,
+            outcome: "",
+        };
+        self.requests
+            .sent
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(sent);
+        self.record.write(&format!(
+            "client {own} opens a flow to {to} seq={seq} request {request}"
+        ));
         let attempt = Attempt {
             request,
             began: now,
@@ -261,7 +276,8 @@
 
     fn end(&mut self, port: u16, outcome: &'static str) {
         if let Some(it) = self.attempts.remove(&port) {
-            self.record.write(&format!("client ends request {}: {outcome}", it.request));
+            self.record
+                .write(&format!("client ends request {}: {outcome}", it.request));
             self.requests.end(it.request, outcome);
         }
     }
@@ -278,11 +294,19 @@
         };
         if packet.has(RST) {
             // On an open flow, a reset counts only near the client's last acknowledgement.
-            let distance = packet.seq.wrapping_sub(attempt.ack).cast_signed().unsigned_abs();
+            let distance = packet
+                .seq
+                .wrapping_sub(attempt.ack)
+                .cast_signed()
+                .unsigned_abs();
             if attempt.is_open && distance > RESET_WINDOW {
                 return;
             }
-            let outcome = if packet.sum == 0 { "reset by the system" } else { "reset" };
+            let outcome = if packet.sum == 0 {
+                "reset by the system"
+            } else {
+                "reset"
+            };
             return self.end(port, outcome);
         }
         if packet.has(SYN) {
@@ -308,18 +332,29 @@
             attempt.ack = ack;
             attempt.idle_until = Some(Instant::now() + pause);
             self.send(&Packet::new(own, to, ACK, seq, ack));
-            self.record.write(&format!("client {own} got the answer to request {request}"));
+            self.record
+                .write(&format!("client {own} got the answer to request {request}"));
             return self.requests.end(request, "answered");
         }
         self.send(&Packet::new(own, to, ACK | FIN, seq, ack));
-        self.end(port, if is_own { "answered" } else { "answered with foreign data" });
+        self.end(
+            port,
+            if is_own {
+                "answered"
+            } else {
+                "answered with foreign data"
+            },
+        );
     }
 
     fn run_timers(&mut self, now: Instant) {
         let mut packets = Vec::new();
         let mut ended = Vec::new();
-        let (ip, to, deadline) =
-            (self.settings.ip, self.settings.service_address, self.settings.deadline);
+        let (ip, to, deadline) = (
+            self.settings.ip,
+            self.settings.service_address,
+            self.settings.deadline,
+        );
         for (port, it) in &mut self.attempts {
             let own = SocketAddrV4::new(ip, *port);
             if let Some(until) = it.idle_until {
@@ -333,10 +368,22 @@
                 it.resend_at = now;
                 it.data = format!("GET {} /", it.request).into_bytes();
                 let (request, seq) = (it.request, it.seq);
-                let sent =
-                    Sent { request, at: now, client: own, seq, service_address: to, outcome: "" };
-                self.requests.sent.lock().unwrap_or_else(PoisonError::into_inner).push(sent);
-                self.record.write(&format!("client {own} sends request {request} on its open flow"));
+                let sent = Sent {
+                    request,
+                    at: now,
+                    client: own,
+                    seq,
+                    service_address: to,
+                    outcome: "",
+                };
+                self.requests
+                    .sent
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .push(sent);
+                self.record.write(&format!(
+                    "client {own} sends request {request} on its open flow"
+                ));
             }
             let age = now.duration_since(it.began);
             if age >= deadline {
--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -131,10 +131,14 @@
             for idx in 0..BALANCERS_PER_ZONE {
                 let ip = plan.ip(zone, 10 + idx);
                 let name = format!("edge-{zone_name}-{idx}");
-                let settings =
-                    plan.balancer_settings(&name, zone_name, ip, &seeds, store_address);
+                let settings = plan.balancer_settings(&name, zone_name, ip, &seeds, store_address);
                 let node = Node::new("passthrough-balancer", &name, &folder, &settings)?;
-                edges.push(Edge { zone, name, ip, node });
+                edges.push(Edge {
+                    zone,
+                    name,
+                    ip,
+                    node,
+                });
             }
             let mut machine = 20;
             for service in services {
@@ -166,7 +170,13 @@
         }
         let nodes: Vec<_> = edges
             .iter()
-            .map(|it| (it.zone, plan.at(it.ip, plan.ports.packet), plan.at(it.ip, plan.ports.ready)))
+            .map(|it| {
+                (
+                    it.zone,
+                    plan.at(it.ip, plan.ports.packet),
+                    plan.at(it.ip, plan.ports.ready),
+                )
+            })
             .collect();
         let routers = Routers::start(&nodes);
         let mut deployment = Self {
@@ -213,8 +223,14 @@
         first_beat: Duration,
     ) -> io::Result<()> {
         let settings = &self.sides[idx].settings;
-        let endpoint =
-            Endpoint::start(settings, is_cold, first_beat, &self.store, &self.seen, &self.record)?;
+        let endpoint = Endpoint::start(
+            settings,
+            is_cold,
+            first_beat,
+            &self.store,
+            &self.seen,
+            &self.record,
+        )?;
         self.sides[idx].endpoint = Some(endpoint);
         Ok(())
     }
@@ -270,12 +286,19 @@
 
     /// Says how many requests ended in which way.
     pub fn say_outcomes(&self) {
-        let sent = self.requests.sent.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let sent = self
+            .requests
+            .sent
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
         let mut counts: std::collections::BTreeMap<&str, usize> = std::collections::BTreeMap::new();
         for it in sent.iter() {
             *counts.entry(it.outcome).or_default() += 1;
         }
-        self.record.say(&format!("requests: {} sent, by outcome {counts:?}", sent.len()));
+        self.record.say(&format!(
+            "requests: {} sent, by outcome {counts:?}",
+            sent.len()
+        ));
     }
 }
 
--- a/review/standins-3/endpoint.rs
+++ b/review/standins-3/endpoint.rs
@@ -101,7 +101,10 @@
         health.set_nonblocking(true)?;
         let stop = Arc::new(AtomicBool::new(false));
         let now = Instant::now();
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default()
+            .as_millis();
         let mut process = Process {
             settings: settings.clone(),
             udp,
@@ -186,7 +189,8 @@
     }
 
     fn cold_left(&self, now: Instant) -> Duration {
-        self.cold_until.map_or(Duration::ZERO, |it| it.saturating_duration_since(now))
+        self.cold_until
+            .map_or(Duration::ZERO, |it| it.saturating_duration_since(now))
     }
 
     fn write_beat(&mut self, now: Instant) {
@@ -225,8 +229,15 @@
         let now = Instant::now();
         let key = (packet.src, packet.dst);
         if !packet.is_genuine() {
-            let text = format!("{} got a packet that its sender didn't write so", self.settings.id);
-            self.seen.forged.lock().unwrap_or_else(PoisonError::into_inner).push(text);
+            let text = format!(
+                "{} got a packet that its sender didn't write so",
+                self.settings.id
+            );
+            self.seen
+                .forged
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(text);
             return;
         }
         if packet.has(SYN) {
@@ -281,7 +292,10 @@
         }
         if packet.has(FIN) {
             let seq = packet.ack;
-            let ack = packet.seq.wrapping_add(packet.data.len() as u32).wrapping_add(1);
+            let ack = packet
+                .seq
+                .wrapping_add(packet.data.len() as u32)
+                .wrapping_add(1);
             self.send(&Packet::new(packet.dst, packet.src, ACK | FIN, seq, ack));
             self.flows.remove(&key);
             self.ended.insert(key, now);
@@ -298,19 +312,32 @@
                 self.settings.id, packet.src
             ));
         }
-        let arrival = Arrival { at: now, client: packet.src, is_held };
-        self.seen.arrivals.lock().unwrap_or_else(PoisonError::into_inner).push(arrival);
+        let arrival = Arrival {
+            at: now,
+            client: packet.src,
+            is_held,
+        };
+        self.seen
+            .arrivals
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(arrival);
     }
 
     fn on_opening(&mut self, now: Instant, key: FlowKey, packet: &Packet) {
         let load = self.waiting.len() + self.running.len();
-        let is_known =
-            self.flows.get(&key).is_some_and(|it| it.client_seq == packet.seq.wrapping_add(1));
+        let is_known = self
+            .flows
+            .get(&key)
+            .is_some_and(|it| it.client_seq == packet.seq.wrapping_add(1));
         if !is_known {
             if load >= self.settings.slots + self.settings.queue {
                 return self.bounce(&mut packet.clone());
             }
-            self.next_seq = self.next_seq.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+            self.next_seq = self
+                .next_seq
+                .wrapping_mul(1_664_525)
+                .wrapping_add(1_013_904_223);
             let flow = Flow {
                 is_open: false,
                 client_seq: packet.seq.wrapping_add(1),
@@ -332,9 +359,15 @@
                 endpoint: self.settings.id.clone(),
                 is_cold,
             };
-            self.seen.taken.lock().unwrap_or_else(PoisonError::into_inner).push(taken);
+            self.seen
+                .taken
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(taken);
         }
-        let Some(flow) = self.flows.get(&key) else { return };
+        let Some(flow) = self.flows.get(&key) else {
+            return;
+        };
         if flow.is_open {
             return;
         }
@@ -346,7 +379,9 @@
     fn bounce(&self, packet: &mut Packet) {
         packet.flags |= BOUNCED;
         packet.pad = 0;
-        let _lost = self.udp.send_to(&packet.encode_as_is(), self.settings.outbound);
+        let _lost = self
+            .udp
+            .send_to(&packet.encode_as_is(), self.settings.outbound);
     }
 
     fn work(&mut self, now: Instant) {
@@ -364,7 +399,9 @@
             }
         }
         while self.running.len() < self.settings.slots {
-            let Some((key, request)) = self.waiting.pop_front() else { break };
+            let Some((key, request)) = self.waiting.pop_front() else {
+                break;
+            };
             if !self.flows.contains_key(&key) {
                 continue;
             }
@@ -372,9 +409,19 @@
             if !self.cold_left(now).is_zero() {
                 work = work.mul_f64(self.settings.cold_factor);
             }
-            self.record.write(&format!("endpoint {} runs request {request}", self.settings.id));
-            let run = Run { request, service: self.settings.service.clone() };
-            self.seen.runs.lock().unwrap_or_else(PoisonError::into_inner).push(run);
+            self.record.write(&format!(
+                "endpoint {} runs request {request}",
+                self.settings.id
+            ));
+            let run = Run {
+                request,
+                service: self.settings.service.clone(),
+            };
+            self.seen
+                .runs
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(run);
             self.running.push((now + work, key, request));
         }
     }
@@ -402,6 +449,7 @@
         for packet in packets {
             self.send(&packet);
         }
-        self.ended.retain(|_, at| now.duration_since(*at) < ENDED_TIME);
+        self.ended
+            .retain(|_, at| now.duration_since(*at) < ENDED_TIME);
     }
 }
--- a/review/standins-3/packet.rs
+++ b/review/standins-3/packet.rs
@@ -26,7 +26,17 @@
 
 impl Packet {
     pub fn new(src: SocketAddrV4, dst: SocketAddrV4, flags: u8, seq: u32, ack: u32) -> Self {
-        Self { src, dst, flags, pad: 0, sum: 0, echo: 0, seq, ack, data: Vec::new() }
+        Self {
+            src,
+            dst,
+            flags,
+            pad: 0,
+            sum: 0,
+            echo: 0,
+            seq,
+            ack,
+            data: Vec::new(),
+        }
     }
 
     pub fn with_data(mut self, data: &[u8]) -> Self {
--- a/review/standins-3/record.rs
+++ b/review/standins-3/record.rs
@@ -17,7 +17,10 @@
 impl Record {
     pub fn create(path: &Path) -> std::io::Result<Self> {
         let file = Mutex::new(BufWriter::new(File::create(path)?));
-        Ok(Self { started: Instant::now(), file })
+        Ok(Self {
+            started: Instant::now(),
+            file,
+        })
     }
 
     /// Returns the seconds from the start of the record to `at`.
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -70,7 +70,11 @@
 
 impl Store {
     pub fn new() -> Arc<Self> {
-        let state = State { revision: 100, items: BTreeMap::new(), history: Vec::new() };
+        let state = State {
+            revision: 100,
+            items: BTreeMap::new(),
+            history: Vec::new(),
+        };
         let store = Arc::new(Self {
             state: Mutex::new(state),
             changed: Condvar::new(),
@@ -93,9 +97,18 @@
         state.revision += 1;
         let revision = state.revision;
         let created = state.items.get(key).map_or(revision, |it| it.created);
-        let item = Item { value: value.as_bytes().to_vec(), revision, created, expires };
+        let item = Item {
+            value: value.as_bytes().to_vec(),
+            revision,
+            created,
+            expires,
+        };
         state.items.insert(key.to_owned(), item.clone());
-        state.history.push(Change { revision, key: key.to_owned(), item: Some(item) });
+        state.history.push(Change {
+            revision,
+            key: key.to_owned(),
+            item: Some(item),
+        });
         self.changed.notify_all();
         revision
     }
@@ -124,13 +137,21 @@
         let mut state = lock(&self.state);
         let now = Instant::now();
         let is_expired = |it: &Item| it.expires.is_some_and(|at| at <= now);
-        let expired: Vec<String> =
-            state.items.iter().filter(|it| is_expired(it.1)).map(|it| it.0.clone()).collect();
+        let expired: Vec<String> = state
+            .items
+            .iter()
+            .filter(|it| is_expired(it.1))
+            .map(|it| it.0.clone())
+            .collect();
         for key in expired {
             state.items.remove(&key);
             state.revision += 1;
             let revision = state.revision;
-            state.history.push(Change { revision, key, item: None });
+            state.history.push(Change {
+                revision,
+                key,
+                item: None,
+            });
             self.changed.notify_all();
         }
     }
@@ -191,7 +212,10 @@
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let field = |name: &str| {
             let pair = query.split('&').filter_map(|it| it.split_once('='));
-            pair.filter(|it| it.0 == name).map(|it| unescape(it.1)).next().unwrap_or_default()
+            pair.filter(|it| it.0 == name)
+                .map(|it| unescape(it.1))
+                .next()
+                .unwrap_or_default()
         };
         if self.is_down() {
             return ("503 Service Unavailable", "{}".to_owned());
@@ -223,8 +247,11 @@
         let state = lock(&self.state);
         let is_meant = |it: &(&String, &Item)| it.0.starts_with(prefix) && it.0.as_str() > after;
         let meant: Vec<_> = state.items.iter().filter(is_meant).collect();
-        let page: Vec<String> =
-            meant.iter().take(PAGE_ITEMS).map(|it| item_json(it.0, it.1)).collect();
+        let page: Vec<String> = meant
+            .iter()
+            .take(PAGE_ITEMS)
+            .map(|it| item_json(it.0, it.1))
+            .collect();
         format!(
             "{{\"items\":[{}],\"has_more\":{},\"as_of\":{}}}",
             page.join(","),
@@ -257,7 +284,10 @@
             let left = until.saturating_duration_since(Instant::now());
             if !news.is_empty() || left.is_zero() {
                 let events = news.join(",");
-                return Some(format!("{{\"events\":[{events}],\"as_of\":{}}}", state.revision));
+                return Some(format!(
+                    "{{\"events\":[{events}],\"as_of\":{}}}",
+                    state.revision
+                ));
             }
             state = match self.changed.wait_timeout(state, left) {
                 Ok(it) => it.0,
@@ -298,7 +328,9 @@
     let mut out = Vec::new();
     let mut idx = 0;
     while idx < bytes.len() {
-        let hex = text.get(idx + 1..idx + 3).and_then(|it| u8::from_str_radix(it, 16).ok());
+        let hex = text
+            .get(idx + 1..idx + 3)
+            .and_then(|it| u8::from_str_radix(it, 16).ok());
         match (bytes[idx], hex) {
             (b'%', Some(byte)) => {
                 out.push(byte);
--- a/review/standins-3/world.rs
+++ b/review/standins-3/world.rs
@@ -18,7 +18,12 @@
 }
 
 impl Node {
-    pub fn new(role: &'static str, name: &str, folder: &Path, settings: &str) -> std::io::Result<Self> {
+    pub fn new(
+        role: &'static str,
+        name: &str,
+        folder: &Path,
+        settings: &str,
+    ) -> std::io::Result<Self> {
         let node = Self {
             role,
             settings: folder.join(format!("{name}.json")),
@@ -38,7 +43,10 @@
 
     /// Starts the process with the command of the deploy file.
     pub fn start(&mut self) -> std::io::Result<()> {
-        let log = fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
         let child = Command::new("target/release/lovagehall")
             .arg(self.role)
             .arg(&self.settings)
@@ -68,7 +76,9 @@
 
     /// Returns whether the process runs.
     pub fn is_running(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|it| matches!(it.try_wait(), Ok(None)))
+        self.child
+            .as_mut()
+            .is_some_and(|it| matches!(it.try_wait(), Ok(None)))
     }
 }
 
@@ -147,7 +157,10 @@
         store: SocketAddrV4,
     ) -> String {
         let ports = self.ports;
-        let seeds: Vec<String> = seeds.iter().map(|it| format!("\"{it}:{}\"", ports.peer)).collect();
+        let seeds: Vec<String> = seeds
+            .iter()
+            .map(|it| format!("\"{it}:{}\"", ports.peer))
+            .collect();
         format!(
             "{{\"instance\":\"{name}\",\"availability_zone\":\"{zone}\",\"address\":\"{ip}\",\
              \"caller_address\":\"{ip}:{}\",\"peer_port\":{},\"link_mbps\":1000.0,\
